--- /dev/null
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP interface for callers and operators. */
+@NullMarked
+package dev.bambootray.adapters.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/peer/src/main/java/dev/bambootray/adapters/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between nodes over TCP. */
+@NullMarked
+package dev.bambootray.adapters.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bench/src/main/java/dev/bambootray/bench/BenchMain.java
@@ -0,0 +1,19 @@
+package dev.bambootray.bench;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Entry point of {@code bin/bench}; each benchmark is a subcommand. */
+@Command(
+    name = "bench",
+    description = "Runs a benchmark and checks it against its bounds.",
+    mixinStandardHelpOptions = true,
+    subcommands = {})
+public final class BenchMain {
+  private BenchMain() {}
+
+  /** Runs the benchmark that the arguments name and exits with its code. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new BenchMain()).execute(args));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/bambootray/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Benchmarks with regression bounds. */
+@NullMarked
+package dev.bambootray.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/main/java/dev/bambootray/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The command-line tool. */
+@NullMarked
+package dev.bambootray.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/declaration/package-info.java
@@ -0,0 +1,5 @@
+/** The declaration that operators publish: places, services, workspaces, templates and policy. */
+@NullMarked
+package dev.bambootray.core.declaration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/model/RequestError.java
@@ -0,0 +1,43 @@
+package dev.bambootray.core.model;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An error of the request path.
+ *
+ * @param step where it arose
+ * @param peer the node, worker or platform part at which it arose, or {@code local}
+ * @param message what went wrong, one plain sentence without secrets
+ * @param ran whether the request ran
+ * @param retryable whether the caller may send the same request again
+ * @param retryAfterMs when the caller should come back, in milliseconds from now; null if it should
+ *     not
+ */
+public record RequestError(
+    Step step,
+    String peer,
+    String message,
+    RunState ran,
+    boolean retryable,
+    @Nullable Long retryAfterMs) {
+
+  /** Returns an error for a request that did not run and may be sent again after a delay. */
+  public static RequestError notRun(Step step, String peer, String message, long retryAfterMs) {
+    return new RequestError(step, peer, message, RunState.NO, true, retryAfterMs);
+  }
+
+  /** Returns an error for a request that did not run and never can. */
+  public static RequestError impossible(Step step, String peer, String message) {
+    return new RequestError(step, peer, message, RunState.NO, false, null);
+  }
+
+  /** Returns an error for a request of which it is not known whether it ran. */
+  public static RequestError unknown(Step step, String peer, String message) {
+    return new RequestError(step, peer, message, RunState.UNKNOWN, false, null);
+  }
+
+  /** Returns an error for a request that ran and failed. */
+  public static RequestError failed(Step step, String peer, String message) {
+    return new RequestError(step, peer, message, RunState.YES, false, null);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/model/RunState.java
@@ -0,0 +1,11 @@
+package dev.bambootray.core.model;
+
+/** Whether a request ran, as stated in its answer. */
+public enum RunState {
+  /** It certainly did not run. */
+  NO,
+  /** It ran. */
+  YES,
+  /** It may have run. */
+  UNKNOWN
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/model/package-info.java
@@ -0,0 +1,5 @@
+/** Value types shared by all parts: identifiers, shapes, requests and answers. */
+@NullMarked
+package dev.bambootray.core.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/worker/RefusalReason.java
@@ -0,0 +1,17 @@
+package dev.bambootray.core.worker;
+
+/** Why a worker refused a command; a refused command had no effect. */
+public enum RefusalReason {
+  /** The command's epoch is lower than the worker's. */
+  STALE_EPOCH,
+  /** The command's epoch is higher than the worker's, so the worker must be adopted first. */
+  NOT_ADOPTED,
+  /** No free slot, accelerators, processors or memory. */
+  NO_CAPACITY,
+  /** The worker or its target is leaving and takes no new work. */
+  LEAVING,
+  /** The worker does not know the task, for example because its lease lapsed. */
+  UNKNOWN_TASK,
+  /** The command is malformed. */
+  INVALID
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/worker/WorkerReply.java
@@ -0,0 +1,60 @@
+package dev.bambootray.core.worker;
+
+import dev.bambootray.core.model.RequestError;
+import java.util.List;
+
+/** The outcome of a {@link WorkerCommand}. */
+public sealed interface WorkerReply {
+
+  /**
+   * The worker was adopted.
+   *
+   * @param tasks all tasks that it holds or retains
+   * @param sequence sequence number of its last event
+   * @param leaving whether it takes no new work
+   */
+  record Adopted(List<TaskSnapshot> tasks, long sequence, boolean leaving) implements WorkerReply {}
+
+  /** The command was carried out. */
+  record Done() implements WorkerReply {}
+
+  /**
+   * The state of a task: the outcome of {@code Run} or {@code QueryTask}.
+   *
+   * @param snapshot the state
+   */
+  record TaskState(TaskSnapshot snapshot) implements WorkerReply {}
+
+  /**
+   * Events of the worker.
+   *
+   * @param events the events, oldest first
+   * @param usage lagging usage reports
+   * @param leaving whether the worker takes no new work
+   */
+  record Events(List<WorkerEvent> events, List<TaskUsage> usage, boolean leaving)
+      implements WorkerReply {}
+
+  /**
+   * The worker refused; the command had no effect.
+   *
+   * @param reason why
+   * @param highestEpoch the highest epoch that the worker has seen
+   */
+  record Refused(RefusalReason reason, long highestEpoch) implements WorkerReply {}
+
+  /**
+   * No byte of the command was written, so it had no effect.
+   *
+   * @param error what went wrong
+   */
+  record NotSent(RequestError error) implements WorkerReply {}
+
+  /**
+   * The command was written, at least in part, and no whole reply arrived; it may have had its
+   * effect.
+   *
+   * @param error what went wrong
+   */
+  record NoReply(RequestError error) implements WorkerReply {}
+}
--- /dev/null
+++ b/ports/src/main/java/dev/bambootray/ports/ObjectStore.java
@@ -0,0 +1,16 @@
+package dev.bambootray.ports;
+
+import dev.bambootray.core.store.StoreError;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's object store. Futures complete on a traffic thread, never with a throw. */
+public interface ObjectStore {
+
+  /** Writes an object. */
+  CompletableFuture<Either<StoreError, Boolean>> put(String name, byte[] content);
+
+  /** Reads an object; empty if there is none. */
+  CompletableFuture<Either<StoreError, Optional<byte[]>>> get(String name);
+}
