--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/ledger/RecordState.java
@@ -0,0 +1,11 @@
+package dev.bambootray.core.ledger;
+
+/** State of a request record. */
+public enum RecordState {
+  /** The request is accepted; no attempt is recorded. */
+  ACCEPTED,
+  /** The intent to run an attempt is recorded. */
+  INTENT,
+  /** The request has its final answer. */
+  ANSWERED
+}
--- a/core/src/main/java/dev/bambootray/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/bambootray/core/message/PeerMessage.java
@@ -24,10 +24,10 @@
    * @param region the region
    * @param epoch the owner's epoch as the sender knows it
    * @param spec the request
-   * @param durable whether a record of it is in the table
+   * @param recordVersion version of its record in the table, or 0 if it has none
    */
   record SubmitRequest(
-      NodeId sender, RegionId region, long epoch, RequestSpec spec, boolean durable)
+      NodeId sender, RegionId region, long epoch, RequestSpec spec, long recordVersion)
       implements PeerMessage {}
 
   /**
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
@@ -0,0 +1,128 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.ledger.LedgerRows;
+import dev.bambootray.core.ledger.RecordState;
+import dev.bambootray.core.ledger.RequestRecord;
+import dev.bambootray.core.model.Answer;
+import dev.bambootray.core.store.CommitResult;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.core.store.StoredRow;
+import io.vavr.control.Either;
+import java.util.function.BiConsumer;
+
+/**
+ * Makes the answer of a request durable and tells which answer stands.
+ *
+ * <p>Of several answers, the one whose conditional write took effect stands. While the table is
+ * away the answer goes out before it is written, because the caller waits and the worker keeps the
+ * result until it is written.
+ */
+final class AnswerWriter {
+  /** Results longer than this cross regions by reference through the object store. */
+  static final int MAX_INLINE_RESULT_BYTES = 64 * 1024;
+
+  private final NodeContext context;
+  private final BiConsumer<ServedRequest, Answer> deliver;
+  private final BiConsumer<ServedRequest, Boolean> settled;
+
+  /**
+   * Creates a writer.
+   *
+   * @param deliver sends an answer to the entry nodes; called at least once for each request
+   * @param settled is told when the record is closed: true if by this answer
+   */
+  AnswerWriter(
+      NodeContext context,
+      BiConsumer<ServedRequest, Answer> deliver,
+      BiConsumer<ServedRequest, Boolean> settled) {
+    this.context = context;
+    this.deliver = deliver;
+    this.settled = settled;
+  }
+
+  void write(ServedRequest served, Answer answer) {
+    if (served.isFinishing) {
+      return;
+    }
+    served.isFinishing = true;
+    String result = answer.resultJson();
+    if (result == null || result.length() <= MAX_INLINE_RESULT_BYTES) {
+      record(served, answer);
+      return;
+    }
+    String name = "result/" + answer.key().path();
+    context
+        .outbox()
+        .putObject(
+            name,
+            result,
+            outcome ->
+                record(
+                    served,
+                    outcome.isRight() ? Answer.reference(answer.key(), name) : answer));
+  }
+
+  private void record(ServedRequest served, Answer answer) {
+    if (!served.isDurable()) {
+      deliver.accept(served, answer);
+      settled.accept(served, true);
+      return;
+    }
+    boolean sendFirst = !context.store().isAvailable();
+    if (sendFirst) {
+      deliver.accept(served, answer);
+    }
+    commit(served, answer, sendFirst);
+  }
+
+  private void commit(ServedRequest served, Answer answer, boolean alreadySent) {
+    RequestRecord answered = served.content.withAnswer(answer);
+    context
+        .store()
+        .commit(
+            context.rows().answer(answered, served.recordVersion, context.tokens().next()),
+            Long.MAX_VALUE,
+            outcome -> committed(served, answer, alreadySent, outcome));
+  }
+
+  private void committed(
+      ServedRequest served,
+      Answer answer,
+      boolean alreadySent,
+      Either<StoreError, CommitResult> outcome) {
+    if (outcome.isRight() && outcome.get() instanceof CommitResult.Committed) {
+      if (!alreadySent) {
+        deliver.accept(served, answer);
+      }
+      settled.accept(served, true);
+      return;
+    }
+    if (outcome.isRight() && outcome.get() instanceof CommitResult.Conflict conflict) {
+      deliverStandingAnswer(served, alreadySent, conflict);
+    }
+    settled.accept(served, false);
+  }
+
+  private void deliverStandingAnswer(
+      ServedRequest served, boolean alreadySent, CommitResult.Conflict conflict) {
+    String row = LedgerRows.requestRow(served.content.spec().key());
+    for (StoredRow current : conflict.current()) {
+      if (!current.key().equals(row) || current.version() == 0) {
+        continue;
+      }
+      context
+          .codec()
+          .decode(current.value())
+          .filter(found -> found.state() == RecordState.ANSWERED && !alreadySent)
+          .forEach(
+              either ->
+                  either.forEach(
+                      found -> {
+                        Answer standing = found.answer();
+                        if (standing != null) {
+                          deliver.accept(served, standing);
+                        }
+                      }));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
@@ -0,0 +1,142 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.configuration.ConfigurationEffect;
+import dev.bambootray.core.configuration.ConfigurationEvent;
+import dev.bambootray.core.configuration.ConfigurationState;
+import dev.bambootray.core.configuration.PublishedDeclaration;
+import dev.bambootray.core.store.CommitResult;
+import dev.bambootray.core.store.RowWrite;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.core.store.StoredRow;
+import dev.bambootray.core.store.TableTransaction;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Connects the configuration of a node with the table, the peers and the other parts. */
+final class ConfigurationDriver {
+  private static final String CURRENT_ROW = "config/current";
+  private static final String HISTORY_PREFIX = "config/history/";
+
+  private final NodeContext context;
+  private final RowCodec codec;
+  private final ConfigurationState state;
+  private final Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration;
+
+  ConfigurationDriver(
+      NodeContext context,
+      RowCodec codec,
+      ConfigurationState state,
+      Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration) {
+    this.context = context;
+    this.codec = codec;
+    this.state = state;
+    this.onDeclaration = onDeclaration;
+  }
+
+  ConfigurationState state() {
+    return state;
+  }
+
+  void handle(ConfigurationEvent event) {
+    state.handle(event, context.now()).forEach(this::apply);
+  }
+
+  private void apply(ConfigurationEffect effect) {
+    if (effect instanceof ConfigurationEffect.ReadCurrent) {
+      context.store().read(CURRENT_ROW, this::currentRead);
+    } else if (effect instanceof ConfigurationEffect.ReadHistory read) {
+      context
+          .store()
+          .read(HISTORY_PREFIX + read.version(), row -> historyRead(read.publishId(), row));
+    } else if (effect instanceof ConfigurationEffect.CommitDeclaration commit) {
+      commit(commit);
+    } else if (effect instanceof ConfigurationEffect.SendToPeer send) {
+      context.routes().toNode(send.peer(), send.message());
+    } else if (effect instanceof ConfigurationEffect.DeclarationInForce inForce) {
+      report("in-force", inForce.declaration().version(), "The declaration is in force.");
+      onDeclaration.accept(inForce);
+    } else if (effect instanceof ConfigurationEffect.CurrencyChanged changed) {
+      report(
+          changed.current() ? "current" : "not-current",
+          state.version(),
+          changed.current()
+              ? "The version is confirmed; new work is taken."
+              : "The version could not be confirmed; new work is refused.");
+    } else if (effect instanceof ConfigurationEffect.DeclarationUnreadable unreadable) {
+      report("unreadable", unreadable.version(), String.join("; ", unreadable.problems()));
+    } else if (effect instanceof ConfigurationEffect.PublishFinished finished) {
+      context
+          .outbox()
+          .add(new NodeEffect.ReplyPublish(finished.publishId(), finished.outcome()));
+    }
+  }
+
+  private void currentRead(Either<StoreError, StoredRow> outcome) {
+    handle(
+        outcome
+            .mapLeft(StoreError::message)
+            .flatMap(this::declarationOf)
+            .fold(
+                failure -> new ConfigurationEvent.CurrentReadFailed(),
+                ConfigurationEvent.CurrentRead::new));
+  }
+
+  private void historyRead(long publishId, Either<StoreError, StoredRow> outcome) {
+    handle(
+        outcome
+            .mapLeft(StoreError::message)
+            .flatMap(this::declarationOf)
+            .fold(
+                failure -> new ConfigurationEvent.HistoryReadFailed(publishId),
+                old -> new ConfigurationEvent.HistoryRead(publishId, old)));
+  }
+
+  private void commit(ConfigurationEffect.CommitDeclaration commit) {
+    PublishedDeclaration declaration = commit.declaration();
+    String json = codec.encodeDeclaration(declaration);
+    TableTransaction transaction =
+        new TableTransaction(
+            commit.writeToken(),
+            List.of(
+                new RowWrite(CURRENT_ROW, json, declaration.version() - 1),
+                new RowWrite(HISTORY_PREFIX + declaration.version(), json, 0)));
+    context
+        .store()
+        .commitOnce(
+            transaction, outcome -> commitEnded(commit.publishId(), outcome));
+  }
+
+  private void commitEnded(long publishId, Either<StoreError, CommitResult> outcome) {
+    if (outcome.isLeft()) {
+      handle(
+          new ConfigurationEvent.CommitFailed(publishId, outcome.getLeft().maybeApplied()));
+    } else if (outcome.get() instanceof CommitResult.Committed) {
+      handle(new ConfigurationEvent.CommitSucceeded(publishId));
+    } else {
+      // The conflict may name only the history row, so the current one is read.
+      context
+          .store()
+          .read(
+              CURRENT_ROW,
+              row ->
+                  handle(
+                      row.mapLeft(StoreError::message)
+                          .flatMap(this::declarationOf)
+                          .fold(
+                              failure -> new ConfigurationEvent.CommitFailed(publishId, false),
+                              current ->
+                                  new ConfigurationEvent.CommitConflicted(publishId, current))));
+    }
+  }
+
+  private Either<String, PublishedDeclaration> declarationOf(StoredRow row) {
+    return row.version() == 0
+        ? Either.right(PublishedDeclaration.NONE)
+        : codec.decodeDeclaration(row.value());
+  }
+
+  private void report(String kind, long version, String detail) {
+    context.outbox().report("config:", kind, version, detail);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -0,0 +1,475 @@
+package dev.bambootray.core.node;
+
+import static dev.bambootray.core.model.RequestError.notRun;
+
+import dev.bambootray.core.ledger.LedgerRows;
+import dev.bambootray.core.ledger.RecordState;
+import dev.bambootray.core.ledger.RequestRecord;
+import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.Answer;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.RequestSpec;
+import dev.bambootray.core.model.RunState;
+import dev.bambootray.core.model.Step;
+import dev.bambootray.core.store.CommitResult;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.core.store.StoredRow;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * The entry role of a node: accepts requests, hands them to the owner of a region and answers the
+ * callers that wait here.
+ */
+final class EntryDesk {
+  /** How long the owner may be late before the entry node settles a request by its record. */
+  private static final long SETTLE_GRACE_MS = 2_000;
+
+  private static final long FIRST_RESEND_MS = 1_000;
+  private static final long MAX_RESEND_MS = 60_000;
+  private static final long CANCEL_WAIT_MS = 5_000;
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private final NodeContext context;
+  private final HeldRequests held;
+  private final Function<RequestSpec, RegionId> chooser;
+  private final Map<RequestKey, OpenEntry> open = new HashMap<>();
+
+  EntryDesk(
+      NodeContext context,
+      HeldRequests held,
+      Function<RequestSpec, RegionId> chooser) {
+    this.context = context;
+    this.held = held;
+    this.chooser = chooser;
+  }
+
+  int openCount() {
+    return open.size();
+  }
+
+  void submit(NodeEvent.CallerSubmitted event, long nowMs) {
+    RequestKey key = event.spec().key();
+    OpenEntry known = open.get(key);
+    if (known != null) {
+      if (!known.view().matches(event.spec())) {
+        context.outbox().refuse(event.ticket(), keyReused(key));
+        return;
+      }
+      attach(known, ticketOf(event, nowMs));
+      return;
+    }
+    OpenEntry entry = new OpenEntry(event.spec(), chooser.apply(event.spec()));
+    if (!held.admit(entry.heldBytes())) {
+      context
+          .outbox()
+          .refuse(
+              event.ticket(),
+              notRun(
+                  Step.ADMISSION,
+                  context.self(),
+                  "this node holds as many requests as it may",
+                  RETRY_AFTER_MS));
+      return;
+    }
+    entry.tickets.add(ticketOf(event, nowMs));
+    open.put(key, entry);
+    accept(entry, nowMs);
+  }
+
+  void read(long ticket, RequestKey key, long waitMs, long nowMs) {
+    OpenEntry entry = open.get(key);
+    if (entry != null) {
+      attach(entry, new OpenEntry.Ticket(ticket, nowMs + waitMs, false));
+      return;
+    }
+    readRecord(
+        key,
+        ticket,
+        row -> {
+          RequestRecord found = row.content();
+          if (found.state() == RecordState.ANSWERED || waitMs <= 0) {
+            context.outbox().reply(ticket, found, true);
+            return;
+          }
+          awaitOpen(found, row.version(), new OpenEntry.Ticket(ticket, nowMs + waitMs, false));
+        });
+  }
+
+  void cancel(long ticket, RequestKey key, long nowMs) {
+    OpenEntry entry = open.get(key);
+    if (entry != null) {
+      entry.tickets.add(new OpenEntry.Ticket(ticket, nowMs + CANCEL_WAIT_MS, false));
+      sendCancel(entry);
+      return;
+    }
+    readRecord(
+        key,
+        ticket,
+        row -> {
+          RequestRecord found = row.content();
+          if (found.state() == RecordState.ANSWERED) {
+            context.outbox().reply(ticket, found, true);
+            return;
+          }
+          sendCancel(
+              awaitOpen(
+                  found,
+                  row.version(),
+                  new OpenEntry.Ticket(ticket, nowMs + CANCEL_WAIT_MS, false)));
+        });
+  }
+
+  /** Brings the answer of the owner to the callers; a late or repeated answer finds nobody. */
+  void answered(Answer answer) {
+    OpenEntry entry = open.get(answer.key());
+    if (entry != null) {
+      close(entry, entry.view().withAnswer(answer));
+    }
+  }
+
+  /** Sends every open request of a region to its new owner. */
+  void ownerChanged(RegionId region, long nowMs) {
+    open.values().stream()
+        .filter(entry -> entry.region.equals(region) && entry.isForwarded())
+        .toList()
+        .forEach(entry -> meetNewOwner(entry, nowMs));
+  }
+
+  void tick(long nowMs) {
+    for (OpenEntry entry : new ArrayList<>(open.values())) {
+      replyToDueTickets(entry, nowMs);
+      if (nowMs > entry.spec.deadlineAtMs() + SETTLE_GRACE_MS) {
+        settle(entry);
+      } else if (entry.isForwarded() && nowMs >= entry.resendAtMs) {
+        resend(entry, nowMs);
+      }
+    }
+  }
+
+  private void accept(OpenEntry entry, long nowMs) {
+    boolean mayGoWithoutRecord = entry.spec.repeatable();
+    if (mayGoWithoutRecord && !context.store().isAvailable()) {
+      forwardWithoutRecord(entry, false, nowMs);
+      return;
+    }
+    long giveUpAtMs = mayGoWithoutRecord ? nowMs : entry.spec.deadlineAtMs();
+    context
+        .store()
+        .commit(
+            context
+                .rows()
+                .accept(
+                    RequestRecord.accepted(entry.spec, entry.region), context.tokens().next()),
+            giveUpAtMs,
+            outcome -> acceptEnded(entry, outcome, context.now()));
+  }
+
+  private void acceptEnded(
+      OpenEntry entry, Either<StoreError, CommitResult> outcome, long nowMs) {
+    if (open.get(entry.spec.key()) != entry) {
+      return;
+    }
+    if (outcome.isLeft()) {
+      acceptFailed(entry, outcome.getLeft(), nowMs);
+    } else if (outcome.get() instanceof CommitResult.Committed committed) {
+      entry.recordVersion = committed.versions().get(0);
+      context.outbox().report("entry:", "accepted", entry.spec.key(), "Accepted.");
+      accepted(entry, nowMs);
+    } else if (outcome.get() instanceof CommitResult.Conflict conflict) {
+      meetRecord(entry, conflict, nowMs);
+    }
+  }
+
+  private void acceptFailed(OpenEntry entry, StoreError error, long nowMs) {
+    if (entry.spec.repeatable()) {
+      forwardWithoutRecord(entry, error.maybeApplied(), nowMs);
+      return;
+    }
+    String message = "the request could not be recorded before its deadline: " + error.message();
+    // A lost answer may have left a record that an owner ran before the deadline.
+    RequestError refusal =
+        error.maybeApplied()
+            ? RequestError.unknown(Step.RECORD, error.peer(), message)
+            : notRun(Step.RECORD, error.peer(), message, RETRY_AFTER_MS);
+    fail(entry, refusal);
+  }
+
+  /** Goes on for the callers that hold their connections; the others cannot be promised anything. */
+  private void forwardWithoutRecord(OpenEntry entry, boolean maybeRecorded, long nowMs) {
+    if (entry.tickets.stream().allMatch(OpenEntry.Ticket::untilAccepted)) {
+      String message = "the table is away, so only callers that wait on their connection are served";
+      fail(
+          entry,
+          maybeRecorded
+              ? RequestError.unknown(Step.RECORD, "table", message)
+              : notRun(Step.RECORD, "table", message, RETRY_AFTER_MS));
+      return;
+    }
+    entry.recordVersion = OpenEntry.VERSION_NONE;
+    forward(entry, nowMs);
+  }
+
+  private void accepted(OpenEntry entry, long nowMs) {
+    entry.tickets.removeIf(
+        ticket -> {
+          if (ticket.untilAccepted()) {
+            context.outbox().reply(ticket.number(), entry.view(), true);
+          }
+          return ticket.untilAccepted();
+        });
+    forward(entry, nowMs);
+  }
+
+  private void meetRecord(OpenEntry entry, CommitResult.Conflict conflict, long nowMs) {
+    String wanted = LedgerRows.requestRow(entry.spec.key());
+    for (StoredRow row : conflict.current()) {
+      if (!row.key().equals(wanted) || row.version() == 0) {
+        continue;
+      }
+      Either<String, RequestRecord> decoded = context.codec().decode(row.value());
+      if (decoded.isLeft()) {
+        fail(entry, RequestError.unknown(Step.RECORD, "table", decoded.getLeft()));
+        return;
+      }
+      meetRecord(entry, decoded.get(), row.version(), nowMs);
+      return;
+    }
+    fail(
+        entry,
+        notRun(Step.RECORD, "table", "the table refused to record the request", RETRY_AFTER_MS));
+  }
+
+  private void meetRecord(OpenEntry entry, RequestRecord found, long version, long nowMs) {
+    if (!found.matches(entry.spec)) {
+      fail(entry, keyReused(entry.spec.key()));
+      return;
+    }
+    entry.spec = found.spec();
+    entry.region = found.region();
+    entry.recordVersion = version;
+    if (found.state() == RecordState.ANSWERED) {
+      close(entry, found);
+      return;
+    }
+    accepted(entry, nowMs);
+  }
+
+  private OpenEntry awaitOpen(RequestRecord found, long version, OpenEntry.Ticket ticket) {
+    OpenEntry entry = open.get(found.spec().key());
+    if (entry == null) {
+      entry = new OpenEntry(found.spec(), found.region());
+      entry.recordVersion = version;
+      held.admitAlways(entry.heldBytes());
+      open.put(found.spec().key(), entry);
+      forward(entry, ticket.replyAtMs());
+      entry.resendAtMs = 0;
+    }
+    entry.tickets.add(ticket);
+    return entry;
+  }
+
+  private void forward(OpenEntry entry, long nowMs) {
+    entry.resendAtMs =
+        nowMs + Math.min(MAX_RESEND_MS, FIRST_RESEND_MS << Math.min(entry.resends, 6));
+    entry.resends++;
+    boolean sent =
+        context
+            .routes()
+            .toOwner(
+                entry.region,
+                epoch ->
+                    new PeerMessage.SubmitRequest(
+                        context.identity().node(),
+                        entry.region,
+                        epoch,
+                        entry.spec,
+                        Math.max(0, entry.recordVersion)));
+    if (!sent) {
+      entry.resends = 0;
+    }
+  }
+
+  /** A new owner has read the open records itself; only requests without one must be sent. */
+  private void meetNewOwner(OpenEntry entry, long nowMs) {
+    if (!entry.isDurable()) {
+      forward(entry, nowMs);
+      return;
+    }
+    context
+        .routes()
+        .toOwner(
+            entry.region,
+            epoch ->
+                new PeerMessage.AwaitRequest(
+                    context.identity().node(), entry.region, epoch, entry.spec.key()));
+  }
+
+  /** Sends a request again unless its record tells that it has been answered. */
+  private void resend(OpenEntry entry, long nowMs) {
+    if (!entry.isDurable()) {
+      forward(entry, nowMs);
+      return;
+    }
+    entry.resendAtMs = nowMs + MAX_RESEND_MS;
+    context
+        .store()
+        .read(
+            LedgerRows.requestRow(entry.spec.key()),
+            outcome -> {
+              Either<RequestError, FoundRecord> found =
+                  FoundRecord.of(outcome, context.codec(), entry.spec.key());
+              if (open.get(entry.spec.key()) != entry) {
+                return;
+              }
+              if (found.isRight() && found.get().content().state() == RecordState.ANSWERED) {
+                close(entry, found.get().content());
+                return;
+              }
+              forward(entry, context.now());
+            });
+  }
+
+  private void sendCancel(OpenEntry entry) {
+    context
+        .routes()
+        .toOwner(
+            entry.region,
+            epoch ->
+                new PeerMessage.CancelRequests(
+                    context.identity().node(),
+                    entry.region,
+                    epoch,
+                    List.of(entry.spec.key())));
+  }
+
+  private void attach(OpenEntry entry, OpenEntry.Ticket ticket) {
+    if (ticket.untilAccepted() && entry.isDurable()) {
+      context.outbox().reply(ticket.number(), entry.view(), true);
+      return;
+    }
+    entry.tickets.add(ticket);
+  }
+
+  private void replyToDueTickets(OpenEntry entry, long nowMs) {
+    entry.tickets.removeIf(
+        ticket -> {
+          boolean due = nowMs >= ticket.replyAtMs() && !ticket.untilAccepted();
+          if (due && entry.isForwarded()) {
+            context.outbox().reply(ticket.number(), entry.view(), entry.isDurable());
+            return true;
+          }
+          return false;
+        });
+  }
+
+  /**
+   * Settles a request whose owner did not answer in time: by the answer in its record, or by
+   * recording one, which the owner's later answer cannot replace.
+   */
+  private void settle(OpenEntry entry) {
+    if (entry.settling || entry.recordVersion == OpenEntry.VERSION_PENDING) {
+      return;
+    }
+    if (!entry.isDurable()) {
+      fail(
+          entry,
+          RequestError.unknown(
+              Step.ANSWER, entry.region.value(), "no answer arrived before the deadline"));
+      return;
+    }
+    entry.settling = true;
+    context
+        .store()
+        .read(LedgerRows.requestRow(entry.spec.key()), outcome -> settleByRow(entry, outcome));
+  }
+
+  private void settleByRow(OpenEntry entry, Either<StoreError, StoredRow> outcome) {
+    entry.settling = false;
+    if (outcome.isLeft() || open.get(entry.spec.key()) != entry) {
+      return;
+    }
+    Either<String, RequestRecord> decoded = context.codec().decode(outcome.get().value());
+    if (decoded.isLeft()) {
+      fail(entry, RequestError.unknown(Step.RECORD, "table", decoded.getLeft()));
+      return;
+    }
+    RequestRecord found = decoded.get();
+    if (found.state() == RecordState.ANSWERED) {
+      close(entry, found);
+      return;
+    }
+    boolean certainlyNotRun =
+        found.state() == RecordState.ACCEPTED && !found.spec().repeatable();
+    RequestRecord expired = found.withAnswer(Answer.failure(entry.spec.key(), expiry(entry, certainlyNotRun)));
+    entry.settling = true;
+    context
+        .store()
+        .commit(
+            context.rows().answer(expired, outcome.get().version(), context.tokens().next()),
+            entry.spec.deadlineAtMs(),
+            ended -> {
+              entry.settling = false;
+              if (ended.isRight() && ended.get() instanceof CommitResult.Committed) {
+                close(entry, expired);
+              }
+            });
+  }
+
+  private static RequestError expiry(OpenEntry entry, boolean certainlyNotRun) {
+    return new RequestError(
+        Step.ANSWER,
+        entry.region.value(),
+        "the owner of the region did not answer before the deadline",
+        certainlyNotRun ? RunState.NO : RunState.UNKNOWN,
+        certainlyNotRun,
+        certainlyNotRun ? RETRY_AFTER_MS : null);
+  }
+
+  private void fail(OpenEntry entry, RequestError error) {
+    remove(entry);
+    entry.tickets.forEach(ticket -> context.outbox().refuse(ticket.number(), error));
+    context.outbox().report("entry:", "refused", entry.spec.key(), error.message());
+  }
+
+  private void close(OpenEntry entry, RequestRecord answered) {
+    remove(entry);
+    entry.tickets.forEach(
+        ticket -> context.outbox().reply(ticket.number(), answered, entry.isDurable()));
+  }
+
+  private void remove(OpenEntry entry) {
+    open.remove(entry.spec.key());
+    held.release(entry.heldBytes());
+  }
+
+  private void readRecord(
+      RequestKey key, long ticket, Consumer<FoundRecord> next) {
+    context
+        .store()
+        .read(
+            LedgerRows.requestRow(key),
+            outcome ->
+                FoundRecord.of(outcome, context.codec(), key)
+                    .peek(next)
+                    .peekLeft(error -> context.outbox().refuse(ticket, error)));
+  }
+
+  private RequestError keyReused(RequestKey key) {
+    return RequestError.impossible(
+        Step.ADMISSION,
+        context.self(),
+        "the idempotency key " + key.idempotencyKey() + " was used with other content");
+  }
+
+  private static OpenEntry.Ticket ticketOf(NodeEvent.CallerSubmitted event, long nowMs) {
+    return new OpenEntry.Ticket(event.ticket(), nowMs + event.waitMs(), event.waitMs() <= 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/FoundRecord.java
@@ -0,0 +1,43 @@
+package dev.bambootray.core.node;
+
+import static dev.bambootray.core.model.RequestError.notRun;
+
+import dev.bambootray.core.ledger.RecordCodec;
+import dev.bambootray.core.ledger.RequestRecord;
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.RunState;
+import dev.bambootray.core.model.Step;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.core.store.StoredRow;
+import io.vavr.control.Either;
+
+/**
+ * A record as it was read from the table.
+ *
+ * @param content the record
+ * @param version version of its rows
+ */
+record FoundRecord(RequestRecord content, long version) {
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  /** Returns the record of a row that was read, or the error to tell the caller. */
+  static Either<RequestError, FoundRecord> of(
+      Either<StoreError, StoredRow> outcome, RecordCodec codec, RequestKey key) {
+    if (outcome.isLeft()) {
+      StoreError error = outcome.getLeft();
+      return Either.left(
+          new RequestError(
+              Step.RECORD, error.peer(), error.message(), RunState.UNKNOWN, true, RETRY_AFTER_MS));
+    }
+    StoredRow row = outcome.get();
+    if (row.version() == 0) {
+      return Either.left(
+          notRun(Step.RECORD, "table", "there is no request " + key, RETRY_AFTER_MS));
+    }
+    return codec
+        .decode(row.value())
+        .map(content -> new FoundRecord(content, row.version()))
+        .mapLeft(message -> RequestError.unknown(Step.RECORD, "table", message));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/NodeIdentity.java
@@ -0,0 +1,25 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.model.FailureDomainId;
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.RegionId;
+
+/**
+ * What a node knows of itself from its settings.
+ *
+ * @param node its name
+ * @param region its region
+ * @param failureDomain its failure domain
+ * @param host its IP number
+ * @param peerPort its TCP port for other nodes
+ * @param httpPort its TCP port for callers
+ * @param startedAtMs when it started, in milliseconds since the epoch; its first incarnation
+ */
+public record NodeIdentity(
+    NodeId node,
+    RegionId region,
+    FailureDomainId failureDomain,
+    String host,
+    int peerPort,
+    int httpPort,
+    long startedAtMs) {}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/RowCodec.java
@@ -0,0 +1,29 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.configuration.PublishedDeclaration;
+import dev.bambootray.core.ledger.RecordCodec;
+import dev.bambootray.core.membership.MemberState;
+import dev.bambootray.core.ownership.OwnerRow;
+import io.vavr.control.Either;
+
+/** Turns the content of rows into JSON text and back; errors are one sentence. */
+public interface RowCodec extends RecordCodec {
+
+  /** Returns the JSON text of a member's state. */
+  String encodeMember(MemberState member);
+
+  /** Returns the state of a member. */
+  Either<String, MemberState> decodeMember(String json);
+
+  /** Returns the JSON text of an owner's row; the version is not part of it. */
+  String encodeOwner(OwnerRow row);
+
+  /** Returns an owner's row of the given version. */
+  Either<String, OwnerRow> decodeOwner(String json, long rowVersion);
+
+  /** Returns the JSON text of a published declaration. */
+  String encodeDeclaration(PublishedDeclaration declaration);
+
+  /** Returns a published declaration. */
+  Either<String, PublishedDeclaration> decodeDeclaration(String json);
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/TaskCommands.java
@@ -0,0 +1,220 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.Answer;
+import dev.bambootray.core.model.AttemptToken;
+import dev.bambootray.core.model.Ownership;
+import dev.bambootray.core.model.RequestSpec;
+import dev.bambootray.core.scheduling.SchedulerEffect;
+import dev.bambootray.core.scheduling.SchedulerEvent;
+import dev.bambootray.core.worker.RefusalReason;
+import dev.bambootray.core.worker.TaskId;
+import dev.bambootray.core.worker.TaskPhase;
+import dev.bambootray.core.worker.TaskSnapshot;
+import dev.bambootray.core.worker.WorkerCommand;
+import dev.bambootray.core.worker.WorkerReply;
+
+/** Carries out what the scheduler of a region decides and tells it the outcome. */
+final class TaskCommands {
+  /** A member that is not confirmed within this time makes the scheduler release its gang. */
+  private static final long COMMAND_TIMEOUT_MS = 1_000;
+
+  private final NodeContext context;
+  private final Ownership ownership;
+  private final RegionDesk desk;
+  private final WorkerLinks links;
+  private final RepeatedCommands repeated;
+  private final IntentWriter intents;
+
+  TaskCommands(
+      NodeContext context,
+      Ownership ownership,
+      RegionDesk desk,
+      WorkerLinks links,
+      RepeatedCommands repeated,
+      IntentWriter intents) {
+    this.context = context;
+    this.ownership = ownership;
+    this.desk = desk;
+    this.links = links;
+    this.repeated = repeated;
+    this.intents = intents;
+  }
+
+  void apply(SchedulerEffect effect) {
+    if (effect instanceof SchedulerEffect.ReserveMember reserve) {
+      reserve(reserve);
+    } else if (effect instanceof SchedulerEffect.AttemptReserved reserved) {
+      recordIntent(reserved);
+    } else if (effect instanceof SchedulerEffect.StartMember start) {
+      start(start, true);
+    } else if (effect instanceof SchedulerEffect.ReleaseMember release) {
+      repeated.send(release.worker(), new WorkerCommand.Stop(ownership, release.task()));
+    } else if (effect instanceof SchedulerEffect.CheckpointTask checkpoint) {
+      repeated.send(
+          checkpoint.worker(), new WorkerCommand.Checkpoint(ownership, checkpoint.task()));
+    } else if (effect instanceof SchedulerEffect.ThrottleTask throttle) {
+      repeated.send(
+          throttle.worker(),
+          new WorkerCommand.Throttle(ownership, throttle.task(), throttle.percent()));
+    } else if (effect instanceof SchedulerEffect.StopTask stop) {
+      repeated.send(stop.worker(), new WorkerCommand.Stop(ownership, stop.task()));
+    } else if (effect instanceof SchedulerEffect.JobStarted started) {
+      report("started", started.key(), "All members run.");
+    } else if (effect instanceof SchedulerEffect.JobCompleted completed) {
+      desk.finish(completed.key(), Answer.success(completed.key(), completed.resultJson()));
+    } else if (effect instanceof SchedulerEffect.JobFailed failed) {
+      desk.finish(failed.key(), Answer.failure(failed.key(), failed.error()));
+    } else if (effect instanceof SchedulerEffect.GuaranteeBroken broken) {
+      report("guarantee-broken", broken.workspace(), broken.missing());
+    } else if (effect instanceof SchedulerEffect.GuaranteeRestored restored) {
+      report("guarantee-restored", restored.workspace(), "The guarantee can be honoured again.");
+    }
+  }
+
+  /** Tells the scheduler of a change that a worker reported. */
+  void taskChanged(TaskSnapshot snapshot) {
+    TaskId task = snapshot.task();
+    String detail = snapshot.detail() == null ? "" : snapshot.detail();
+    switch (snapshot.phase()) {
+      case RUNNING -> tell(new SchedulerEvent.MemberStarted(task));
+      case FINISHED -> tell(new SchedulerEvent.TaskFinished(task, detail));
+      case FAILED -> tell(new SchedulerEvent.TaskFailed(task, detail));
+      case STOPPED -> tell(new SchedulerEvent.TaskStopped(task));
+      case CHECKPOINTED -> tell(new SchedulerEvent.TaskCheckpointed(task, detail));
+      case RESERVED, UNKNOWN -> {}
+    }
+  }
+
+  private void reserve(SchedulerEffect.ReserveMember reserve) {
+    WorkerDeclaration worker = links.reachable(reserve.worker());
+    ServedRequest request = desk.find(reserve.key());
+    if (worker == null || request == null) {
+      tell(new SchedulerEvent.MemberRefused(reserve.task(), RefusalReason.UNKNOWN_TASK));
+      return;
+    }
+    WorkerCommand command =
+        new WorkerCommand.Reserve(
+            ownership,
+            reserve.task(),
+            reserve.key(),
+            request.content.spec().template(),
+            reserve.members(),
+            reserve.firstAccelerator(),
+            reserve.resources(),
+            WorkerLinks.TASK_LEASE_MS);
+    context
+        .outbox()
+        .callWorker(
+            worker,
+            command,
+            COMMAND_TIMEOUT_MS,
+            reply -> reserveEnded(reserve, reply));
+  }
+
+  private void reserveEnded(SchedulerEffect.ReserveMember reserve, WorkerReply reply) {
+    if (reply instanceof WorkerReply.Done) {
+      tell(new SchedulerEvent.MemberReserved(reserve.task()));
+      return;
+    }
+    if (reply instanceof WorkerReply.NoReply) {
+      // The worker may hold the reservation without our knowledge.
+      repeated.send(reserve.worker(), new WorkerCommand.Stop(ownership, reserve.task()));
+    }
+    refused(reserve.task(), reply);
+  }
+
+  private void recordIntent(SchedulerEffect.AttemptReserved reserved) {
+    AttemptToken attempt = reserved.attempt();
+    ServedRequest request = desk.find(reserved.key());
+    if (request == null) {
+      tell(new SchedulerEvent.AttemptRejected(attempt));
+      return;
+    }
+    intents.write(
+        request,
+        attempt,
+        reserved.workers(),
+        recorded ->
+            tell(
+                recorded
+                    ? new SchedulerEvent.AttemptConfirmed(attempt)
+                    : new SchedulerEvent.AttemptRejected(attempt)));
+  }
+
+  private void start(SchedulerEffect.StartMember start, boolean mayAskAgain) {
+    WorkerDeclaration worker = links.reachable(start.worker());
+    ServedRequest request = desk.find(start.key());
+    if (worker == null || request == null) {
+      tell(new SchedulerEvent.MemberRefused(start.task(), RefusalReason.UNKNOWN_TASK));
+      return;
+    }
+    request.tasks.put(start.task(), start.worker());
+    RequestSpec spec = request.content.spec();
+    WorkerCommand command =
+        new WorkerCommand.Start(
+            ownership,
+            start.task(),
+            spec.parametersJson(),
+            request.template.maxRunMs(),
+            start.checkpoint(),
+            spec.traceparent());
+    context
+        .outbox()
+        .callWorker(
+            worker,
+            command,
+            COMMAND_TIMEOUT_MS,
+            reply -> startEnded(start, worker, reply, mayAskAgain));
+  }
+
+  private void startEnded(
+      SchedulerEffect.StartMember start,
+      WorkerDeclaration worker,
+      WorkerReply reply,
+      boolean mayAskAgain) {
+    if (reply instanceof WorkerReply.Done) {
+      tell(new SchedulerEvent.MemberStarted(start.task()));
+    } else if (reply instanceof WorkerReply.NoReply && mayAskAgain) {
+      context
+          .outbox()
+          .callWorker(
+              worker,
+              new WorkerCommand.QueryTask(ownership, start.task(), 0),
+              COMMAND_TIMEOUT_MS,
+              answer -> startSettled(start, answer));
+    } else if (!(reply instanceof WorkerReply.NoReply)) {
+      refused(start.task(), reply);
+    }
+  }
+
+  private void startSettled(SchedulerEffect.StartMember start, WorkerReply reply) {
+    if (!(reply instanceof WorkerReply.TaskState state)) {
+      return;
+    }
+    if (state.snapshot().phase() == TaskPhase.RESERVED) {
+      start(start, false);
+    } else if (state.snapshot().phase() == TaskPhase.UNKNOWN) {
+      tell(new SchedulerEvent.MemberRefused(start.task(), RefusalReason.UNKNOWN_TASK));
+    } else {
+      tell(new SchedulerEvent.MemberStarted(start.task()));
+      taskChanged(state.snapshot());
+    }
+  }
+
+  private void refused(TaskId task, WorkerReply reply) {
+    RefusalReason reason =
+        reply instanceof WorkerReply.Refused refused
+            ? refused.reason()
+            : RefusalReason.UNKNOWN_TASK;
+    tell(new SchedulerEvent.MemberRefused(task, reason));
+  }
+
+  private void tell(SchedulerEvent event) {
+    desk.schedule(event, context.now());
+  }
+
+  private void report(String kind, Object subject, String detail) {
+    context.outbox().report("sched:", kind, subject, detail);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/TokenSource.java
@@ -0,0 +1,15 @@
+package dev.bambootray.core.node;
+
+/** Makes write tokens that are unique over all nodes and restarts. */
+final class TokenSource {
+  private final String prefix;
+  private long last;
+
+  TokenSource(NodeIdentity identity) {
+    prefix = identity.node() + "." + Long.toString(identity.startedAtMs(), 36) + ".";
+  }
+
+  String next() {
+    return prefix + Long.toString(++last, 36);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/TokenDigests.java
@@ -0,0 +1,77 @@
+package dev.bambootray.daemon;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.WorkspaceDeclaration;
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.RunState;
+import dev.bambootray.core.model.Step;
+import dev.bambootray.ports.api.Principal;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+
+/** Finds out who holds a bearer token, by the token's SHA-256 digest. */
+final class TokenDigests {
+  private final String operatorDigest;
+  private volatile Map<String, Principal> principals = Map.of();
+
+  private TokenDigests(String operatorDigest) {
+    this.operatorDigest = operatorDigest;
+  }
+
+  /** Returns digests that know only the operator's token. */
+  static TokenDigests forOperator(String operatorToken) {
+    return new TokenDigests(digest(operatorToken));
+  }
+
+  /** Takes over the tokens of a declaration's workspaces. */
+  void use(Declaration declaration) {
+    Map<String, Principal> next = new HashMap<>();
+    for (WorkspaceDeclaration workspace : declaration.workspaces().values()) {
+      workspace
+          .tokenSha256()
+          .forEach(digest -> next.put(digest, new Principal(workspace.id(), false)));
+    }
+    principals = next;
+  }
+
+  /** Returns who holds a token. */
+  Either<RequestError, Principal> authenticate(String token) {
+    String digest = digest(token);
+    if (!token.isEmpty() && isEqual(digest, operatorDigest)) {
+      return Either.right(new Principal(null, true));
+    }
+    Principal found = principals.get(digest);
+    if (found != null) {
+      return Either.right(found);
+    }
+    return Either.left(
+        new RequestError(
+            Step.AUTHENTICATION,
+            "local",
+            token.isEmpty() ? "no bearer token was sent" : "the bearer token is not known",
+            RunState.NO,
+            false,
+            null));
+  }
+
+  private static boolean isEqual(String left, String right) {
+    return MessageDigest.isEqual(
+        left.getBytes(StandardCharsets.US_ASCII), right.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String digest(String token) {
+    try {
+      return HexFormat.of()
+          .formatHex(
+              MessageDigest.getInstance("SHA-256")
+                  .digest(token.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
