--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Adoption.java
@@ -0,0 +1,92 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.worker.TaskSnapshot;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Rebuilds gangs from the tasks that adopted workers report after a change of owner. */
+final class Adoption {
+  private final Pool pool;
+  private final GangLifecycle lifecycle;
+  private final Effects effects;
+  private final Set<Gang> collected = new LinkedHashSet<>();
+
+  Adoption(Pool pool, GangLifecycle lifecycle, Effects effects) {
+    this.pool = pool;
+    this.lifecycle = lifecycle;
+    this.effects = effects;
+  }
+
+  /** Takes over one task. */
+  void adopt(SchedulerEvent.TaskAdopted event, Job job, long nowMs) {
+    TaskSnapshot snapshot = event.snapshot();
+    WorkerSlot worker = pool.find(event.worker());
+    Gang gang = lifecycle.find(snapshot.task().attempt());
+    boolean superseded = job.gang != null && job.gang != gang;
+    if (worker == null || superseded || lifecycle.find(snapshot.task()) != null) {
+      effects.add(new SchedulerEffect.ReleaseMember(snapshot.task(), event.worker()));
+      return;
+    }
+    if (gang == null) {
+      gang = new Gang(job, snapshot.task().attempt(), snapshot.members(), kindOf(job), null);
+      gang.stepSinceMs = nowMs;
+      lifecycle.collect(gang, nowMs);
+      collected.add(gang);
+    }
+    add(gang, worker, snapshot, nowMs);
+  }
+
+  private static GrantKind kindOf(Job job) {
+    return job.repeatable() ? GrantKind.BORROWED : GrantKind.PINNED;
+  }
+
+  private void add(Gang gang, WorkerSlot worker, TaskSnapshot snapshot, long nowMs) {
+    Member member = lifecycle.add(gang, snapshot.task(), worker, snapshot.firstAccelerator());
+    switch (snapshot.phase()) {
+      case RESERVED -> member.phase = Member.Phase.RESERVED;
+      case RUNNING -> {
+        member.phase = Member.Phase.RUNNING;
+        gang.startSent = true;
+        gang.job.ranMs = Math.max(gang.job.ranMs, snapshot.ranForMs());
+      }
+      case FINISHED -> {
+        gang.startSent = true;
+        lifecycle.finished(snapshot.task(), text(snapshot, "null"), nowMs);
+      }
+      case FAILED -> {
+        gang.startSent = true;
+        lifecycle.failed(snapshot.task(), text(snapshot, "failed"), nowMs);
+      }
+      case CHECKPOINTED -> {
+        gang.startSent = true;
+        lifecycle.checkpointed(snapshot.task(), text(snapshot, ""), nowMs);
+      }
+      case STOPPED -> {
+        gang.startSent = true;
+        lifecycle.stopped(snapshot.task(), nowMs);
+      }
+      case UNKNOWN -> lifecycle.forget(member);
+    }
+    if (gang.step == Gang.Step.DRAINING) {
+      lifecycle.releaseLate(member, nowMs);
+      return;
+    }
+    lifecycle.runIfWhole(gang, nowMs);
+  }
+
+  private static String text(TaskSnapshot snapshot, String fallback) {
+    String detail = snapshot.detail();
+    return detail == null ? fallback : detail;
+  }
+
+  /** Releases the gangs that are still incomplete. */
+  void complete(long nowMs) {
+    for (Gang gang : new ArrayList<>(collected)) {
+      if (gang.step == Gang.Step.ADOPTING) {
+        lifecycle.end(gang, EndCause.LOST, "the gang was incomplete at the change of owner", nowMs);
+      }
+    }
+    collected.clear();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Gang.java
@@ -0,0 +1,61 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.AttemptToken;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt of a job: its members and the step that they have reached together. */
+final class Gang {
+  /** Step of an attempt. */
+  enum Step {
+    /** Members are being reserved. */
+    RESERVING,
+    /** All members are reserved; the intent is being recorded. */
+    CONFIRMING,
+    /** The start of all members is asked for. */
+    STARTING,
+    /** All members run. */
+    RUNNING,
+    /** All members are being released. */
+    DRAINING,
+    /** Members of an earlier owner's attempt are being collected. */
+    ADOPTING
+  }
+
+  /** What happens to the job once every member has been released. */
+  enum AfterDrain {
+    /** The job waits in the queue again. */
+    REQUEUE,
+    /** The job was answered already. */
+    DROP
+  }
+
+  final Job job;
+  final AttemptToken token;
+  final int memberCount;
+  final GrantKind kind;
+  final @Nullable Cell cell;
+  final List<Member> members = new ArrayList<>();
+  Step step = Step.RESERVING;
+  AfterDrain afterDrain = AfterDrain.REQUEUE;
+  long stepSinceMs;
+  long runningSinceMs;
+
+  /** Whether a start was sent, so that the job may have run. */
+  boolean startSent;
+
+  boolean drained;
+
+  Gang(Job job, AttemptToken token, int memberCount, GrantKind kind, @Nullable Cell cell) {
+    this.job = job;
+    this.token = token;
+    this.memberCount = memberCount;
+    this.kind = kind;
+    this.cell = cell;
+  }
+
+  boolean allIn(Member.Phase phase) {
+    return members.size() == memberCount && members.stream().allMatch(m -> m.phase == phase);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
@@ -0,0 +1,452 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.AttemptToken;
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.Step;
+import dev.bambootray.core.worker.RefusalReason;
+import dev.bambootray.core.worker.TaskId;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes every attempt through reserve, confirm, start and release, so that a gang runs whole or not
+ * at all.
+ */
+final class GangLifecycle {
+  /** A reservation or a start that is not answered by then releases the gang. */
+  static final long PHASE_TIMEOUT_MS = 2_000;
+
+  /** Recording an intent may outlast a short outage of the store. */
+  static final long CONFIRM_TIMEOUT_MS = 10_000;
+
+  /** A release that is not answered by then is asked for again. */
+  static final long RELEASE_RETRY_MS = 2_000;
+
+  private final Pool pool;
+  private final Effects effects;
+  private final GangListener listener;
+  private final Map<TaskId, Member> members = new HashMap<>();
+  private final Map<AttemptToken, Gang> gangs = new HashMap<>();
+
+  /** Gangs that wait for an answer of a worker or of the store and so can time out. */
+  private final Set<Gang> pending = new ReferenceLinkedOpenHashSet<>();
+
+  GangLifecycle(Pool pool, Effects effects, GangListener listener) {
+    this.pool = pool;
+    this.effects = effects;
+    this.listener = listener;
+  }
+
+  /** Grants the spots to a new attempt and asks the workers to reserve them. */
+  Gang begin(
+      Job job,
+      AttemptToken token,
+      List<Spot> spots,
+      GrantKind kind,
+      @Nullable Cell cell,
+      long nowMs) {
+    Gang gang = new Gang(job, token, spots.size(), kind, cell);
+    register(gang);
+    for (int i = 0; i < spots.size(); i++) {
+      Spot spot = spots.get(i);
+      Member member = add(gang, new TaskId(token, i), spot.worker(), spot.first());
+      effects.add(
+          new SchedulerEffect.ReserveMember(
+              member.task,
+              job.key(),
+              spot.worker().id,
+              gang.memberCount,
+              spot.first(),
+              member.resources));
+    }
+    enter(gang, Gang.Step.RESERVING, nowMs);
+    return gang;
+  }
+
+  /** Makes a gang known and that of its job. */
+  void register(Gang gang) {
+    gang.job.gang = gang;
+    gangs.put(gang.token, gang);
+    if (gang.cell != null) {
+      gang.cell.gangs.add(gang);
+    }
+  }
+
+  /** Makes the gang of an earlier owner known. */
+  void collect(Gang gang, long nowMs) {
+    register(gang);
+    enter(gang, Gang.Step.ADOPTING, nowMs);
+  }
+
+  /** Drops a member that its worker does not know. */
+  void forget(Member member) {
+    gone(member);
+  }
+
+  /** Releases a member that turned up after its gang began to drain. */
+  void releaseLate(Member member, long nowMs) {
+    release(member, false, nowMs);
+    drainIfEmpty(member.gang, nowMs);
+  }
+
+  /** Adds a member to a gang and grants its resources. */
+  Member add(Gang gang, TaskId task, WorkerSlot worker, int first) {
+    Member member = new Member(gang, task, worker, first, gang.job.perMember());
+    gang.members.add(member);
+    members.put(task, member);
+    pool.grant(member);
+    return member;
+  }
+
+  @Nullable Gang find(AttemptToken token) {
+    return gangs.get(token);
+  }
+
+  @Nullable Member find(TaskId task) {
+    return members.get(task);
+  }
+
+  void memberReserved(TaskId task, long nowMs) {
+    Member member = members.get(task);
+    if (member == null || member.phase != Member.Phase.RESERVING) {
+      return;
+    }
+    member.phase = Member.Phase.RESERVED;
+    Gang gang = member.gang;
+    if (gang.step == Gang.Step.RESERVING && gang.allIn(Member.Phase.RESERVED)) {
+      enter(gang, Gang.Step.CONFIRMING, nowMs);
+      effects.add(
+          new SchedulerEffect.AttemptReserved(
+              gang.job.key(), gang.token, gang.members.stream().map(m -> m.worker.id).toList()));
+    }
+  }
+
+  void confirmed(AttemptToken token, long nowMs) {
+    Gang gang = gangs.get(token);
+    if (gang == null || gang.step != Gang.Step.CONFIRMING) {
+      return;
+    }
+    gang.startSent = true;
+    enter(gang, Gang.Step.STARTING, nowMs);
+    List<String> checkpoints = gang.job.checkpoints;
+    for (Member member : gang.members) {
+      member.phase = Member.Phase.STARTING;
+      String checkpoint = checkpoints == null ? null : checkpoints.get(member.task.member());
+      effects.add(
+          new SchedulerEffect.StartMember(
+              member.task, gang.job.key(), member.worker.id, checkpoint));
+    }
+  }
+
+  void rejected(AttemptToken token, long nowMs) {
+    Gang gang = gangs.get(token);
+    if (gang != null && gang.step == Gang.Step.CONFIRMING) {
+      gang.job.notBeforeMs = nowMs + PHASE_TIMEOUT_MS;
+      end(gang, EndCause.REFUSED, "the intent could not be recorded", nowMs);
+    }
+  }
+
+  void memberStarted(TaskId task, long nowMs) {
+    Member member = members.get(task);
+    if (member == null || member.phase != Member.Phase.STARTING) {
+      return;
+    }
+    member.phase = Member.Phase.RUNNING;
+    runIfWhole(member.gang, nowMs);
+  }
+
+  /** Enters the running step once every member runs or has already ended with a result. */
+  void runIfWhole(Gang gang, long nowMs) {
+    boolean whole =
+        gang.members.size() == gang.memberCount
+            && gang.members.stream()
+                .allMatch(m -> m.phase == Member.Phase.RUNNING || m.phase == Member.Phase.FINISHED);
+    if (!whole || (gang.step != Gang.Step.STARTING && gang.step != Gang.Step.ADOPTING)) {
+      return;
+    }
+    enter(gang, Gang.Step.RUNNING, nowMs);
+    gang.runningSinceMs = nowMs;
+    effects.add(new SchedulerEffect.JobStarted(gang.job.key(), gang.token));
+    listener.started(gang, nowMs);
+  }
+
+  void finished(TaskId task, String resultJson, long nowMs) {
+    Member member = members.get(task);
+    if (member == null || member.phase == Member.Phase.FINISHED) {
+      return;
+    }
+    Gang gang = member.gang;
+    member.result = resultJson;
+    member.phase = Member.Phase.FINISHED;
+    pool.revoke(member);
+    listener.memberSucceeded(member, nowMs);
+    runIfWhole(gang, nowMs);
+    if (gang.allIn(Member.Phase.FINISHED) && gang.afterDrain == Gang.AfterDrain.REQUEUE) {
+      complete(gang, nowMs);
+    } else {
+      drainIfEmpty(gang, nowMs);
+    }
+  }
+
+  private void complete(Gang gang, long nowMs) {
+    List<TaskId> tasks = gang.members.stream().map(m -> m.task).toList();
+    effects.add(
+        new SchedulerEffect.JobCompleted(
+            gang.job.key(),
+            gang.members.get(0).result,
+            tasks,
+            gang.members.stream().map(m -> m.worker.id).toList()));
+    gang.afterDrain = Gang.AfterDrain.DROP;
+    listener.answered(gang.job, nowMs);
+    drainIfEmpty(gang, nowMs);
+  }
+
+  void refused(TaskId task, RefusalReason reason, long nowMs) {
+    Member member = members.get(task);
+    if (member == null) {
+      return;
+    }
+    Gang gang = member.gang;
+    boolean releasing = gang.step == Gang.Step.DRAINING;
+    gone(member);
+    if (!releasing) {
+      if (gang.memberCount == 1) {
+        gang.startSent = false;
+      }
+      member.worker.notBeforeMs = nowMs + PHASE_TIMEOUT_MS / 4;
+      listener.memberRefused(member, nowMs);
+      end(gang, EndCause.REFUSED, member.worker.id + " refused: " + reason, nowMs);
+    }
+    drainIfEmpty(gang, nowMs);
+  }
+
+  void failed(TaskId task, String message, long nowMs) {
+    lostOrFailed(members.get(task), EndCause.FAILED, message, nowMs);
+  }
+
+  void stopped(TaskId task, long nowMs) {
+    Member member = members.get(task);
+    String worker = member == null ? "" : member.worker.id.value();
+    lostOrFailed(member, EndCause.LOST, "a member was stopped on " + worker, nowMs);
+  }
+
+  void checkpointed(TaskId task, String checkpoint, long nowMs) {
+    Member member = members.get(task);
+    if (member != null) {
+      member.checkpoint = checkpoint;
+      lostOrFailed(member, EndCause.PREEMPTED, "a member was checkpointed", nowMs);
+    }
+  }
+
+  /** Ends every gang that has a member on the lost worker. */
+  void workerLost(WorkerSlot worker, long nowMs) {
+    for (Member member : new ArrayList<>(worker.members)) {
+      lostOrFailed(member, EndCause.LOST, worker.id + " is lost", nowMs);
+    }
+  }
+
+  private void lostOrFailed(@Nullable Member member, EndCause cause, String message, long nowMs) {
+    if (member == null) {
+      return;
+    }
+    Gang gang = member.gang;
+    boolean draining = gang.step == Gang.Step.DRAINING;
+    gone(member);
+    if (!draining) {
+      if (cause != EndCause.PREEMPTED && gang.startSent) {
+        listener.memberFailed(member, nowMs);
+      }
+      end(gang, cause, message, nowMs);
+    }
+    drainIfEmpty(gang, nowMs);
+  }
+
+  /** Releases every member of a gang and decides what becomes of its job. */
+  void end(Gang gang, EndCause cause, String message, long nowMs) {
+    if (gang.step == Gang.Step.DRAINING) {
+      return;
+    }
+    boolean ran = gang.step == Gang.Step.RUNNING;
+    Job job = gang.job;
+    RequestError error = gang.startSent ? cause.errorAfterStart(job, message) : null;
+    if (cause == EndCause.CANCELLED) {
+      error =
+          gang.startSent
+              ? RequestError.failed(Step.RUN, "local", message)
+              : RequestError.impossible(Step.QUEUE, "local", message);
+    }
+    enter(gang, Gang.Step.DRAINING, nowMs);
+    if (ran) {
+      listener.stoppedRunning(gang, nowMs);
+    }
+    if (error != null) {
+      giveUp(job, error, nowMs);
+      gang.afterDrain = Gang.AfterDrain.DROP;
+    }
+    boolean checkpoint = cause == EndCause.PREEMPTED && job.request.template().checkpointable();
+    for (Member member : gang.members) {
+      release(member, checkpoint && member.phase == Member.Phase.RUNNING, nowMs);
+    }
+    drainIfEmpty(gang, nowMs);
+  }
+
+  /** Emits the final error of a job. */
+  void giveUp(Job job, RequestError error, long nowMs) {
+    effects.add(new SchedulerEffect.JobFailed(job.key(), error));
+    listener.answered(job, nowMs);
+  }
+
+  private void release(Member member, boolean checkpoint, long nowMs) {
+    switch (member.phase) {
+      case GONE, RELEASING -> {
+        return;
+      }
+      case FINISHED -> {
+        effects.add(new SchedulerEffect.ReleaseMember(member.task, member.worker.id));
+        return;
+      }
+      default -> {
+        if (checkpoint) {
+          effects.add(new SchedulerEffect.CheckpointTask(member.task, member.worker.id));
+        } else if (member.phase == Member.Phase.RUNNING) {
+          effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
+        } else {
+          effects.add(new SchedulerEffect.ReleaseMember(member.task, member.worker.id));
+        }
+      }
+    }
+    member.checkpointing = checkpoint;
+    member.ranBeforeRelease = member.mayRun();
+    member.phase = Member.Phase.RELEASING;
+    member.releaseAskedAtMs = nowMs;
+  }
+
+  /** Acts on every phase that has lasted too long. */
+  void tick(long nowMs) {
+    for (Gang gang : new ArrayList<>(pending)) {
+      long lastedMs = nowMs - gang.stepSinceMs;
+      switch (gang.step) {
+        case RESERVING -> timeOut(gang, lastedMs, PHASE_TIMEOUT_MS, "reserve", nowMs);
+        case CONFIRMING -> timeOut(gang, lastedMs, CONFIRM_TIMEOUT_MS, "record the intent", nowMs);
+        case STARTING -> timeOut(gang, lastedMs, PHASE_TIMEOUT_MS, "start", nowMs);
+        case ADOPTING -> timeOut(gang, lastedMs, PHASE_TIMEOUT_MS, "adopt", nowMs);
+        case DRAINING -> retryReleases(gang, nowMs);
+        case RUNNING -> pending.remove(gang);
+      }
+    }
+  }
+
+  private void timeOut(Gang gang, long lastedMs, long limitMs, String step, long nowMs) {
+    if (lastedMs < limitMs) {
+      return;
+    }
+    List<String> late = new ArrayList<>();
+    for (Member member : gang.members) {
+      if (member.phase == Member.Phase.RESERVING || member.phase == Member.Phase.STARTING) {
+        late.add(member.worker.id.value());
+        member.worker.notBeforeMs = nowMs + limitMs;
+      }
+    }
+    end(gang, EndCause.LOST, "could not " + step + " in time on " + late, nowMs);
+  }
+
+  private void retryReleases(Gang gang, long nowMs) {
+    Set<TaskId> forgotten = new ObjectOpenHashSet<>();
+    for (Member member : gang.members) {
+      if (member.phase != Member.Phase.RELEASING) {
+        continue;
+      }
+      long askedMs = nowMs - member.releaseAskedAtMs;
+      if (member.checkpointing) {
+        escalate(member, askedMs, nowMs);
+      } else if (askedMs >= RELEASE_RETRY_MS && member.ranBeforeRelease) {
+        effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
+        member.releaseAskedAtMs = nowMs;
+      } else if (askedMs >= RELEASE_RETRY_MS) {
+        forgotten.add(member.task);
+      }
+    }
+    forgotten.forEach(task -> gone(members.get(task)));
+    drainIfEmpty(gang, nowMs);
+  }
+
+  /** A late checkpoint is hastened by a throttle, which frees processors, and then given up. */
+  private void escalate(Member member, long askedMs, long nowMs) {
+    if (askedMs >= Reclaim.STOP_AFTER_MS) {
+      member.checkpointing = false;
+      member.releaseAskedAtMs = nowMs;
+      effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
+    } else if (askedMs >= Reclaim.THROTTLE_AFTER_MS && !member.throttled) {
+      member.throttled = true;
+      effects.add(
+          new SchedulerEffect.ThrottleTask(
+              member.task, member.worker.id, Reclaim.THROTTLE_PERCENT));
+    }
+  }
+
+  private void gone(@Nullable Member member) {
+    if (member == null || member.phase == Member.Phase.GONE) {
+      return;
+    }
+    if (member.phase != Member.Phase.FINISHED) {
+      member.phase = Member.Phase.GONE;
+    }
+    pool.revoke(member);
+  }
+
+  private void drainIfEmpty(Gang gang, long nowMs) {
+    boolean answered = gang.afterDrain == Gang.AfterDrain.DROP;
+    if ((gang.step != Gang.Step.DRAINING && !answered) || gang.drained) {
+      return;
+    }
+    for (Member member : gang.members) {
+      if (member.phase != Member.Phase.GONE && member.phase != Member.Phase.FINISHED) {
+        return;
+      }
+    }
+    gang.drained = true;
+    if (gang.step == Gang.Step.RUNNING) {
+      listener.stoppedRunning(gang, nowMs);
+    }
+    keepCheckpoints(gang);
+    gang.members.forEach(m -> members.remove(m.task));
+    gangs.remove(gang.token);
+    pending.remove(gang);
+    if (gang.cell != null) {
+      gang.cell.gangs.remove(gang);
+    }
+    if (gang.job.gang == gang) {
+      gang.job.gang = null;
+    }
+    listener.drained(gang, nowMs);
+  }
+
+  /** Checkpoints count only if every member wrote one, because members resume together. */
+  private static void keepCheckpoints(Gang gang) {
+    List<String> names = new ArrayList<>(gang.memberCount);
+    for (Member member : gang.members) {
+      if (member.checkpoint != null) {
+        names.add(member.checkpoint);
+      }
+    }
+    if (names.size() == gang.memberCount) {
+      gang.job.checkpoints = names;
+    }
+  }
+
+  private void enter(Gang gang, Gang.Step step, long nowMs) {
+    gang.step = step;
+    gang.stepSinceMs = nowMs;
+    if (step == Gang.Step.RUNNING) {
+      pending.remove(gang);
+    } else {
+      pending.add(gang);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Groups.java
@@ -0,0 +1,62 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Shape;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The sets of workers over which the members of one gang may spread. */
+final class Groups {
+  private Groups() {}
+
+  /** Returns the candidate sets for a shape, each in the order of the pool. */
+  static List<List<WorkerSlot>> of(Pool pool, Shape shape) {
+    if (shape.members() == 1) {
+      return List.of(pool.workers);
+    }
+    return switch (shape.adjacency()) {
+      case ADJACENT_WORKERS -> windows(pool, shape.members());
+      case RACK -> pool.racks.stream().map(rack -> rack.workers).toList();
+      case FAILURE_DOMAIN -> pool.domains.values().stream().map(Groups::workers).toList();
+      case REGION -> List.of(pool.workers);
+    };
+  }
+
+  /** Returns the workers of several racks. */
+  static List<WorkerSlot> workers(List<RackGroup> racks) {
+    List<WorkerSlot> workers = new ArrayList<>();
+    racks.forEach(rack -> workers.addAll(rack.workers));
+    return workers;
+  }
+
+  /** Adds the first runs of a worker that a view shows, one for each member. */
+  static void take(List<Spot> spots, WorkerSlot worker, View view, Shape shape, int members) {
+    long mask = view.mask(worker);
+    int length = shape.acceleratorsPerMember();
+    for (int i = 0; i < members; i++) {
+      int first = Runs.bestFit(mask, length);
+      spots.add(new Spot(worker, first));
+      mask &= ~Runs.mask(first, length);
+    }
+  }
+
+  /** Returns the stretches of neighbouring workers, at most one worker for each member. */
+  private static List<List<WorkerSlot>> windows(Pool pool, int members) {
+    List<List<WorkerSlot>> windows = new ArrayList<>();
+    for (RackGroup rack : pool.racks) {
+      List<WorkerSlot> workers = rack.workers;
+      for (int size = 1; size <= Math.min(members, workers.size()); size++) {
+        for (int from = 0; from + size <= workers.size(); from++) {
+          if (adjacent(workers, from, size)) {
+            windows.add(workers.subList(from, from + size));
+          }
+        }
+      }
+    }
+    return windows;
+  }
+
+  /** Returns whether the workers hold neighbouring positions of their rack. */
+  static boolean adjacent(List<WorkerSlot> workers, int from, int size) {
+    return workers.get(from + size - 1).position - workers.get(from).position == size - 1;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Job.java
@@ -0,0 +1,60 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.core.model.Shape;
+import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.model.WorkspaceId;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** A job that the scheduler has taken and not yet answered. */
+final class Job {
+  final QueuedJob request;
+  final long sequence;
+  final Shape shape;
+
+  /** Name of each member's checkpoint, or null to start from the beginning. */
+  @Nullable List<String> checkpoints;
+
+  @Nullable Gang gang;
+  int attempts;
+  int failures;
+  int preemptions;
+  long notBeforeMs;
+  long ranMs;
+
+  /** When the first reservation promised its start; 0 before any promise. */
+  long promisedStartMs;
+
+  /** Workers on which it failed; a further attempt avoids them. */
+  final Set<WorkerId> failedOn = new ObjectOpenHashSet<>(0);
+
+  Job(QueuedJob request, long sequence) {
+    this.request = request;
+    this.sequence = sequence;
+    this.shape = request.template().shape();
+    String checkpoint = request.checkpoint();
+    this.checkpoints = checkpoint == null ? null : Collections.nCopies(shape.members(), checkpoint);
+  }
+
+  RequestKey key() {
+    return request.spec().key();
+  }
+
+  WorkspaceId workspace() {
+    return request.spec().key().workspace();
+  }
+
+  boolean repeatable() {
+    return request.spec().repeatable();
+  }
+
+  Resources perMember() {
+    return new Resources(
+        shape.acceleratorsPerMember(), shape.millicoresPerMember(), shape.memoryMibPerMember());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Member.java
@@ -0,0 +1,56 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.core.worker.TaskId;
+import org.jspecify.annotations.Nullable;
+
+/** One member of a gang on its worker. */
+final class Member {
+  /** Phase of a member as the scheduler knows it. */
+  enum Phase {
+    /** The reservation is asked for. */
+    RESERVING,
+    /** The worker holds the resources. */
+    RESERVED,
+    /** The start is asked for. */
+    STARTING,
+    /** The member runs. */
+    RUNNING,
+    /** The member ended with a result. */
+    FINISHED,
+    /** A release or stop is asked for. */
+    RELEASING,
+    /** The member holds nothing any more. */
+    GONE
+  }
+
+  final Gang gang;
+  final TaskId task;
+  final WorkerSlot worker;
+  final int firstAccelerator;
+  final Resources resources;
+  Phase phase = Phase.RESERVING;
+  long releaseAskedAtMs;
+  boolean checkpointing;
+  boolean throttled;
+  boolean ranBeforeRelease;
+  String result = "null";
+  @Nullable String checkpoint;
+
+  Member(Gang gang, TaskId task, WorkerSlot worker, int firstAccelerator, Resources resources) {
+    this.gang = gang;
+    this.task = task;
+    this.worker = worker;
+    this.firstAccelerator = firstAccelerator;
+    this.resources = resources;
+  }
+
+  long mask() {
+    return Runs.mask(firstAccelerator, resources.accelerators());
+  }
+
+  /** Returns whether the worker may have begun to run it. */
+  boolean mayRun() {
+    return phase == Phase.STARTING || phase == Phase.RUNNING || phase == Phase.FINISHED;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/PlacementPolicy.java
@@ -0,0 +1,19 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Shape;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Chooses where the members of a shape lie. */
+interface PlacementPolicy {
+  /**
+   * Finds a place for every member of a shape.
+   *
+   * @param pool the pool
+   * @param shape the shape
+   * @param view which part of each worker may be used
+   * @param allowed which workers may be used
+   * @return one spot for each member, or an empty list if the shape does not fit
+   */
+  List<Spot> place(Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed);
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Pool.java
@@ -0,0 +1,112 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.FailureDomainId;
+import dev.bambootray.core.model.RackId;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.model.WorkerId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The workers of a region by rack and failure domain, with the indexes that searches use. */
+final class Pool {
+  final List<WorkerSlot> workers = new ArrayList<>();
+  final List<RackGroup> racks = new ArrayList<>();
+  final Map<FailureDomainId, List<RackGroup>> domains = new LinkedHashMap<>();
+  final SpotIndex free = new SpotIndex(View.FREE, this);
+  final SpotIndex spare = new SpotIndex(View.SPARE, this);
+  private final Map<WorkerId, WorkerSlot> byId = new HashMap<>();
+  private final Map<RackId, RackGroup> racksById = new HashMap<>();
+
+  /** Returns the pool of a region with all workers absent. */
+  static Pool of(Declaration declaration, RegionId region) {
+    Pool pool = new Pool();
+    pool.addMissing(declaration, region);
+    return pool;
+  }
+
+  /** Adds the declared workers that the pool does not have yet. */
+  void addMissing(Declaration declaration, RegionId region) {
+    declaration.workers().values().stream()
+        .filter(w -> w.region().equals(region) && !byId.containsKey(w.id()))
+        .sorted(
+            Comparator.comparing(WorkerDeclaration::failureDomain)
+                .thenComparing(WorkerDeclaration::rack)
+                .thenComparingInt(WorkerDeclaration::positionInRack))
+        .forEach(this::add);
+  }
+
+  private void add(WorkerDeclaration declaration) {
+    RackGroup rack =
+        racksById.computeIfAbsent(
+            declaration.rack(), id -> addRack(id, declaration.failureDomain()));
+    WorkerSlot worker = new WorkerSlot(declaration, workers.size(), rack);
+    workers.add(worker);
+    rack.add(worker);
+    byId.put(worker.id, worker);
+    refresh(worker);
+  }
+
+  private RackGroup addRack(RackId id, FailureDomainId domain) {
+    RackGroup rack = new RackGroup(id, domain, racks.size());
+    racks.add(rack);
+    domains.computeIfAbsent(domain, d -> new ArrayList<>()).add(rack);
+    return rack;
+  }
+
+  @Nullable WorkerSlot find(WorkerId id) {
+    return byId.get(id);
+  }
+
+  /** Brings the indexes up to date after a change of the worker. */
+  void refresh(WorkerSlot worker) {
+    free.refresh(worker);
+    spare.refresh(worker);
+  }
+
+  void grant(Member member) {
+    member.worker.grant(member);
+    refresh(member.worker);
+  }
+
+  void revoke(Member member) {
+    member.worker.revoke(member);
+    refresh(member.worker);
+  }
+
+  void bind(Cell cell, List<Spot> spots) {
+    cell.bind(spots);
+    spots.forEach(spot -> refresh(spot.worker()));
+  }
+
+  void unbind(Cell cell) {
+    List<Spot> spots = cell.spots;
+    cell.unbind();
+    spots.forEach(spot -> refresh(spot.worker()));
+  }
+
+  /** Holds or frees accelerators for a claim. */
+  void hold(List<Spot> spots, int length, boolean held) {
+    for (Spot spot : spots) {
+      long mask = Runs.mask(spot.first(), length);
+      WorkerSlot worker = spot.worker();
+      worker.heldMask = held ? worker.heldMask | mask : worker.heldMask & ~mask;
+      refresh(worker);
+    }
+  }
+
+  /** Returns the index that serves the view, or null if it is searched without one. */
+  @Nullable SpotIndex index(View view) {
+    return switch (view) {
+      case FREE -> free;
+      case SPARE -> spare;
+      case BINDABLE -> null;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Reclaim.java
@@ -0,0 +1,15 @@
+package dev.bambootray.core.scheduling;
+
+/** Timing of the steps by which a claim takes borrowed capacity back. */
+final class Reclaim {
+  /** Age of a checkpoint request after which the member is throttled. */
+  static final long THROTTLE_AFTER_MS = 1_500;
+
+  /** Age of a checkpoint request after which the member is stopped; the claim starts within 5 s. */
+  static final long STOP_AFTER_MS = 2_500;
+
+  /** Processor share of a member whose checkpoint is late. */
+  static final int THROTTLE_PERCENT = 10;
+
+  private Reclaim() {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Runs.java
@@ -0,0 +1,76 @@
+package dev.bambootray.core.scheduling;
+
+/** Bit arithmetic on runs of adjacent accelerators; bit i stands for accelerator i of a worker. */
+final class Runs {
+  /** The most accelerators that a worker may have. */
+  static final int MAX_ACCELERATORS = 64;
+
+  private Runs() {}
+
+  /** Returns the mask of {@code length} accelerators from {@code first}. */
+  static long mask(int first, int length) {
+    if (length == 0) {
+      return 0;
+    }
+    return (-1L >>> (MAX_ACCELERATORS - length)) << first;
+  }
+
+  /** Returns the starts at which a run of the given length lies within the mask. */
+  static long starts(long mask, int length) {
+    long starts = mask;
+    int have = 1;
+    while (have < length && starts != 0) {
+      int step = Math.min(have, length - have);
+      starts &= starts >>> step;
+      have += step;
+    }
+    return starts;
+  }
+
+  /** Returns the length of the longest run within the mask. */
+  static int longest(long mask) {
+    int length = 0;
+    long rest = mask;
+    while (rest != 0) {
+      rest &= rest << 1;
+      length++;
+    }
+    return length;
+  }
+
+  /** Returns how many disjoint runs of the given length the mask holds. */
+  static int count(long mask, int length) {
+    int count = 0;
+    long rest = mask;
+    long starts = starts(rest, length);
+    while (starts != 0) {
+      count++;
+      rest &= ~mask(Long.numberOfTrailingZeros(starts), length);
+      starts = starts(rest, length);
+    }
+    return count;
+  }
+
+  /** Returns the start of the first run of the given length, or -1. */
+  static int firstFit(long mask, int length) {
+    long starts = starts(mask, length);
+    return starts == 0 ? -1 : Long.numberOfTrailingZeros(starts);
+  }
+
+  /** Returns the start of a run in the shortest stretch that holds it, or -1. */
+  static int bestFit(long mask, int length) {
+    int best = -1;
+    int bestStretch = Integer.MAX_VALUE;
+    long rest = mask;
+    while (rest != 0) {
+      int first = Long.numberOfTrailingZeros(rest);
+      int stretch = Long.numberOfTrailingZeros(~(rest >>> first));
+      if (stretch >= length && stretch < bestStretch) {
+        best = first;
+        bestStretch = stretch;
+      }
+      rest &= ~mask(first, stretch);
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
@@ -0,0 +1,117 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.core.model.WorkerId;
+import it.unimi.dsi.fastutil.objects.ReferenceOpenHashSet;
+import java.util.Set;
+
+/**
+ * One worker of the pool with everything that is granted on it.
+ *
+ * <p>The masks hold one bit for each accelerator. Grants, not usage reports, decide what is free.
+ */
+final class WorkerSlot {
+  final WorkerId id;
+  final int index;
+  final RackGroup rack;
+  final int position;
+  final int accelerators;
+  final int millicores;
+  final int memoryMib;
+  final long allMask;
+
+  /** Accelerators granted to members, whether or not they still run. */
+  long usedMask;
+
+  /** Accelerators granted to members that a claim must not stop. */
+  long fixedMask;
+
+  /** Accelerators of guaranteed cells bound to this worker, used or not. */
+  long cellMask;
+
+  /** Accelerators kept for a claim whose victims are still stopping. */
+  long heldMask;
+
+  int usedMillicores;
+  int usedMemoryMib;
+
+  /** Resources of members that a claim must not stop and that lie outside guaranteed cells. */
+  int pinnedMillicores;
+
+  int pinnedMemoryMib;
+  int cellMillicores;
+  int cellMemoryMib;
+  boolean joined;
+  boolean leaving;
+  boolean quarantined;
+  long notBeforeMs;
+  final Set<Member> members = new ReferenceOpenHashSet<>();
+
+  WorkerSlot(WorkerDeclaration declaration, int index, RackGroup rack) {
+    Resources capacity = declaration.capacity();
+    if (capacity.accelerators() > Runs.MAX_ACCELERATORS) {
+      throw new IllegalArgumentException(
+          "worker " + declaration.id() + " has more than 64 accelerators");
+    }
+    this.id = declaration.id();
+    this.index = index;
+    this.rack = rack;
+    this.position = declaration.positionInRack();
+    this.accelerators = capacity.accelerators();
+    this.millicores = capacity.millicores();
+    this.memoryMib = capacity.memoryMib();
+    this.allMask = Runs.mask(0, accelerators);
+  }
+
+  /** Returns whether new members may be placed here. */
+  boolean takesWork() {
+    return joined && !leaving && !quarantined;
+  }
+
+  /** Returns the accelerators that are neither granted nor held. */
+  long freeMask() {
+    return allMask & ~usedMask & ~heldMask;
+  }
+
+  /** Returns the free accelerators outside guaranteed cells. */
+  long spareMask() {
+    return freeMask() & ~cellMask;
+  }
+
+  int freeMillicores() {
+    return millicores - usedMillicores;
+  }
+
+  int freeMemoryMib() {
+    return memoryMib - usedMemoryMib;
+  }
+
+  /** Adds the grant of a member. */
+  void grant(Member member) {
+    members.add(member);
+    account(member, 1);
+    usedMask |= member.mask();
+    if (member.gang.kind != GrantKind.BORROWED) {
+      fixedMask |= member.mask();
+    }
+  }
+
+  /** Removes the grant of a member. */
+  void revoke(Member member) {
+    if (members.remove(member)) {
+      account(member, -1);
+      usedMask &= ~member.mask();
+      fixedMask &= ~member.mask();
+    }
+  }
+
+  private void account(Member member, int sign) {
+    usedMillicores += sign * member.resources.millicores();
+    usedMemoryMib += sign * member.resources.memoryMib();
+    if (member.gang.kind == GrantKind.PINNED) {
+      pinnedMillicores += sign * member.resources.millicores();
+      pinnedMemoryMib += sign * member.resources.memoryMib();
+    }
+  }
+}
