--- /dev/null
+++ b/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
@@ -0,0 +1,446 @@
+package dev.bambootray.standins;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/** Tasks, leases and epochs of a stand-in worker, as the platform protocol states them. */
+final class WorkerAgent {
+  private static final long ADOPTED_LEASE_MS = 10_000;
+  private static final long RETAINED_MS = 600_000;
+  private static final long USAGE_AGE_MS = 2_000;
+
+  private record Poll(HttpCall call, long afterSequence, long leaseMs) {}
+
+  private final StandInWorker.Spec spec;
+  private final RunLedger ledger;
+  private final ScheduledExecutorService timers;
+  private final LongSupplier nowMs;
+  private final Map<String, WorkerTask> tasks = new LinkedHashMap<>();
+  private final Set<String> fenced = new HashSet<>();
+  private final EventLog events = new EventLog();
+  private final List<Poll> polls = new ArrayList<>();
+  private long highestEpoch;
+  private String owner = "";
+  private boolean failEveryTask;
+  private long leavingSinceMs = -1;
+  private long latestWorkAfterLeavingMs = -1;
+  private int peakSlots;
+  private int capacityRefusals;
+  private boolean dead;
+
+  WorkerAgent(
+      StandInWorker.Spec spec,
+      RunLedger ledger,
+      ScheduledExecutorService timers,
+      LongSupplier nowMs) {
+    this.spec = spec;
+    this.ledger = ledger;
+    this.timers = timers;
+    this.nowMs = nowMs;
+  }
+
+  synchronized void setFailEveryTask(boolean value) {
+    failEveryTask = value;
+  }
+
+  synchronized void leave() {
+    leavingSinceMs = nowMs.getAsLong();
+    List.copyOf(polls).forEach(this::answerPoll);
+  }
+
+  synchronized void die() {
+    dead = true;
+    tasks.values().stream().filter(WorkerTask::isRunning).forEach(task -> finish(task, "DIED", ""));
+  }
+
+  synchronized ObjectNode counters() {
+    return HttpCall.JSON
+        .createObjectNode()
+        .put("highestEpoch", highestEpoch)
+        .put("slotsInUse", slotsInUse())
+        .put("peakSlots", peakSlots)
+        .put("capacityRefusals", capacityRefusals)
+        .put("latestWorkAfterLeavingMs", latestWorkAfterLeavingMs);
+  }
+
+  synchronized void handle(String command, HttpCall call) {
+    JsonNode json = call.json();
+    String refusal = checkClaim(command, json);
+    if (!refusal.isEmpty()) {
+      refuse(call, refusal);
+      return;
+    }
+    switch (command) {
+      case "adopt" -> adopt(json, call);
+      case "reserve", "run" -> admit(command.equals("run"), json, call);
+      case "start" -> start(json, call);
+      case "stop" -> end(json, call, "STOPPED", "stopped by command");
+      case "checkpoint" -> checkpoint(json, call);
+      case "throttle" -> throttle(json, call);
+      case "acknowledge" -> acknowledge(json, call);
+      case "query" -> query(json, call);
+      case "poll" -> poll(json, call);
+      default -> refuse(call, "INVALID");
+    }
+  }
+
+  private String checkClaim(String command, JsonNode json) {
+    if (!json.path("epoch").canConvertToLong()
+        || !json.path("region").asText().equals(spec.region())) {
+      return "INVALID";
+    }
+    long epoch = json.get("epoch").asLong();
+    String sender = json.path("owner").asText();
+    if (epoch < highestEpoch || (epoch == highestEpoch && !sender.equals(owner))) {
+      return "STALE_EPOCH";
+    }
+    return epoch > highestEpoch && !command.equals("adopt") ? "NOT_ADOPTED" : "";
+  }
+
+  private void adopt(JsonNode json, HttpCall call) {
+    highestEpoch = json.get("epoch").asLong();
+    owner = json.path("owner").asText();
+    List<Poll> overtaken = List.copyOf(polls);
+    polls.clear();
+    overtaken.forEach(poll -> refuse(poll.call(), "STALE_EPOCH"));
+    ObjectNode reply = HttpCall.JSON.createObjectNode();
+    ArrayNode list = reply.putArray("tasks");
+    for (WorkerTask task : tasks.values()) {
+      if (isRetained(task)) {
+        extendLease(task, ADOPTED_LEASE_MS);
+        list.add(task.snapshot(nowMs.getAsLong()));
+      }
+    }
+    call.answer(
+        200, reply.put("sequence", events.lastSequence()).put("leaving", leavingSinceMs >= 0));
+  }
+
+  private void admit(boolean inSlot, JsonNode json, HttpCall call) {
+    WorkerTask task = new WorkerTask(json, inSlot);
+    WorkerTask known = tasks.get(task.id);
+    if (known != null) {
+      joinOrConfirm(known, inSlot, call);
+      return;
+    }
+    if (fenced.contains(task.id)) {
+      refuse(call, "UNKNOWN_TASK");
+      return;
+    }
+    if (leavingSinceMs >= 0) {
+      latestWorkAfterLeavingMs = nowMs.getAsLong() - leavingSinceMs;
+      refuse(call, "LEAVING");
+      return;
+    }
+    if (inSlot ? slotsInUse() >= spec.slots() : !fits(task)) {
+      capacityRefusals++;
+      refuse(call, "NO_CAPACITY");
+      return;
+    }
+    tasks.put(task.id, task);
+    if (inSlot) {
+      task.waiting.add(call);
+      begin(task, json);
+      peakSlots = Math.max(peakSlots, slotsInUse());
+      return;
+    }
+    extendLease(task, json.path("leaseMs").asLong());
+    emit(task);
+    call.done();
+  }
+
+  private void joinOrConfirm(WorkerTask known, boolean inSlot, HttpCall call) {
+    if (!inSlot) {
+      call.done();
+    } else if (known.isLive()) {
+      known.waiting.add(call);
+    } else {
+      call.answer(200, known.snapshot(nowMs.getAsLong()));
+    }
+  }
+
+  private boolean fits(WorkerTask wanted) {
+    if (wanted.firstAccelerator < 0
+        || wanted.firstAccelerator + wanted.accelerators > spec.accelerators()) {
+      return false;
+    }
+    int millicores = wanted.millicores;
+    int memoryMib = wanted.memoryMib;
+    for (WorkerTask task : tasks.values()) {
+      if (task.overlaps(wanted.firstAccelerator, wanted.accelerators)) {
+        return false;
+      }
+      if (task.isLive()) {
+        millicores += task.millicores;
+        memoryMib += task.memoryMib;
+      }
+    }
+    return millicores <= spec.millicores() && memoryMib <= spec.memoryMib();
+  }
+
+  private int slotsInUse() {
+    return (int) tasks.values().stream().filter(task -> task.inSlot && task.isRunning()).count();
+  }
+
+  private @Nullable WorkerTask find(JsonNode json, HttpCall call) {
+    WorkerTask task = tasks.get(json.required("task").asText());
+    if (task == null) {
+      refuse(call, "UNKNOWN_TASK");
+    }
+    return task;
+  }
+
+  private void start(JsonNode json, HttpCall call) {
+    WorkerTask task = find(json, call);
+    if (task == null) {
+      return;
+    }
+    if (task.phase.equals("RESERVED")) {
+      begin(task, json);
+      emit(task);
+    }
+    call.done();
+  }
+
+  private void begin(WorkerTask task, JsonNode json) {
+    String text = json.path("parameters").asText("{}");
+    JsonNode parameters;
+    try {
+      parameters = HttpCall.JSON.readTree(text);
+    } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+      throw new IllegalArgumentException("parameters are not JSON", e);
+    }
+    String checkpoint = json.path("checkpoint").asText("");
+    task.phase = "RUNNING";
+    task.startedAtMs = nowMs.getAsLong();
+    task.memoryFactor = parameters.path("memoryFactor").asDouble(1);
+    task.run =
+        ledger.begin(
+            new RunLedger.Run(
+                task.workspace + "/" + task.key,
+                task.attempt(),
+                task.member(),
+                task.members,
+                spec.name(),
+                spec.region(),
+                task.firstAccelerator,
+                task.accelerators,
+                checkpoint.contains("@"),
+                task.startedAtMs,
+                -1,
+                "RUNNING",
+                text.length()));
+    long doneMs = Long.parseLong("0" + checkpoint.substring(checkpoint.indexOf('@') + 1));
+    long runMs = Math.max(0, parameters.path("runMs").asLong(0) - doneMs);
+    long maxRunMs = json.path("maxRunMs").asLong(Long.MAX_VALUE);
+    task.timer =
+        timers.schedule(
+            () -> complete(task, parameters, runMs > maxRunMs),
+            Math.min(runMs, maxRunMs),
+            TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void complete(WorkerTask task, JsonNode parameters, boolean overtime) {
+    if (!task.isRunning() || dead) {
+      return;
+    }
+    if (overtime) {
+      finish(task, "STOPPED", "run time limit reached");
+    } else if (failEveryTask || parameters.path("fail").asBoolean(false)) {
+      finish(task, "FAILED", "task failed on " + spec.name());
+    } else {
+      ObjectNode result = HttpCall.JSON.createObjectNode();
+      result.put("request", task.workspace + "/" + task.key).put("worker", spec.name());
+      result.put("member", task.member());
+      result.put("text", "x".repeat(parameters.path("resultBytes").asInt(0)));
+      finish(task, "FINISHED", result.toString());
+    }
+  }
+
+  private void finish(WorkerTask task, String phase, String detail) {
+    boolean ran = task.isRunning();
+    task.phase = phase;
+    task.detail = detail;
+    task.endedAtMs = nowMs.getAsLong();
+    task.leaseUntilMs = WorkerTask.NO_LEASE;
+    if (task.timer != null) {
+      task.timer.cancel(false);
+    }
+    if (ran) {
+      ledger.end(task.run, task.endedAtMs, phase, detail.getBytes(UTF_8).length);
+    }
+    if (dead) {
+      return;
+    }
+    boolean delivered = false;
+    for (HttpCall call : task.waiting) {
+      delivered |= call.isConnected();
+      call.answer(200, task.snapshot(task.endedAtMs));
+    }
+    task.waiting.clear();
+    if (!task.inSlot || !delivered || task.epoch != highestEpoch) {
+      emit(task);
+    }
+  }
+
+  private void release(WorkerTask task) {
+    task.phase = "UNKNOWN";
+    task.leaseUntilMs = WorkerTask.NO_LEASE;
+    fenced.add(task.id);
+    tasks.remove(task.id);
+    emit(task);
+  }
+
+  private void end(JsonNode json, HttpCall call, String phase, String detail) {
+    String id = json.required("task").asText();
+    WorkerTask task = tasks.get(id);
+    if (task == null) {
+      fenced.add(id);
+    } else if (task.phase.equals("RESERVED")) {
+      release(task);
+    } else if (task.isRunning()) {
+      finish(task, phase, detail);
+    }
+    call.done();
+  }
+
+  private void checkpoint(JsonNode json, HttpCall call) {
+    WorkerTask task = find(json, call);
+    if (task == null) {
+      return;
+    }
+    long ranMs = Math.max(0, nowMs.getAsLong() - task.startedAtMs);
+    end(json, call, "CHECKPOINTED", "checkpoint/" + task.id + "@" + ranMs);
+  }
+
+  private void throttle(JsonNode json, HttpCall call) {
+    WorkerTask task = find(json, call);
+    if (task == null) {
+      return;
+    }
+    task.throttlePercent = json.path("percent").asInt(100);
+    call.done();
+  }
+
+  private void acknowledge(JsonNode json, HttpCall call) {
+    for (JsonNode id : json.path("tasks")) {
+      WorkerTask task = tasks.get(id.asText());
+      if (task != null && !task.isLive()) {
+        forgetOutcome(task);
+      }
+    }
+    call.done();
+  }
+
+  /** Drops the outcome but not the fact that the task ran, so that it never runs again. */
+  private static void forgetOutcome(WorkerTask task) {
+    task.phase = "STOPPED";
+    task.detail = StandInWorker.NOT_RETAINED;
+  }
+
+  private static boolean isRetained(WorkerTask task) {
+    return !StandInWorker.NOT_RETAINED.equals(task.detail);
+  }
+
+  private void query(JsonNode json, HttpCall call) {
+    String id = json.required("task").asText();
+    WorkerTask task = tasks.get(id);
+    if (task == null) {
+      fenced.add(id);
+      call.answer(200, HttpCall.JSON.createObjectNode().put("task", id).put("phase", "UNKNOWN"));
+      return;
+    }
+    long waitMs = json.path("waitMs").asLong(0);
+    if (!task.isLive() || waitMs <= 0) {
+      call.answer(200, task.snapshot(nowMs.getAsLong()));
+      return;
+    }
+    task.waiting.add(call);
+    var unused = timers.schedule(() -> endQuery(task, call), waitMs, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void endQuery(WorkerTask task, HttpCall call) {
+    if (task.waiting.remove(call)) {
+      call.answer(200, task.snapshot(nowMs.getAsLong()));
+    }
+  }
+
+  private void poll(JsonNode json, HttpCall call) {
+    Poll poll = new Poll(call, json.path("afterSequence").asLong(), json.path("leaseMs").asLong());
+    tasks.values().forEach(task -> extendLease(task, poll.leaseMs()));
+    polls.add(poll);
+    if (events.lastSequence() > poll.afterSequence()) {
+      answerPoll(poll);
+      return;
+    }
+    var unused =
+        timers.schedule(
+            () -> answerPoll(poll), json.path("waitMs").asLong(), TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void answerPoll(Poll poll) {
+    if (!polls.remove(poll)) {
+      return;
+    }
+    ObjectNode reply = HttpCall.JSON.createObjectNode().put("leaving", leavingSinceMs >= 0);
+    events.writeAfter(poll.afterSequence(), reply.putArray("events"));
+    ArrayNode usage = reply.putArray("usage");
+    for (WorkerTask task : tasks.values()) {
+      extendLease(task, poll.leaseMs());
+      if (task.isRunning() && !task.inSlot) {
+        usage.add(task.usage(USAGE_AGE_MS));
+      }
+    }
+    poll.call().answer(200, reply);
+  }
+
+  private void emit(WorkerTask task) {
+    events.add(task.snapshot(nowMs.getAsLong()));
+    List.copyOf(polls).forEach(this::answerPoll);
+  }
+
+  private void extendLease(WorkerTask task, long leaseMs) {
+    if (task.isLive() && !task.inSlot) {
+      long until = nowMs.getAsLong() + leaseMs;
+      task.leaseUntilMs =
+          task.leaseUntilMs == WorkerTask.NO_LEASE ? until : Math.max(task.leaseUntilMs, until);
+    }
+  }
+
+  /** Ends tasks whose lease has lapsed and outcomes that were retained long enough. */
+  synchronized void sweep() {
+    long now = nowMs.getAsLong();
+    if (dead) {
+      return;
+    }
+    for (WorkerTask task : List.copyOf(tasks.values())) {
+      if (task.isLive() && task.leaseUntilMs <= now) {
+        if (task.isRunning()) {
+          finish(task, "STOPPED", "lease lapsed");
+        } else {
+          release(task);
+        }
+      } else if (!task.isLive() && now - task.endedAtMs > RETAINED_MS) {
+        forgetOutcome(task);
+      }
+    }
+  }
+
+  private void refuse(HttpCall call, String reason) {
+    call.answer(
+        409,
+        HttpCall.JSON.createObjectNode().put("reason", reason).put("highestEpoch", highestEpoch));
+  }
+}
