Add the clients of the platform and of worker agents

The daemon needs the ports TableStore, ObjectStore, VmDirectory and WorkerGateway. Each peer has a small pool of keep-alive connections on one event loop; NotSent is returned only before the first byte.

--- /dev/null
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/ConnectionPool.java
@@ -0,0 +1,297 @@
+package dev.bambootray.adapters.platform;
+
+import static java.util.concurrent.TimeUnit.MICROSECONDS;
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import dev.bambootray.adapters.platform.HttpExchange.Lane;
+import dev.bambootray.adapters.platform.HttpExchange.NoReply;
+import dev.bambootray.adapters.platform.HttpExchange.NotSent;
+import dev.bambootray.adapters.platform.HttpExchange.Outcome;
+import dev.bambootray.adapters.platform.HttpExchange.Request;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keep-alive connections to one peer. All state belongs to one event loop, on which all connections
+ * of the pool are registered.
+ */
+final class ConnectionPool {
+  private static final long IDLE_CLOSE_MS = 30_000;
+
+  /**
+   * Bounds of a pool.
+   *
+   * @param runs connections that runs may hold at a time
+   * @param polls connections that polls may hold at a time
+   * @param runsAndCommands connections that runs and commands may hold together
+   * @param maxResponseBytes largest response body
+   */
+  record Limits(int runs, int polls, int runsAndCommands, int maxResponseBytes) {
+    int connections() {
+      return polls + runsAndCommands;
+    }
+  }
+
+  private final EventLoop loop;
+  private final String host;
+  private final int port;
+  private final Limits limits;
+  private final long delayMicros;
+  private final Map<Lane, Deque<PooledExchange>> queues = new EnumMap<>(Lane.class);
+  private final Map<Lane, Integer> inUse = new EnumMap<>(Lane.class);
+  private final Deque<PooledConnection> idle = new ArrayDeque<>();
+  private final List<PooledExchange> active = new ArrayList<>();
+  private int connections;
+  private boolean closed;
+
+  ConnectionPool(EventLoop loop, String host, int port, Limits limits, LinkDelay delay) {
+    this.loop = loop;
+    this.host = host;
+    this.port = port;
+    this.limits = limits;
+    this.delayMicros = delay.oneWayMicros(host, port);
+    for (Lane lane : Lane.values()) {
+      queues.put(lane, new ArrayDeque<>());
+      inUse.put(lane, 0);
+    }
+  }
+
+  /** Sends a request; the future completes on the event loop and never with a throw. */
+  CompletableFuture<Outcome> send(Request request, long timeoutMs) {
+    PooledExchange exchange = new PooledExchange(request);
+    if (loop.isShuttingDown()) {
+      exchange.complete(new NotSent("the client is closed"));
+      return exchange.future();
+    }
+    loop.execute(() -> enqueue(exchange, timeoutMs));
+    return exchange.future();
+  }
+
+  /** Closes the connection of each active exchange with the given tag. */
+  void closeConnectionOf(Object tag) {
+    loop.execute(
+        () ->
+            List.copyOf(active).stream()
+                .filter(exchange -> tag.equals(exchange.request().tag()))
+                .forEach(exchange -> fail(exchange, "the connection was closed on request")));
+  }
+
+  /** Closes all connections; active exchanges end without a reply. */
+  void close() {
+    if (!loop.isShuttingDown()) {
+      loop.execute(this::closeOnLoop);
+    }
+  }
+
+  private void closeOnLoop() {
+    closed = true;
+    queues.values().stream()
+        .flatMap(queue -> List.copyOf(queue).stream())
+        .forEach(exchange -> fail(exchange, "the client is closed"));
+    List.copyOf(active).forEach(exchange -> fail(exchange, "the client is closed"));
+    closeIdle();
+  }
+
+  private void enqueue(PooledExchange exchange, long timeoutMs) {
+    if (closed) {
+      exchange.complete(new NotSent("the client is closed"));
+      return;
+    }
+    exchange.setTimer(
+        loop.schedule(
+            () -> fail(exchange, "no answer within " + timeoutMs + " ms"),
+            timeoutMs,
+            MILLISECONDS));
+    queue(exchange).add(exchange);
+    dispatch();
+  }
+
+  /** Starts what the lanes allow; commands go before runs, which may hold a connection for long. */
+  private void dispatch() {
+    for (Lane lane : List.of(Lane.POLL, Lane.COMMAND, Lane.RUN)) {
+      Deque<PooledExchange> queue = queues.getOrDefault(lane, new ArrayDeque<>());
+      while (!queue.isEmpty() && hasRoom(lane)) {
+        begin(queue.remove());
+      }
+    }
+  }
+
+  private boolean hasRoom(Lane lane) {
+    int runs = count(Lane.RUN);
+    return switch (lane) {
+      case POLL -> count(Lane.POLL) < limits.polls();
+      case COMMAND -> runs + count(Lane.COMMAND) < limits.runsAndCommands();
+      case RUN -> runs < limits.runs() && runs + count(Lane.COMMAND) < limits.runsAndCommands();
+    };
+  }
+
+  private void begin(PooledExchange exchange) {
+    active.add(exchange);
+    inUse.merge(exchange.request().lane(), 1, Integer::sum);
+    PooledConnection reused = exchange.request().fresh() ? null : takeIdle();
+    if (reused != null) {
+      writeAfterDelay(exchange, reused);
+      return;
+    }
+    makeRoomForOne();
+    connections++;
+    PooledConnection connection = new PooledConnection(this::onEnd, limits.maxResponseBytes());
+    ChannelFuture connecting = connect(connection);
+    exchange.attach(connection, connecting.channel());
+    var unusedClose = connecting.channel().closeFuture().addListener(done -> onClosed(connection));
+    var unused =
+        connecting.addListener(
+            done -> {
+              if (done.isSuccess()) {
+                writeAfterDelay(exchange, connection);
+              } else {
+                fail(exchange, "cannot connect: " + done.cause().getMessage());
+              }
+            });
+  }
+
+  private ChannelFuture connect(PooledConnection connection) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                connection.install(channel);
+              }
+            })
+        .connect(host, port);
+  }
+
+  private void writeAfterDelay(PooledExchange exchange, PooledConnection connection) {
+    if (exchange.isDone()) {
+      return;
+    }
+    exchange.attach(connection, connection.channel());
+    if (delayMicros == 0) {
+      write(exchange, connection);
+      return;
+    }
+    var unused = loop.schedule(() -> write(exchange, connection), delayMicros, MICROSECONDS);
+  }
+
+  private void write(PooledExchange exchange, PooledConnection connection) {
+    if (exchange.isDone()) {
+      return;
+    }
+    if (!connection.channel().isActive()) {
+      fail(exchange, "the connection is closed");
+      return;
+    }
+    exchange.markWritten();
+    connection.write(exchange, host);
+  }
+
+  /** Called by a connection when its exchange has a whole response or cannot get one. */
+  private void onEnd(PooledConnection connection, PooledExchange exchange, Outcome outcome) {
+    if (delayMicros == 0) {
+      finish(connection, exchange, outcome);
+      return;
+    }
+    var unused =
+        loop.schedule(() -> finish(connection, exchange, outcome), delayMicros, MICROSECONDS);
+  }
+
+  private void finish(PooledConnection connection, PooledExchange exchange, Outcome outcome) {
+    if (exchange.isDone()) {
+      return;
+    }
+    if (outcome instanceof NoReply noReply) {
+      fail(exchange, noReply.reason());
+      return;
+    }
+    release(exchange);
+    if (connection.isReusable() && !closed) {
+      idle.push(connection);
+      connection.startIdleTimer(loop.schedule(connection::close, IDLE_CLOSE_MS, MILLISECONDS));
+    } else {
+      connection.close();
+    }
+    exchange.complete(outcome);
+    dispatch();
+  }
+
+  /**
+   * Ends an exchange without a response and closes its connection. Idle connections are closed as
+   * well after an exchange that got no reply, because connections can go silent together while new
+   * ones work.
+   */
+  private void fail(PooledExchange exchange, String reason) {
+    if (exchange.isDone()) {
+      return;
+    }
+    queue(exchange).remove(exchange);
+    release(exchange);
+    exchange.closeConnection();
+    if (exchange.isWritten()) {
+      closeIdle();
+      exchange.complete(new NoReply(reason));
+    } else {
+      exchange.complete(new NotSent(reason));
+    }
+    dispatch();
+  }
+
+  private void release(PooledExchange exchange) {
+    if (active.remove(exchange)) {
+      inUse.merge(exchange.request().lane(), -1, Integer::sum);
+    }
+  }
+
+  private void onClosed(PooledConnection connection) {
+    connections--;
+    idle.remove(connection);
+    connection.cancelIdleTimer();
+  }
+
+  private @Nullable PooledConnection takeIdle() {
+    while (!idle.isEmpty()) {
+      PooledConnection connection = idle.pop();
+      connection.cancelIdleTimer();
+      if (connection.channel().isActive()) {
+        return connection;
+      }
+    }
+    return null;
+  }
+
+  private void makeRoomForOne() {
+    while (connections >= limits.connections() && !idle.isEmpty()) {
+      idle.removeLast().close();
+    }
+  }
+
+  private void closeIdle() {
+    while (!idle.isEmpty()) {
+      idle.pop().close();
+    }
+  }
+
+  private Deque<PooledExchange> queue(PooledExchange exchange) {
+    return queues.getOrDefault(exchange.request().lane(), new ArrayDeque<>());
+  }
+
+  private int count(Lane lane) {
+    return inUse.getOrDefault(lane, 0);
+  }
+}
--- /dev/null
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/LinkDelay.java
@@ -0,0 +1,18 @@
+package dev.bambootray.adapters.platform;
+
+/** Emulated one-way latency of the link to a peer, for demos on one machine. */
+@FunctionalInterface
+public interface LinkDelay {
+
+  /** No added latency. */
+  LinkDelay NONE = (host, port) -> 0;
+
+  /**
+   * Returns the one-way latency to add.
+   *
+   * @param host IP number of the peer
+   * @param port TCP port of the peer
+   * @return microseconds, 0 for none
+   */
+  long oneWayMicros(String host, int port);
+}
