Add the target router with queue, slots, dispatch, answers and fates

Cause: the daemon needs a router to be wired to. Change: TargetRouter takes RouterEvent and returns RouterEffect. One fair queue per service, slot limit, least loaded target, refusal on arrival by expected wait and queue length, expiry in the queue, intents, fates by token, retries within a budget over 10 s, cancellation waves, adoption of runs, load and explanation.

--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/Dispatcher.java
@@ -0,0 +1,148 @@
+package dev.bambootray.core.routing;
+
+import static dev.bambootray.core.model.Step.RECORD;
+
+import dev.bambootray.core.model.RequestError;
+import org.jspecify.annotations.Nullable;
+
+/** Takes requests from the queues and starts their runs. */
+final class Dispatcher {
+  private static final int MAX_INTENT_REJECTIONS = 3;
+
+  /** Longest silence before the fate of a run is asked for, in milliseconds. */
+  static final long MAX_PROGRESS_MS = 1_000;
+
+  private static final long MIN_PROGRESS_MS = 200;
+
+  private final RouterState state;
+  private final RequestAnswers answers;
+  private final TargetChoice choice;
+  private final Backoff intentBackoff = new Backoff(200, 2_000);
+
+  Dispatcher(RouterState state, RequestAnswers answers, TargetChoice choice) {
+    this.state = state;
+    this.answers = answers;
+    this.choice = choice;
+  }
+
+  /** Starts runs while requests wait and targets take them. */
+  void dispatch(ServicePool pool, long nowMs) {
+    while (pool.queue.size() > 0) {
+      PendingRequest request = pool.queue.peek();
+      Target target = request == null ? null : choice.choose(state, request, nowMs);
+      if (request == null || target == null) {
+        return;
+      }
+      pool.queue.poll(request.runTimes.meanMs());
+      start(request, target, nowMs);
+    }
+  }
+
+  private void start(PendingRequest request, Target target, long nowMs) {
+    if (request.nextRunIsExtra && !spendReserved(request, nowMs)) {
+      return;
+    }
+    Run run = new Run(state.nextTask(), request, target);
+    state.addRun(run);
+    if (request.isRepeatable()) {
+      send(run, nowMs);
+    } else {
+      request.state = PendingRequest.State.INTENT;
+      state.emit(new RouterEffect.RecordIntent(request.key(), run.task, target.worker));
+    }
+  }
+
+  private boolean spendReserved(PendingRequest request, long nowMs) {
+    request.nextRunIsExtra = false;
+    request.extraReserved = false;
+    request.pool.budget.release();
+    if (request.pool.budget.spend(state.policy().retryBudgetShare(), nowMs)) {
+      return true;
+    }
+    request.state = PendingRequest.State.RUNNING;
+    RequestError error = request.lastError;
+    if (request.runs.isEmpty() && error != null) {
+      answers.refuse(request, error, true, nowMs);
+    }
+    return false;
+  }
+
+  /** Sends a run whose intent is durable, or need not be. */
+  void intentRecorded(Run run, long nowMs) {
+    if (run.phase != Run.Phase.INTENT) {
+      return;
+    }
+    if (run.target.isOpen() || run.target.ejected) {
+      send(run, nowMs);
+      return;
+    }
+    state.removeRun(run);
+    answers.redirect(run.request, run.target, "the target takes no new requests", nowMs);
+  }
+
+  /** Tries again or gives up when the intent could not be recorded. */
+  void intentRejected(Run run, long nowMs) {
+    if (run.phase != Run.Phase.INTENT) {
+      return;
+    }
+    PendingRequest request = run.request;
+    state.removeRun(run);
+    long delayMs = intentBackoff.delayMs(request.intentRejections, state.random);
+    if (++request.intentRejections >= MAX_INTENT_REJECTIONS
+        || nowMs + delayMs >= request.spec().deadlineAtMs()) {
+      answers.refuse(
+          request,
+          RequestError.notRun(
+              RECORD,
+              "local",
+              "the intent to run could not be recorded",
+              DeadlineAdmission.retryAfterMs(state, request.pool)),
+          true,
+          nowMs);
+      return;
+    }
+    request.state = PendingRequest.State.BACKOFF;
+    state.timers.schedule(request, nowMs + delayMs);
+  }
+
+  private void send(Run run, long nowMs) {
+    PendingRequest request = run.request;
+    Target target = run.target;
+    run.phase = Run.Phase.SENT;
+    run.sentAtMs = nowMs;
+    target.lastSentAtMs = nowMs;
+    request.state = PendingRequest.State.RUNNING;
+    request.sends++;
+    if (!request.firstCounted) {
+      request.firstCounted = true;
+      request.pool.budget.recordFirst(nowMs);
+    }
+    state.emit(
+        new RouterEffect.RunOnTarget(
+            request.key(), run.task, target.worker, maxRunMs(request, nowMs)));
+    run.fateAtMs = nowMs + progressMs(request);
+    state.scheduleRun(run);
+  }
+
+  private static long maxRunMs(PendingRequest request, long nowMs) {
+    long maxRunMs = request.template().maxRunMs();
+    // A late result of a repeatable request is worth nothing; a run that is not repeatable must not
+    // be stopped half-way because its caller no longer waits.
+    return request.isRepeatable()
+        ? Math.max(1, Math.min(maxRunMs, request.spec().deadlineAtMs() - nowMs))
+        : maxRunMs;
+  }
+
+  private static long progressMs(PendingRequest request) {
+    RunTimeEstimate runTimes = request.runTimes;
+    if (!runTimes.knowsQuantiles()) {
+      return MAX_PROGRESS_MS;
+    }
+    return Math.max(MIN_PROGRESS_MS, Math.min(MAX_PROGRESS_MS, 2 * runTimes.quantileMs(0.99)));
+  }
+
+  /** Returns a target for a second run beside a first one, or null. */
+  @Nullable Target chooseOther(PendingRequest request, long nowMs) {
+    return choice.choose(state, request, nowMs);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/FairQueue.java
@@ -0,0 +1,166 @@
+package dev.bambootray.core.routing;
+
+import dev.bambootray.core.model.WorkspaceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The queue of a service: start-time fair queueing between workspaces by slot time, first come
+ * first served within a workspace. Removed requests stay in place until they reach the head or make
+ * up half of a workspace's queue.
+ */
+final class FairQueue {
+  private final Map<WorkspaceId, Flow> flows = new HashMap<>();
+  private final List<Flow> active = new ArrayList<>();
+  private double virtualTime;
+  private int size;
+
+  /** Returns the number of requests that wait. */
+  int size() {
+    return size;
+  }
+
+  /** Returns the number of requests of one workspace that wait. */
+  int sizeOf(WorkspaceId workspace) {
+    Flow flow = flows.get(workspace);
+    return flow == null ? 0 : flow.size;
+  }
+
+  /** Adds a request at the end of its workspace's queue, or at its front. */
+  void add(PendingRequest request, double weight, boolean front) {
+    Flow flow = flows.computeIfAbsent(request.key().workspace(), id -> new Flow());
+    flow.weight = weight;
+    if (flow.size == 0) {
+      flow.entries.clear();
+      flow.start = Math.max(flow.start, virtualTime);
+      active.add(flow);
+    }
+    if (front) {
+      flow.entries.addFirst(request);
+    } else {
+      flow.entries.addLast(request);
+    }
+    flow.size++;
+    size++;
+  }
+
+  /** Returns the request that is served next, or null if none waits. */
+  @Nullable PendingRequest peek() {
+    Flow flow = next();
+    return flow == null ? null : flow.head();
+  }
+
+  /** Removes the request that {@link #peek()} returns and charges its workspace. */
+  void poll(double costMs) {
+    Flow flow = next();
+    if (flow == null) {
+      return;
+    }
+    flow.head();
+    flow.entries.removeFirst();
+    virtualTime = flow.start;
+    flow.start += costMs / flow.weight;
+    shrink(flow);
+  }
+
+  /** Removes a request that waits; its state must already differ from queued. */
+  void remove(PendingRequest request) {
+    Flow flow = flows.get(request.key().workspace());
+    if (flow == null) {
+      return;
+    }
+    shrink(flow);
+    if (flow.entries.size() > 16 && flow.size * 2 < flow.entries.size()) {
+      flow.entries.removeIf(entry -> entry.state != PendingRequest.State.QUEUED);
+    }
+  }
+
+  /** Removes a request that waits and may be added again later, leaving no trace of it. */
+  void removeExactly(PendingRequest request) {
+    Flow flow = flows.get(request.key().workspace());
+    if (flow != null && flow.entries.removeFirstOccurrence(request)) {
+      shrink(flow);
+    }
+  }
+
+  /** Returns how many requests are served before the next one that the workspace would add. */
+  double ahead(WorkspaceId workspace, double weight) {
+    Flow own = flows.get(workspace);
+    int ownSize = own == null ? 0 : own.size;
+    double ahead = ownSize;
+    for (Flow flow : active) {
+      if (flow != own) {
+        ahead += Math.min(flow.size, (ownSize + 1) * flow.weight / weight);
+      }
+    }
+    return ahead;
+  }
+
+  /** Passes every waiting request to a consumer that may not change the queue. */
+  void forEach(Consumer<PendingRequest> consumer) {
+    for (Flow flow : active) {
+      for (PendingRequest entry : flow.entries) {
+        if (entry.state == PendingRequest.State.QUEUED) {
+          consumer.accept(entry);
+        }
+      }
+    }
+  }
+
+  /** Returns the place of a waiting request within its workspace, from 1, or 0. */
+  int positionOf(PendingRequest request) {
+    Flow flow = flows.get(request.key().workspace());
+    int position = 0;
+    if (flow != null) {
+      for (PendingRequest entry : flow.entries) {
+        position += entry.state == PendingRequest.State.QUEUED ? 1 : 0;
+        if (entry == request) {
+          return position;
+        }
+      }
+    }
+    return 0;
+  }
+
+  private @Nullable Flow next() {
+    Flow best = null;
+    for (int i = 0; i < active.size(); i++) {
+      Flow flow = active.get(i);
+      if (best == null || flow.start < best.start) {
+        best = flow;
+      }
+    }
+    return best;
+  }
+
+  private void shrink(Flow flow) {
+    size--;
+    flow.size--;
+    if (flow.size == 0) {
+      flow.entries.clear();
+      active.remove(flow);
+    }
+  }
+
+  private static final class Flow {
+    final Deque<PendingRequest> entries = new ArrayDeque<>();
+    double weight = 1;
+    double start;
+    int size;
+
+    @Nullable PendingRequest head() {
+      PendingRequest entry = entries.peekFirst();
+      while (entry != null && entry.state != PendingRequest.State.QUEUED) {
+        entries.removeFirst();
+        entry = entries.peekFirst();
+      }
+      return entry;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/RequestAnswers.java
@@ -0,0 +1,210 @@
+package dev.bambootray.core.routing;
+
+import static dev.bambootray.core.model.Step.DISPATCH;
+import static dev.bambootray.core.model.Step.QUEUE;
+import static dev.bambootray.core.model.Step.RUN;
+
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.RunState;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Gives each request its one final answer, or another run if that is allowed. */
+final class RequestAnswers {
+  /** Corrected dispatches (refused, not sent) of a request before it is given up. */
+  private static final int MAX_REDIRECTS = 3;
+
+  /** Time after which a cancelled run that has not ended is asked for, in milliseconds. */
+  private static final long CANCEL_CONFIRM_MS = 500;
+
+  private final RouterState state;
+  private final Backoff retryBackoff = new Backoff(25, 1_000);
+
+  RequestAnswers(RouterState state) {
+    this.state = state;
+  }
+
+  /** Answers a request with the result of a run; its other runs are cancelled. */
+  void complete(PendingRequest request, Run run, String resultJson, long nowMs) {
+    state.emit(
+        new RouterEffect.CompleteRequest(request.key(), resultJson, run.task, run.target.worker));
+    finish(request, true, nowMs);
+  }
+
+  /** Gives a request up with its final error. */
+  void refuse(PendingRequest request, RequestError error, boolean cancelRuns, long nowMs) {
+    state.emit(new RouterEffect.RefuseRequest(request.key(), error));
+    finish(request, cancelRuns, nowMs);
+  }
+
+  /** Cancels a request on behalf of its caller. */
+  void cancel(PendingRequest request, long nowMs) {
+    RequestError error =
+        new RequestError(
+            wasSent(request) ? RUN : QUEUE,
+            "local",
+            "the request was cancelled",
+            ranSoFar(request),
+            false,
+            null);
+    refuse(request, error, true, nowMs);
+  }
+
+  /** Gives up a request whose deadline has passed. */
+  void expire(PendingRequest request, long nowMs) {
+    if (!wasSent(request) && request.lastError == null) {
+      refuse(
+          request,
+          DeadlineAdmission.refusal(state, request.pool, "the deadline passed in the queue"),
+          true,
+          nowMs);
+      return;
+    }
+    RequestError error = request.lastError;
+    if (error == null || wasSent(request)) {
+      error = RequestError.unknown(RUN, peerOf(request), "the deadline passed during the run");
+    }
+    // A run that is not repeatable may be half done, so it is left to end by itself.
+    refuse(request, error, request.isRepeatable(), nowMs);
+  }
+
+  /** Gives up a request that waits in the queue. */
+  void giveUpWaiting(PendingRequest request, String reason, long nowMs) {
+    RequestError last = request.lastError;
+    RequestError error =
+        last != null
+            ? withRetryTime(request, last)
+            : DeadlineAdmission.refusal(state, request.pool, reason);
+    refuse(request, error, true, nowMs);
+  }
+
+  /** Queues a request again whose last run certainly did not run. */
+  void redirect(PendingRequest request, Target refusing, String reason, long nowMs) {
+    if (!request.runs.isEmpty() || isWaiting(request)) {
+      return;
+    }
+    request.addFailedOn(refusing);
+    if (++request.redirects > MAX_REDIRECTS) {
+      RequestError last = request.lastError;
+      refuse(
+          request,
+          last != null
+              ? last
+              : RequestError.notRun(
+                  DISPATCH,
+                  refusing.worker.value(),
+                  reason,
+                  DeadlineAdmission.retryAfterMs(state, request.pool)),
+          true,
+          nowMs);
+      return;
+    }
+    enqueue(request, true);
+  }
+
+  /** Runs a request again after a run that may have run, or gives it up with its last error. */
+  void retryOrGiveUp(PendingRequest request, RequestError error, long nowMs) {
+    request.lastError = error;
+    if (!request.runs.isEmpty() || isWaiting(request)) {
+      return;
+    }
+    if (!tryRetry(request, nowMs)) {
+      refuse(request, withRetryTime(request, error), true, nowMs);
+    }
+  }
+
+  /** Schedules a retry within the budget, even beside a run of unknown fate. */
+  boolean tryRetry(PendingRequest request, long nowMs) {
+    if (!request.isRepeatable()
+        || request.sends >= Math.max(1, request.template().maxAttempts())
+        || request.spec().deadlineAtMs() <= nowMs
+        || !request.pool.budget.reserve(state.policy().retryBudgetShare(), nowMs)) {
+      return false;
+    }
+    request.extraReserved = true;
+    request.nextRunIsExtra = true;
+    long delayMs = retryBackoff.delayMs(request.sends - 1, state.random);
+    if (delayMs == 0) {
+      enqueue(request, true);
+    } else {
+      request.state = PendingRequest.State.BACKOFF;
+      state.timers.schedule(request, Math.min(nowMs + delayMs, request.spec().deadlineAtMs()));
+    }
+    return true;
+  }
+
+  /** Puts a request into its queue. */
+  void enqueue(PendingRequest request, boolean front) {
+    request.state = PendingRequest.State.QUEUED;
+    state.timers.schedule(request, request.spec().deadlineAtMs());
+    request.pool.queue.add(request, state.weightOf(request.key().workspace()), front);
+  }
+
+  /** Stops a run whose answer is no longer wanted; its slot stays taken until it has ended. */
+  void abandon(Run run, boolean cancel, long nowMs) {
+    if (run.phase == Run.Phase.INTENT) {
+      state.removeRun(run);
+      return;
+    }
+    run.hedgeAtMs = Run.NEVER;
+    if (run.phase != Run.Phase.ENDED && cancel) {
+      run.cancelled = true;
+      run.fateAtMs = Math.min(run.fateAtMs, nowMs + CANCEL_CONFIRM_MS);
+      state.emit(new RouterEffect.CancelRun(run.task, run.target.worker));
+    }
+    state.scheduleRun(run);
+  }
+
+  private void finish(PendingRequest request, boolean cancelRuns, long nowMs) {
+    boolean queued = request.state == PendingRequest.State.QUEUED;
+    request.state = PendingRequest.State.ANSWERED;
+    state.requests.remove(request.key());
+    state.timers.cancel(request);
+    if (queued) {
+      request.pool.queue.remove(request);
+    }
+    if (request.extraReserved) {
+      request.extraReserved = false;
+      request.pool.budget.release();
+    }
+    if (!request.runs.isEmpty()) {
+      for (Run run : List.copyOf(request.runs)) {
+        abandon(run, cancelRuns, nowMs);
+      }
+    }
+  }
+
+  private RequestError withRetryTime(PendingRequest request, RequestError error) {
+    if (!request.isRepeatable() || error.retryAfterMs() != null) {
+      return error;
+    }
+    @Nullable Long retryAfterMs = DeadlineAdmission.retryAfterMs(state, request.pool);
+    return new RequestError(
+        error.step(), error.peer(), error.message(), error.ran(), true, retryAfterMs);
+  }
+
+  private static boolean isWaiting(PendingRequest request) {
+    return request.state == PendingRequest.State.QUEUED
+        || request.state == PendingRequest.State.BACKOFF;
+  }
+
+  private static boolean wasSent(PendingRequest request) {
+    for (Run run : request.runs) {
+      if (run.phase != Run.Phase.INTENT) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static RunState ranSoFar(PendingRequest request) {
+    if (wasSent(request)) {
+      return RunState.UNKNOWN;
+    }
+    return request.lastError == null ? RunState.NO : request.lastError.ran();
+  }
+
+  private static String peerOf(PendingRequest request) {
+    return request.runs.isEmpty() ? "local" : request.runs.get(0).target.worker.value();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/RunOutcomes.java
@@ -0,0 +1,129 @@
+package dev.bambootray.core.routing;
+
+import static dev.bambootray.core.model.Step.DISPATCH;
+import static dev.bambootray.core.model.Step.RUN;
+
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.worker.RefusalReason;
+import java.util.List;
+
+/** Acts on the outcomes of runs. */
+final class RunOutcomes {
+  private final RouterState state;
+  private final RequestAnswers answers;
+  private final TargetHealth health;
+
+  RunOutcomes(RouterState state, RequestAnswers answers, TargetHealth health) {
+    this.state = state;
+    this.answers = answers;
+    this.health = health;
+  }
+
+  /** A run ended with a result after the given run time. */
+  void answered(Run run, String resultJson, long runMs, long nowMs) {
+    if (run.phase == Run.Phase.ENDED) {
+      state.removeRun(run);
+      return;
+    }
+    health.succeeded(run, runMs, nowMs);
+    state.removeRun(run);
+    if (run.isWanted()) {
+      answers.complete(run.request, run, resultJson, nowMs);
+    }
+  }
+
+  /** A run ended with an error. */
+  void failed(Run run, String message, long nowMs) {
+    state.removeRun(run);
+    if (run.phase == Run.Phase.ENDED || !run.isWanted()) {
+      return;
+    }
+    health.failed(run, nowMs);
+    answers.retryOrGiveUp(
+        run.request, RequestError.failed(RUN, run.target.worker.value(), message), nowMs);
+  }
+
+  /** A run was stopped before its end; it may have had part of its effect. */
+  void stopped(Run run, long nowMs) {
+    state.removeRun(run);
+    if (run.phase == Run.Phase.ENDED || !run.isWanted()) {
+      return;
+    }
+    answers.retryOrGiveUp(
+        run.request,
+        RequestError.unknown(RUN, run.target.worker.value(), "the run was stopped"),
+        nowMs);
+  }
+
+  /** A target refused a run. */
+  void refused(Run run, RefusalReason reason, long nowMs) {
+    state.removeRun(run);
+    Target target = run.target;
+    switch (reason) {
+      case LEAVING -> target.leaving = true;
+      case STALE_EPOCH, NOT_ADOPTED -> target.joined = false;
+      case NO_CAPACITY, UNKNOWN_TASK -> health.refusedForCapacity(target, nowMs);
+      case INVALID -> {
+        if (run.isWanted()) {
+          answers.refuse(
+              run.request,
+              RequestError.impossible(
+                  DISPATCH, target.worker.value(), "the target refused the request as malformed"),
+              true,
+              nowMs);
+        }
+        return;
+      }
+    }
+    didNotRun(run, "the target refused: " + reason, nowMs);
+  }
+
+  /** No byte of a run was sent. */
+  void notSent(Run run, String reason, long nowMs) {
+    state.removeRun(run);
+    health.notSent(run.target, nowMs);
+    didNotRun(run, reason, nowMs);
+  }
+
+  /** A run certainly did not run; its request may be sent again outside the retry budget. */
+  void didNotRun(Run run, String reason, long nowMs) {
+    if (run.isWanted()) {
+      run.request.sends--;
+      answers.redirect(run.request, run.target, reason, nowMs);
+    }
+  }
+
+  /** The connection of a run failed; its fate is asked for at once. */
+  void noReply(Run run, long nowMs) {
+    if (run.phase == Run.Phase.ENDED) {
+      state.removeRun(run);
+    } else if (run.phase == Run.Phase.SENT) {
+      run.phase = Run.Phase.UNKNOWN;
+      run.fateAtMs = nowMs;
+      state.scheduleRun(run);
+    }
+  }
+
+  /** A worker is lost, and with it all its runs. */
+  void targetLost(Target target, long nowMs) {
+    target.joined = false;
+    target.fateInFlight = null;
+    target.fateQueue.clear();
+    target.pool.targets.remove(target);
+    state.timers.cancel(target);
+    for (Run run : List.copyOf(target.runs)) {
+      state.removeRun(run);
+      if (!run.isWanted() || run.phase == Run.Phase.ENDED) {
+        continue;
+      }
+      if (run.phase == Run.Phase.INTENT) {
+        answers.redirect(run.request, target, "the worker was lost before the run", nowMs);
+      } else {
+        answers.retryOrGiveUp(
+            run.request,
+            RequestError.unknown(RUN, target.worker.value(), "the worker was lost during the run"),
+            nowMs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/RunTimeEstimate.java
@@ -0,0 +1,96 @@
+package dev.bambootray.core.routing;
+
+/**
+ * Learned run times of one template: mean, mean logarithm and quantiles. Old samples fade, because
+ * all counts are halved each time 4,000 samples have been taken.
+ */
+final class RunTimeEstimate {
+  private static final int STEPS_PER_OCTAVE = 8;
+  private static final int BUCKETS = 25 * STEPS_PER_OCTAVE;
+  private static final int MAX_SAMPLES = 4_000;
+  private static final int MIN_SAMPLES_FOR_QUANTILE = 100;
+
+  /** The declared run time counts as this many samples, since it may be wrong tenfold. */
+  private static final int PRIOR_SAMPLES = 3;
+
+  private final long declaredMs;
+  private final int[] counts = new int[BUCKETS];
+  private int samples;
+  private double sumMs;
+  private double sumLog;
+  private double cachedQuantile = -1;
+  private long cachedQuantileMs = -1;
+  private int samplesUntilRefresh;
+
+  RunTimeEstimate(long declaredMs) {
+    this.declaredMs = Math.max(1, declaredMs);
+  }
+
+  /** Adds the run time of a run that ended. */
+  void record(long runMs) {
+    double atLeastOne = Math.max(1, runMs);
+    counts[bucketOf(atLeastOne)]++;
+    samples++;
+    sumMs += atLeastOne;
+    sumLog += Math.log(atLeastOne);
+    samplesUntilRefresh--;
+    if (samples >= MAX_SAMPLES) {
+      fade();
+    }
+  }
+
+  /** Returns the mean run time in milliseconds. */
+  double meanMs() {
+    return (sumMs + PRIOR_SAMPLES * (double) declaredMs) / (samples + PRIOR_SAMPLES);
+  }
+
+  /** Returns how much longer than usual a run took, as a natural logarithm. */
+  double logRatio(long runMs) {
+    double usual =
+        (sumLog + PRIOR_SAMPLES * Math.log((double) declaredMs)) / (samples + PRIOR_SAMPLES);
+    return Math.log((double) Math.max(1, runMs)) - usual;
+  }
+
+  /** Returns whether enough samples were taken to tell quantiles. */
+  boolean knowsQuantiles() {
+    return samples >= MIN_SAMPLES_FOR_QUANTILE;
+  }
+
+  /** Returns a quantile of run time in milliseconds, at most a few samples old. */
+  long quantileMs(double quantile) {
+    if (quantile == cachedQuantile && samplesUntilRefresh > 0) {
+      return cachedQuantileMs;
+    }
+    cachedQuantile = quantile;
+    samplesUntilRefresh = 64;
+    cachedQuantileMs = findQuantile(quantile);
+    return cachedQuantileMs;
+  }
+
+  private long findQuantile(double quantile) {
+    double wanted = quantile * samples;
+    int seen = 0;
+    for (int i = 0; i < BUCKETS; i++) {
+      seen += counts[i];
+      if (seen >= wanted && seen > 0) {
+        return (long) Math.ceil(Math.pow(2, (i + 1) / (double) STEPS_PER_OCTAVE));
+      }
+    }
+    return declaredMs;
+  }
+
+  private void fade() {
+    samples = 0;
+    for (int i = 0; i < BUCKETS; i++) {
+      counts[i] /= 2;
+      samples += counts[i];
+    }
+    sumMs /= 2;
+    sumLog /= 2;
+  }
+
+  private static int bucketOf(double runMs) {
+    int bucket = (int) (Math.log(runMs) / Math.log(2) * STEPS_PER_OCTAVE);
+    return Math.min(BUCKETS - 1, bucket);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
@@ -0,0 +1,84 @@
+package dev.bambootray.core.routing;
+
+import dev.bambootray.core.declaration.ServiceDeclaration;
+import dev.bambootray.core.declaration.TemplateDeclaration;
+import dev.bambootray.core.model.TemplateId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The targets of one service in the region and the requests that wait for them. */
+final class ServicePool extends Timed {
+  /** Run time that is assumed before any run has ended, in milliseconds. */
+  private static final double UNKNOWN_RUN_MS = 100;
+
+  /** Weight of the last run in the mean run time of the service. */
+  private static final double MEAN_GAIN = 0.01;
+
+  ServiceDeclaration service;
+  final FairQueue queue = new FairQueue();
+  final List<Target> targets = new ArrayList<>();
+  final RetryBudget budget = new RetryBudget();
+  private final Map<TemplateId, RunTimeEstimate> runTimes = new HashMap<>();
+  private double meanRunMs = UNKNOWN_RUN_MS;
+
+  /** Since when no target has been open, or -1 if one is. */
+  long closedSinceMs;
+
+  ServicePool(ServiceDeclaration service, long nowMs) {
+    this.service = service;
+    this.closedSinceMs = nowMs;
+  }
+
+  RunTimeEstimate runTimesOf(TemplateDeclaration template) {
+    RunTimeEstimate known = runTimes.get(template.id());
+    if (known == null) {
+      known = new RunTimeEstimate(template.expectedRunMs());
+      runTimes.put(template.id(), known);
+    }
+    return known;
+  }
+
+  void recordRun(long runMs) {
+    meanRunMs += (runMs - meanRunMs) * MEAN_GAIN;
+  }
+
+  double meanRunMs() {
+    return meanRunMs;
+  }
+
+  int freeSlots() {
+    int free = 0;
+    for (int i = 0; i < targets.size(); i++) {
+      free += targets.get(i).freeSlots();
+    }
+    return free;
+  }
+
+  /** Returns the slots of open targets within their concurrency limits, taken or not. */
+  int capacity() {
+    int capacity = 0;
+    for (int i = 0; i < targets.size(); i++) {
+      Target target = targets.get(i);
+      capacity += target.isOpen() ? target.limit : 0;
+    }
+    return capacity;
+  }
+
+  int totalSlots() {
+    return targets.stream().filter(target -> target.joined).mapToInt(target -> target.slots).sum();
+  }
+
+  /** Returns how long a request waits that has the given number of requests before it. */
+  long expectedWaitMs(double ahead) {
+    int capacity = capacity();
+    if (capacity == 0) {
+      return Long.MAX_VALUE / 4;
+    }
+    if (queue.size() == 0 && freeSlots() > 0) {
+      return 0;
+    }
+    return (long) Math.ceil((ahead + 1) * Math.max(1, meanRunMs) / capacity);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
@@ -0,0 +1,155 @@
+package dev.bambootray.core.routing;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.ServiceDeclaration;
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.ServiceId;
+import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.worker.TaskSnapshot;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps the services and targets of the region and the runs that workers held before. */
+final class TargetRegistry {
+  private static final long REVIEW_INTERVAL_MS = 1_000;
+
+  private final RouterState state;
+  private final RequestAnswers answers;
+  private final RunOutcomes outcomes;
+  private final FateInquiry fates;
+
+  TargetRegistry(
+      RouterState state, RequestAnswers answers, RunOutcomes outcomes, FateInquiry fates) {
+    this.state = state;
+    this.answers = answers;
+    this.outcomes = outcomes;
+    this.fates = fates;
+  }
+
+  /** Puts another declaration in force. */
+  void declare(Declaration declaration, long nowMs) {
+    state.declaration = declaration;
+    for (ServiceDeclaration service : declaration.services().values()) {
+      ServicePool pool = state.pools.get(service.id());
+      if (pool == null) {
+        pool = new ServicePool(service, nowMs);
+        state.pools.put(service.id(), pool);
+        state.timers.schedule(pool, nowMs);
+      }
+      pool.service = service;
+      for (Target target : pool.targets) {
+        target.setSlots(service.slotsPerTarget());
+      }
+    }
+    for (List<Target> targets : state.targets.values()) {
+      for (Target target : targets) {
+        WorkerDeclaration worker = declaration.workers().get(target.worker);
+        if (worker == null || !worker.services().contains(target.pool.service.id())) {
+          target.leaving = true;
+        }
+      }
+    }
+  }
+
+  /** A worker was adopted. */
+  void joined(WorkerId worker) {
+    for (Target target : targetsOf(worker)) {
+      target.pool.closedSinceMs = -1;
+      target.joined = true;
+      target.leaving = false;
+      target.unreachable = false;
+    }
+  }
+
+  /** A worker takes nothing new. */
+  void leaving(WorkerId worker) {
+    for (Target target : targetsOf(worker)) {
+      target.leaving = true;
+    }
+  }
+
+  /** A worker is lost. */
+  void lost(WorkerId worker, long nowMs) {
+    List<Target> targets = state.targets.remove(worker);
+    if (targets != null) {
+      for (Target target : targets) {
+        outcomes.targetLost(target, nowMs);
+      }
+    }
+  }
+
+  /** A worker that was just adopted holds a run of an earlier owner. */
+  void adopted(WorkerId worker, TaskSnapshot snapshot, QueuedRequest queued, long nowMs) {
+    ServiceId service = queued.template().service();
+    Target target = targetOf(worker, service);
+    if (target == null || state.runs.containsKey(snapshot.task())) {
+      return;
+    }
+    PendingRequest request = state.requests.get(queued.spec().key());
+    if (request == null) {
+      request = new PendingRequest(queued, target.pool, target.pool.runTimesOf(queued.template()));
+      state.requests.put(request.key(), request);
+    } else if (request.state == PendingRequest.State.QUEUED) {
+      request.pool.queue.removeExactly(request);
+    }
+    request.state = PendingRequest.State.RUNNING;
+    request.sends++;
+    request.firstCounted = true;
+    state.timers.schedule(request, request.spec().deadlineAtMs());
+    Run run = new Run(snapshot.task(), request, target);
+    run.phase = Run.Phase.UNKNOWN;
+    run.sentAtMs = nowMs - snapshot.ranForMs();
+    state.addRun(run);
+    fates.apply(run, snapshot, nowMs);
+  }
+
+  /** Refuses waiting requests that can no longer be served in time, at most once a second. */
+  void reviewQueue(ServicePool pool, long nowMs) {
+    boolean open = pool.capacity() > 0;
+    if (open) {
+      pool.closedSinceMs = -1;
+    } else if (pool.closedSinceMs < 0) {
+      pool.closedSinceMs = nowMs;
+    }
+    if (DeadlineAdmission.isClosedTooLong(pool, nowMs)) {
+      List<PendingRequest> waiting = new ArrayList<>(pool.queue.size());
+      pool.queue.forEach(waiting::add);
+      for (PendingRequest request : waiting) {
+        answers.giveUpWaiting(request, "no target of the service is available", nowMs);
+      }
+    }
+    state.timers.schedule(pool, nowMs + REVIEW_INTERVAL_MS);
+  }
+
+  private List<Target> targetsOf(WorkerId worker) {
+    List<Target> known = state.targets.get(worker);
+    if (known != null) {
+      return known;
+    }
+    WorkerDeclaration declared = state.declaration.workers().get(worker);
+    if (declared == null) {
+      return List.of();
+    }
+    List<Target> created = new ArrayList<>(1);
+    for (ServiceId service : declared.services()) {
+      ServicePool pool = state.pools.get(service);
+      if (pool != null) {
+        Target target = new Target(worker, pool, pool.service.slotsPerTarget());
+        pool.targets.add(target);
+        created.add(target);
+      }
+    }
+    state.targets.put(worker, created);
+    return created;
+  }
+
+  private @Nullable Target targetOf(WorkerId worker, ServiceId service) {
+    for (Target target : targetsOf(worker)) {
+      if (target.pool.service.id().equals(service)) {
+        return target;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/TimerHeap.java
@@ -0,0 +1,100 @@
+package dev.bambootray.core.routing;
+
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A binary heap of due times whose entries can be moved and removed in place, so that the timers of
+ * ended requests leave nothing behind.
+ */
+final class TimerHeap {
+  private @Nullable Timed[] entries = new Timed[64];
+  private int size;
+
+  /** Sets the due time of an entry, adding it if it is not in the heap. */
+  void schedule(Timed entry, long dueAtMs) {
+    long before = entry.dueAtMs;
+    entry.dueAtMs = dueAtMs;
+    if (entry.heapIndex < 0) {
+      if (size == entries.length) {
+        entries = Arrays.copyOf(entries, size * 2);
+      }
+      place(entry, size++);
+      siftUp(entry);
+    } else if (dueAtMs < before) {
+      siftUp(entry);
+    } else {
+      siftDown(entry);
+    }
+  }
+
+  /** Removes an entry, if it is in the heap. */
+  void cancel(Timed entry) {
+    int index = entry.heapIndex;
+    if (index < 0) {
+      return;
+    }
+    entry.heapIndex = -1;
+    Timed last = at(--size);
+    entries[size] = null;
+    if (last != entry) {
+      place(last, index);
+      siftUp(last);
+      siftDown(last);
+    }
+  }
+
+  /** Removes and returns an entry that is due, or returns null if none is. */
+  @Nullable Timed pollDue(long nowMs) {
+    if (size == 0 || at(0).dueAtMs > nowMs) {
+      return null;
+    }
+    Timed first = at(0);
+    cancel(first);
+    return first;
+  }
+
+  private void siftUp(Timed entry) {
+    int index = entry.heapIndex;
+    while (index > 0) {
+      int parent = (index - 1) / 2;
+      Timed above = at(parent);
+      if (above.dueAtMs <= entry.dueAtMs) {
+        break;
+      }
+      place(above, index);
+      index = parent;
+    }
+    place(entry, index);
+  }
+
+  private void siftDown(Timed entry) {
+    int index = entry.heapIndex;
+    while (2 * index + 1 < size) {
+      int child = 2 * index + 1;
+      if (child + 1 < size && at(child + 1).dueAtMs < at(child).dueAtMs) {
+        child++;
+      }
+      Timed below = at(child);
+      if (entry.dueAtMs <= below.dueAtMs) {
+        break;
+      }
+      place(below, index);
+      index = child;
+    }
+    place(entry, index);
+  }
+
+  private void place(Timed entry, int index) {
+    entries[index] = entry;
+    entry.heapIndex = index;
+  }
+
+  private Timed at(int index) {
+    Timed entry = entries[index];
+    if (entry == null) {
+      throw new IllegalStateException("no timer at " + index);
+    }
+    return entry;
+  }
+}
