--- a/documents/src/main/java/dev/bambootray/documents/Addresses.java
+++ b/documents/src/main/java/dev/bambootray/documents/Addresses.java
@@ -4,6 +4,7 @@
 import dev.bambootray.documents.json.ObjectCursor;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /** Checks addresses without asking a name server. */
@@ -13,6 +14,7 @@
   private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-fA-F:.]{2,45}");
   private static final Pattern HOST_NAME =
       Pattern.compile("[A-Za-z0-9]([A-Za-z0-9-]*[A-Za-z0-9])?(\\.[A-Za-z0-9-]+)*");
+  private static final Pattern PORT = Pattern.compile("[1-9]\\d{0,4}");
   private static final int MAX_HOST_CHARS = 253;
 
   private Addresses() {}
@@ -76,4 +78,18 @@
     }
     return value;
   }
+
+  /** Returns the address that the text {@code host:port} or {@code [ipv6]:port} names. */
+  static Optional<HostPort> hostPort(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 1 || !PORT.matcher(text.substring(colon + 1)).matches()) {
+      return Optional.empty();
+    }
+    String host = text.substring(0, colon);
+    boolean bracketed = host.startsWith("[") && host.endsWith("]") && host.length() > 2;
+    String bare = bracketed ? host.substring(1, host.length() - 1) : host;
+    int port = Integer.parseInt(text.substring(colon + 1));
+    boolean fits = isHost(bare) && bracketed == bare.indexOf(':') >= 0;
+    return fits && port <= 65_535 ? Optional.of(new HostPort(bare, port)) : Optional.empty();
+  }
 }
