--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerReplyJson.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerReplyJson.java
@@ -32,7 +32,8 @@
       return new WorkerReply.Adopted(
           list(json.required("tasks"), WorkerReplyJson::snapshot),
           json.required("sequence").asLong(),
-          json.required("leaving").asBoolean());
+          json.required("leaving").asBoolean(),
+          json.required("aliveForMs").asLong());
     }
     if (command instanceof WorkerCommand.Run || command instanceof WorkerCommand.QueryTask) {
       return new WorkerReply.TaskState(snapshot(json));
--- a/core/src/main/java/dev/bambootray/core/ledger/RequestRecord.java
+++ b/core/src/main/java/dev/bambootray/core/ledger/RequestRecord.java
@@ -40,8 +40,7 @@
 
   /** Returns this record with the intent to run an attempt. */
   public RequestRecord withIntent(AttemptToken newAttempt, long newEpoch, List<WorkerId> where) {
-    return new RequestRecord(
-        spec, region, RecordState.INTENT, newEpoch, newAttempt, where, null);
+    return new RequestRecord(spec, region, RecordState.INTENT, newEpoch, newAttempt, where, null);
   }
 
   /** Returns this record with its final answer. */
--- a/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
+++ b/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
@@ -57,9 +57,7 @@
             name,
             result,
             outcome ->
-                record(
-                    served,
-                    outcome.isRight() ? Answer.reference(answer.key(), name) : answer));
+                record(served, outcome.isRight() ? Answer.reference(answer.key(), name) : answer));
   }
 
   private void record(ServedRequest served, Answer answer) {
--- a/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
+++ b/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
@@ -3,6 +3,7 @@
 import dev.bambootray.core.configuration.ConfigurationEffect;
 import dev.bambootray.core.configuration.ConfigurationEvent;
 import dev.bambootray.core.configuration.ConfigurationState;
+import dev.bambootray.core.configuration.CurrentVersion;
 import dev.bambootray.core.configuration.PublishedDeclaration;
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.RowWrite;
@@ -43,12 +44,12 @@
   }
 
   private void apply(ConfigurationEffect effect) {
-    if (effect instanceof ConfigurationEffect.ReadCurrent) {
-      context.store().read(CURRENT_ROW, this::currentRead);
+    if (effect instanceof ConfigurationEffect.ReadCurrent read) {
+      context.store().read(CURRENT_ROW, row -> currentRead(read.askedAtMs(), row));
     } else if (effect instanceof ConfigurationEffect.ReadHistory read) {
       context
           .store()
-          .read(HISTORY_PREFIX + read.version(), row -> historyRead(read.publishId(), row));
+          .read(HISTORY_PREFIX + read.version(), row -> historyRead(read.version(), row));
     } else if (effect instanceof ConfigurationEffect.CommitDeclaration commit) {
       commit(commit);
     } else if (effect instanceof ConfigurationEffect.SendToPeer send) {
@@ -66,51 +67,47 @@
     } else if (effect instanceof ConfigurationEffect.DeclarationUnreadable unreadable) {
       report("unreadable", unreadable.version(), String.join("; ", unreadable.problems()));
     } else if (effect instanceof ConfigurationEffect.PublishFinished finished) {
-      context
-          .outbox()
-          .add(new NodeEffect.ReplyPublish(finished.publishId(), finished.outcome()));
+      context.outbox().add(new NodeEffect.ReplyPublish(finished.publishId(), finished.outcome()));
     }
   }
 
-  private void currentRead(Either<StoreError, StoredRow> outcome) {
+  private void currentRead(long askedAtMs, Either<StoreError, StoredRow> outcome) {
     handle(
         outcome
             .mapLeft(StoreError::message)
-            .flatMap(this::declarationOf)
+            .flatMap(this::currentOf)
             .fold(
                 failure -> new ConfigurationEvent.CurrentReadFailed(),
-                ConfigurationEvent.CurrentRead::new));
+                current -> new ConfigurationEvent.CurrentRead(current, askedAtMs)));
   }
 
-  private void historyRead(long publishId, Either<StoreError, StoredRow> outcome) {
-    handle(
-        outcome
-            .mapLeft(StoreError::message)
-            .flatMap(this::declarationOf)
-            .fold(
-                failure -> new ConfigurationEvent.HistoryReadFailed(publishId),
-                old -> new ConfigurationEvent.HistoryRead(publishId, old)));
+  private void historyRead(long version, Either<StoreError, StoredRow> outcome) {
+    outcome
+        .mapLeft(StoreError::message)
+        .flatMap(this::declarationOf)
+        .peek(found -> handle(new ConfigurationEvent.HistoryRead(version, found)));
   }
 
   private void commit(ConfigurationEffect.CommitDeclaration commit) {
     PublishedDeclaration declaration = commit.declaration();
-    String json = codec.encodeDeclaration(declaration);
     TableTransaction transaction =
         new TableTransaction(
             commit.writeToken(),
             List.of(
-                new RowWrite(CURRENT_ROW, json, declaration.version() - 1),
-                new RowWrite(HISTORY_PREFIX + declaration.version(), json, 0)));
-    context
-        .store()
-        .commitOnce(
-            transaction, outcome -> commitEnded(commit.publishId(), outcome));
+                new RowWrite(
+                    CURRENT_ROW,
+                    codec.encodeCurrent(declaration.pointer()),
+                    declaration.version() - 1),
+                new RowWrite(
+                    HISTORY_PREFIX + declaration.version(),
+                    codec.encodeDeclaration(declaration),
+                    0)));
+    context.store().commitOnce(transaction, outcome -> commitEnded(commit.publishId(), outcome));
   }
 
   private void commitEnded(long publishId, Either<StoreError, CommitResult> outcome) {
     if (outcome.isLeft()) {
-      handle(
-          new ConfigurationEvent.CommitFailed(publishId, outcome.getLeft().maybeApplied()));
+      handle(new ConfigurationEvent.CommitFailed(publishId, outcome.getLeft().maybeApplied()));
     } else if (outcome.get() instanceof CommitResult.Committed) {
       handle(new ConfigurationEvent.CommitSucceeded(publishId));
     } else {
@@ -122,7 +119,7 @@
               row ->
                   handle(
                       row.mapLeft(StoreError::message)
-                          .flatMap(this::declarationOf)
+                          .flatMap(this::currentOf)
                           .fold(
                               failure -> new ConfigurationEvent.CommitFailed(publishId, false),
                               current ->
@@ -130,6 +127,12 @@
     }
   }
 
+  private Either<String, CurrentVersion> currentOf(StoredRow row) {
+    return row.version() == 0
+        ? Either.right(CurrentVersion.NONE)
+        : codec.decodeCurrent(row.value());
+  }
+
   private Either<String, PublishedDeclaration> declarationOf(StoredRow row) {
     return row.version() == 0
         ? Either.right(PublishedDeclaration.NONE)
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/DrainState.java
@@ -0,0 +1,26 @@
+package dev.bambootray.core.node;
+
+/** Progress of a planned stop. */
+final class DrainState {
+  private boolean begun;
+  private boolean ended;
+
+  /** Begins the stop; returns false if it had begun before. */
+  boolean begin() {
+    boolean first = !begun;
+    begun = true;
+    return first;
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  boolean isBegun() {
+    return begun;
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -42,10 +42,7 @@
   private final Function<RequestSpec, RegionId> chooser;
   private final Map<RequestKey, OpenEntry> open = new HashMap<>();
 
-  EntryDesk(
-      NodeContext context,
-      HeldRequests held,
-      Function<RequestSpec, RegionId> chooser) {
+  EntryDesk(NodeContext context, HeldRequests held, Function<RequestSpec, RegionId> chooser) {
     this.context = context;
     this.held = held;
     this.chooser = chooser;
@@ -166,14 +163,12 @@
         .commit(
             context
                 .rows()
-                .accept(
-                    RequestRecord.accepted(entry.spec, entry.region), context.tokens().next()),
+                .accept(RequestRecord.accepted(entry.spec, entry.region), context.tokens().next()),
             giveUpAtMs,
             outcome -> acceptEnded(entry, outcome, context.now()));
   }
 
-  private void acceptEnded(
-      OpenEntry entry, Either<StoreError, CommitResult> outcome, long nowMs) {
+  private void acceptEnded(OpenEntry entry, Either<StoreError, CommitResult> outcome, long nowMs) {
     if (open.get(entry.spec.key()) != entry) {
       return;
     }
@@ -202,10 +197,13 @@
     fail(entry, refusal);
   }
 
-  /** Goes on for the callers that hold their connections; the others cannot be promised anything. */
+  /**
+   * Goes on for the callers that hold their connections; the others cannot be promised anything.
+   */
   private void forwardWithoutRecord(OpenEntry entry, boolean maybeRecorded, long nowMs) {
     if (entry.tickets.stream().allMatch(OpenEntry.Ticket::untilAccepted)) {
-      String message = "the table is away, so only callers that wait on their connection are served";
+      String message =
+          "the table is away, so only callers that wait on their connection are served";
       fail(
           entry,
           maybeRecorded
@@ -344,10 +342,7 @@
             entry.region,
             epoch ->
                 new PeerMessage.CancelRequests(
-                    context.identity().node(),
-                    entry.region,
-                    epoch,
-                    List.of(entry.spec.key())));
+                    context.identity().node(), entry.region, epoch, List.of(entry.spec.key())));
   }
 
   private void attach(OpenEntry entry, OpenEntry.Ticket ticket) {
@@ -406,9 +401,9 @@
       close(entry, found);
       return;
     }
-    boolean certainlyNotRun =
-        found.state() == RecordState.ACCEPTED && !found.spec().repeatable();
-    RequestRecord expired = found.withAnswer(Answer.failure(entry.spec.key(), expiry(entry, certainlyNotRun)));
+    boolean certainlyNotRun = found.state() == RecordState.ACCEPTED && !found.spec().repeatable();
+    RequestRecord expired =
+        found.withAnswer(Answer.failure(entry.spec.key(), expiry(entry, certainlyNotRun)));
     entry.settling = true;
     context
         .store()
@@ -450,8 +445,7 @@
     held.release(entry.heldBytes());
   }
 
-  private void readRecord(
-      RequestKey key, long ticket, Consumer<FoundRecord> next) {
+  private void readRecord(RequestKey key, long ticket, Consumer<FoundRecord> next) {
     context
         .store()
         .read(
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/FateSurvey.java
@@ -0,0 +1,102 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.AttemptToken;
+import dev.bambootray.core.model.Ownership;
+import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.worker.RefusalReason;
+import dev.bambootray.core.worker.TaskId;
+import dev.bambootray.core.worker.TaskPhase;
+import dev.bambootray.core.worker.WorkerCommand;
+import dev.bambootray.core.worker.WorkerReply;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/**
+ * Asks every worker of a recorded attempt whether its member ran. A worker that answers that it
+ * does not know a member also refuses to run it later.
+ */
+final class FateSurvey {
+  private static final long TIMEOUT_MS = 1_000;
+
+  private final NodeContext context;
+  private final Ownership ownership;
+  private final WorkerLinks links;
+  private final ServedRequest request;
+  private final BiConsumer<ServedRequest, Result> continuation;
+  private int missing;
+  private Result result = Result.NOT_RUN;
+
+  FateSurvey(
+      NodeContext context,
+      Ownership ownership,
+      WorkerLinks links,
+      ServedRequest request,
+      BiConsumer<ServedRequest, Result> continuation) {
+    this.context = context;
+    this.ownership = ownership;
+    this.links = links;
+    this.request = request;
+    this.continuation = continuation;
+  }
+
+  void begin() {
+    AttemptToken attempt = request.content.attempt();
+    List<WorkerId> workers = request.content.workers();
+    if (attempt == null || workers.isEmpty()) {
+      continuation.accept(request, Result.MAY_HAVE_RUN);
+      return;
+    }
+    missing = workers.size();
+    for (int member = 0; member < workers.size(); member++) {
+      ask(workers.get(member), new TaskId(attempt, member));
+    }
+  }
+
+  private void ask(WorkerId id, TaskId task) {
+    WorkerDeclaration worker = links.reachable(id);
+    if (worker == null) {
+      ended(Result.NOT_REACHED);
+      return;
+    }
+    context
+        .outbox()
+        .callWorker(
+            worker,
+            new WorkerCommand.QueryTask(ownership, task, 0),
+            TIMEOUT_MS,
+            reply -> ended(resultOf(reply)));
+  }
+
+  private void ended(Result one) {
+    // The results are ordered by how much they leave open.
+    result = one.compareTo(result) > 0 ? one : result;
+    missing--;
+    if (missing == 0) {
+      continuation.accept(request, result);
+    }
+  }
+
+  private static Result resultOf(WorkerReply reply) {
+    if (reply instanceof WorkerReply.TaskState state) {
+      TaskPhase phase = state.snapshot().phase();
+      return phase == TaskPhase.UNKNOWN || phase == TaskPhase.RESERVED
+          ? Result.NOT_RUN
+          : Result.MAY_HAVE_RUN;
+    }
+    return reply instanceof WorkerReply.Refused refused
+            && refused.reason() == RefusalReason.UNKNOWN_TASK
+        ? Result.NOT_RUN
+        : Result.NOT_REACHED;
+  }
+
+  /** What the workers know together. */
+  enum Result {
+    /** No member ran or will run. */
+    NOT_RUN,
+    /** A member ran, but its outcome is lost. */
+    MAY_HAVE_RUN,
+    /** A worker could not be asked. */
+    NOT_REACHED
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/node/IntentWriter.java
+++ b/core/src/main/java/dev/bambootray/core/node/IntentWriter.java
@@ -17,8 +17,7 @@
   private final Ownership ownership;
   private final Consumer<ServedRequest> onSuperseded;
 
-  IntentWriter(
-      NodeContext context, Ownership ownership, Consumer<ServedRequest> onSuperseded) {
+  IntentWriter(NodeContext context, Ownership ownership, Consumer<ServedRequest> onSuperseded) {
     this.context = context;
     this.ownership = ownership;
     this.onSuperseded = onSuperseded;
@@ -45,8 +44,7 @@
             context.rows().intent(intent, request.recordVersion, context.tokens().next()),
             request.content.spec().deadlineAtMs(),
             outcome -> {
-              if (outcome.isRight()
-                  && outcome.get() instanceof CommitResult.Committed committed) {
+              if (outcome.isRight() && outcome.get() instanceof CommitResult.Committed committed) {
                 request.content = intent;
                 request.recordVersion = committed.versions().get(0);
                 continuation.accept(true);
--- a/core/src/main/java/dev/bambootray/core/node/MembershipDriver.java
+++ b/core/src/main/java/dev/bambootray/core/node/MembershipDriver.java
@@ -113,8 +113,10 @@
         .get()
         .forEach(
             (name, leaving) -> {
-              nodes.add(new MembershipEvent.VmSighting(NodeId.of(name), leaving));
-              if (leaving) {
+              NodeId node = NodeId.of(name);
+              if (members.containsKey(node)) {
+                nodes.add(new MembershipEvent.VmSighting(node, leaving));
+              } else if (leaving) {
                 listener.workerVmLeaving(WorkerId.of(name));
               }
             });
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -0,0 +1,396 @@
+package dev.bambootray.core.node;
+
+import static dev.bambootray.core.model.RequestError.notRun;
+
+import dev.bambootray.core.configuration.ConfigurationEffect;
+import dev.bambootray.core.configuration.ConfigurationEvent;
+import dev.bambootray.core.configuration.ConfigurationState;
+import dev.bambootray.core.configuration.DeclarationReader;
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.PolicyDeclaration;
+import dev.bambootray.core.ledger.LedgerRows;
+import dev.bambootray.core.membership.MemberState;
+import dev.bambootray.core.membership.MemberStatus;
+import dev.bambootray.core.membership.Membership;
+import dev.bambootray.core.membership.MembershipEffect;
+import dev.bambootray.core.membership.MembershipEvent;
+import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.Ownership;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.model.Step;
+import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.ownership.OwnershipEvent;
+import dev.bambootray.core.ownership.RegionOwnership;
+import dev.bambootray.core.routing.RegionLoad;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * All control state of one node: its entry role, the regions that it owns, membership, ownership
+ * and configuration. It takes one event at a time and returns what is to be done.
+ */
+public final class NodeCore implements MembershipDriver.Listener, OwnershipDriver.Listener {
+  private static final Declaration NOTHING_DECLARED =
+      new Declaration(
+          0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), PolicyDeclaration.defaults());
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final long LOADS_EVERY_MS = 200;
+
+  private final NodeContext context;
+  private final MembershipDriver membership;
+  private final OwnershipDriver ownership;
+  private final ConfigurationDriver configuration;
+  private final EntryDesk entry;
+  private final RegionDesks desks;
+  private final Explanations explanations;
+  private final RegionChoice regionChoice;
+  private final DrainState drain = new DrainState();
+  private Declaration declaration = NOTHING_DECLARED;
+  private long loadsDueAtMs;
+
+  private NodeCore(Builder builder) {
+    NodeIdentity identity = Objects.requireNonNull(builder.identity, "identity");
+    RowCodec codec = Objects.requireNonNull(builder.codec, "codec");
+    UniformRandomProvider random = Objects.requireNonNull(builder.random, "random");
+    DeclarationReader reader = Objects.requireNonNull(builder.reader, "declarationReader");
+    NodeTime time = new NodeTime();
+    Outbox outbox = new Outbox();
+    RegionRoutes routes = new RegionRoutes(identity.node(), outbox, this::findMember);
+    context =
+        new NodeContext(
+            identity,
+            time,
+            outbox,
+            new StoreCalls(outbox, time, random),
+            routes,
+            LedgerRows.create(codec),
+            codec,
+            new TokenSource(identity),
+            random,
+            () -> declaration);
+    MemberState self = memberOf(identity);
+    membership = new MembershipDriver(context, codec, Membership.create(self, random), this);
+    ownership = new OwnershipDriver(context, codec, RegionOwnership.create(self, random), this);
+    configuration =
+        new ConfigurationDriver(
+            context,
+            codec,
+            ConfigurationState.create(identity.node(), identity.startedAtMs(), reader),
+            this::declarationInForce);
+    regionChoice = new RegionChoice(context, membership::loads);
+    entry =
+        new EntryDesk(
+            context,
+            new HeldRequests(builder.maxHeldRequests, builder.maxHeldBytes),
+            regionChoice::choose);
+    desks = new RegionDesks(context, this::epochRefused);
+    explanations = new Explanations(context);
+  }
+
+  /** Returns a builder of a node's control state. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /**
+   * Takes an event and returns what is to be done, in order.
+   *
+   * @param event what happened
+   * @param nowMs the time in milliseconds since the epoch
+   */
+  public List<NodeEffect> handle(NodeEvent event, long nowMs) {
+    context.time().advance(nowMs);
+    apply(event, context.now());
+    for (PeerMessage message = context.routes().pollLoopback();
+        message != null;
+        message = context.routes().pollLoopback()) {
+      receive(message, context.now());
+    }
+    return context.outbox().drain();
+  }
+
+  private void apply(NodeEvent event, long nowMs) {
+    if (event instanceof NodeEvent.Tick) {
+      tick(nowMs);
+    } else if (event instanceof NodeEvent.CallerSubmitted submitted) {
+      submit(submitted, nowMs);
+    } else if (event instanceof NodeEvent.CallerRead read) {
+      entry.read(read.ticket(), read.key(), read.waitMs(), nowMs);
+    } else if (event instanceof NodeEvent.CallerCancelled cancelled) {
+      entry.cancel(cancelled.ticket(), cancelled.key(), nowMs);
+    } else if (event instanceof NodeEvent.CallerAskedWhy asked) {
+      explanations.ask(asked.ticket(), asked.key());
+    } else if (event instanceof NodeEvent.PublishAsked asked) {
+      configuration.handle(
+          new ConfigurationEvent.PublishRequested(
+              asked.ticket(), asked.text(), asked.baseVersion(), asked.author()));
+    } else if (event instanceof NodeEvent.StatusAsked asked) {
+      context.outbox().add(new NodeEffect.ReplyStatus(asked.ticket(), snapshot(nowMs)));
+    } else if (event instanceof NodeEvent.DrainRequested) {
+      beginDrain();
+    } else if (event instanceof NodeEvent.WorkerDrainRequested requested) {
+      drainWorker(requested);
+    } else if (event instanceof NodeEvent.PeerMessageReceived received) {
+      receive(received.message(), nowMs);
+    } else {
+      context.outbox().complete(event);
+    }
+  }
+
+  private void submit(NodeEvent.CallerSubmitted submitted, long nowMs) {
+    String refusal = notReadyReason(nowMs);
+    if (refusal.isEmpty()) {
+      entry.submit(submitted, nowMs);
+      return;
+    }
+    context
+        .outbox()
+        .refuse(
+            submitted.ticket(), notRun(Step.ADMISSION, context.self(), refusal, RETRY_AFTER_MS));
+  }
+
+  private void receive(PeerMessage message, long nowMs) {
+    if (message instanceof PeerMessage.Probe probe) {
+      membership.handle(new MembershipEvent.ProbeReceived(probe));
+    } else if (message instanceof PeerMessage.ProbeAck ack) {
+      membership.handle(new MembershipEvent.ProbeAckReceived(ack));
+    } else if (message instanceof PeerMessage.ConfigurationOffer offer) {
+      configuration.handle(new ConfigurationEvent.OfferReceived(offer));
+    } else if (message instanceof PeerMessage.ConfigurationConfirm confirm) {
+      configuration.handle(new ConfigurationEvent.ConfirmReceived(confirm));
+    } else if (message instanceof PeerMessage.ConfigurationFetch fetch) {
+      configuration.handle(new ConfigurationEvent.FetchReceived(fetch));
+    } else if (message instanceof PeerMessage.RequestAnswered answered) {
+      entry.answered(answered.answer());
+    } else if (message instanceof PeerMessage.ExplainReply reply) {
+      explanations.replied(reply);
+    } else if (message instanceof PeerMessage.OwnerMismatch mismatch) {
+      ownerMismatch(mismatch);
+    } else {
+      desks.receive(message, nowMs);
+    }
+  }
+
+  private void tick(long nowMs) {
+    context.store().tick(nowMs);
+    membership.handle(new MembershipEvent.Tick());
+    configuration.handle(new ConfigurationEvent.Tick());
+    ownership.handle(new OwnershipEvent.Tick());
+    desks.tick(nowMs);
+    entry.tick(nowMs);
+    explanations.tick(nowMs);
+    if (nowMs >= loadsDueAtMs) {
+      loadsDueAtMs = nowMs + LOADS_EVERY_MS;
+      membership.handle(new MembershipEvent.LoadsMeasured(desks.loads(nowMs)));
+    }
+    if (drain.isBegun() && !drain.isEnded() && hasHandedOver()) {
+      drain.end();
+      membership.handle(new MembershipEvent.LeaveCompleted());
+      context.outbox().add(new NodeEffect.Drained());
+    }
+  }
+
+  private void declarationInForce(ConfigurationEffect.DeclarationInForce inForce) {
+    declaration = inForce.declaration();
+    context.outbox().add(new NodeEffect.UseDeclaration(declaration, inForce.text()));
+    membership.handle(new MembershipEvent.ConfigurationVersionChanged(declaration.version()));
+    ownership.handle(new OwnershipEvent.RegionsDeclared(declaration.regions().keySet()));
+    desks.declarationChanged(context.now());
+  }
+
+  @Override
+  public void membersChanged() {
+    ownership.handle(new OwnershipEvent.MembersChanged(membership.members()));
+    configuration.handle(
+        new ConfigurationEvent.MembersChanged(
+            membership.members().stream().map(MemberState::node).collect(Collectors.toSet())));
+  }
+
+  @Override
+  public void versionHeard(MembershipEffect.VersionHeard heard) {
+    configuration.handle(new ConfigurationEvent.VersionHeard(heard.peer(), heard.version()));
+  }
+
+  @Override
+  public void versionExchanged(MembershipEffect.VersionExchanged exchanged) {
+    configuration.handle(
+        new ConfigurationEvent.VersionExchanged(
+            exchanged.peer(), exchanged.version(), exchanged.askedAtMs()));
+  }
+
+  @Override
+  public void loadLearned(RegionLoad load) {
+    ownerChanged(new Ownership(load.region(), load.owner(), load.epoch()));
+  }
+
+  @Override
+  public void workerVmLeaving(WorkerId worker) {
+    desks.vmLeaving(worker, context.now());
+  }
+
+  @Override
+  public void ownVmLeaving() {
+    beginDrain();
+  }
+
+  @Override
+  public void gained(Ownership gained) {
+    desks.open(gained, context.now());
+    ownerChanged(gained);
+  }
+
+  @Override
+  public void lost(Ownership lost) {
+    desks.close(lost);
+  }
+
+  @Override
+  public void ownerChanged(Ownership owner) {
+    if (context.routes().learn(owner)) {
+      entry.ownerChanged(owner.region(), context.now());
+    }
+  }
+
+  private void ownerMismatch(PeerMessage.OwnerMismatch mismatch) {
+    context
+        .outbox()
+        .report(
+            "entry:",
+            "owner-mismatch",
+            mismatch.region(),
+            "Node "
+                + mismatch.sender()
+                + " is not the owner; it knows epoch "
+                + mismatch.currentEpoch()
+                + ".");
+  }
+
+  private void epochRefused(RegionId region, long higherEpoch) {
+    ownership.handle(new OwnershipEvent.EpochRefused(region, higherEpoch));
+  }
+
+  private void drainWorker(NodeEvent.WorkerDrainRequested requested) {
+    Optional.ofNullable(declaration.workers().get(requested.worker()))
+        .ifPresent(
+            worker ->
+                context
+                    .routes()
+                    .toOwner(
+                        worker.region(),
+                        epoch ->
+                            new PeerMessage.DrainWorker(
+                                context.identity().node(),
+                                worker.region(),
+                                epoch,
+                                worker.id(),
+                                requested.drain())));
+  }
+
+  private void beginDrain() {
+    if (!drain.begin()) {
+      return;
+    }
+    context.outbox().report("node:", "draining", context.self(), "The node takes no new work.");
+    membership.handle(new MembershipEvent.LeaveRequested());
+    ownership.handle(new OwnershipEvent.ReleaseRequested());
+  }
+
+  private boolean hasHandedOver() {
+    return ownership.owned().isEmpty() && entry.openCount() == 0;
+  }
+
+  private String notReadyReason(long nowMs) {
+    if (drain.isBegun()) {
+      return "the node is being stopped";
+    }
+    if (declaration.version() == 0) {
+      return "no declaration is in force yet";
+    }
+    return configuration.state().isCurrent(nowMs)
+        ? ""
+        : "the declaration in force could not be confirmed recently";
+  }
+
+  private NodeSnapshot snapshot(long nowMs) {
+    return new NodeSnapshot(
+        notReadyReason(nowMs),
+        drain.isBegun(),
+        declaration.version(),
+        configuration.state().isCurrent(nowMs),
+        context.store().isAvailable(),
+        ownership.owned(),
+        membership.members(),
+        membership.loads(),
+        entry.openCount());
+  }
+
+  private @Nullable MemberState findMember(NodeId node) {
+    return membership.find(node);
+  }
+
+  private static MemberState memberOf(NodeIdentity identity) {
+    return new MemberState(
+        identity.node(),
+        identity.region(),
+        identity.failureDomain(),
+        identity.host(),
+        identity.peerPort(),
+        identity.httpPort(),
+        identity.startedAtMs(),
+        MemberStatus.ALIVE);
+  }
+
+  /** Builds a {@link NodeCore}. */
+  public static final class Builder {
+    private @Nullable NodeIdentity identity;
+    private @Nullable RowCodec codec;
+    private @Nullable DeclarationReader reader;
+    private @Nullable UniformRandomProvider random;
+    private int maxHeldRequests = 1_000;
+    private long maxHeldBytes = 16L * 1024 * 1024;
+
+    private Builder() {}
+
+    /** Sets what the node knows of itself. */
+    public Builder identity(NodeIdentity value) {
+      identity = value;
+      return this;
+    }
+
+    /** Sets the codec of rows. */
+    public Builder codec(RowCodec value) {
+      codec = value;
+      return this;
+    }
+
+    /** Sets the reader of declarations. */
+    public Builder declarationReader(DeclarationReader value) {
+      reader = value;
+      return this;
+    }
+
+    /** Sets the source of randomness. */
+    public Builder random(UniformRandomProvider value) {
+      random = value;
+      return this;
+    }
+
+    /** Sets how many requests and bytes of requests the node holds for waiting callers. */
+    public Builder heldLimits(int requests, long bytes) {
+      maxHeldRequests = requests;
+      maxHeldBytes = bytes;
+      return this;
+    }
+
+    /** Returns the control state. */
+    public NodeCore build() {
+      return new NodeCore(this);
+    }
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/node/Outbox.java
+++ b/core/src/main/java/dev/bambootray/core/node/Outbox.java
@@ -1,13 +1,13 @@
 package dev.bambootray.core.node;
 
 import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.ledger.RequestRecord;
 import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.RowPage;
 import dev.bambootray.core.store.StoreError;
 import dev.bambootray.core.store.StoredRow;
 import dev.bambootray.core.store.TableTransaction;
-import dev.bambootray.core.ledger.RequestRecord;
 import dev.bambootray.core.worker.WorkerCommand;
 import dev.bambootray.core.worker.WorkerReply;
 import io.vavr.control.Either;
@@ -65,8 +65,7 @@
     add(new NodeEffect.ScanRows(id, prefix, afterKey, limit));
   }
 
-  void putObject(
-      String name, String content, Consumer<Either<StoreError, Boolean>> continuation) {
+  void putObject(String name, String content, Consumer<Either<StoreError, Boolean>> continuation) {
     long id = ++lastId;
     puts.put(id, continuation);
     add(new NodeEffect.PutObject(id, name, content));
--- a/core/src/main/java/dev/bambootray/core/node/OwnershipDriver.java
+++ b/core/src/main/java/dev/bambootray/core/node/OwnershipDriver.java
@@ -26,8 +26,7 @@
   private final RegionOwnership state;
   private final Listener listener;
 
-  OwnershipDriver(
-      NodeContext context, RowCodec codec, RegionOwnership state, Listener listener) {
+  OwnershipDriver(NodeContext context, RowCodec codec, RegionOwnership state, Listener listener) {
     this.context = context;
     this.codec = codec;
     this.state = state;
@@ -100,8 +99,7 @@
     context.store().commitOnce(transaction, outcome -> written(write, outcome));
   }
 
-  private void written(
-      OwnershipEffect.WriteOwner write, Either<StoreError, CommitResult> outcome) {
+  private void written(OwnershipEffect.WriteOwner write, Either<StoreError, CommitResult> outcome) {
     String token = write.writeToken();
     if (outcome.isLeft()) {
       handle(new OwnershipEvent.OwnerWriteFailed(token, outcome.getLeft().maybeApplied()));
--- a/core/src/main/java/dev/bambootray/core/node/RegionDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/RegionDesk.java
@@ -15,8 +15,10 @@
 import dev.bambootray.core.routing.QueuedRequest;
 import dev.bambootray.core.routing.RegionLoad;
 import dev.bambootray.core.routing.RouterEvent;
+import dev.bambootray.core.routing.RouterLoad;
 import dev.bambootray.core.routing.TargetRouter;
 import dev.bambootray.core.scheduling.Explanation;
+import dev.bambootray.core.scheduling.GangLoad;
 import dev.bambootray.core.scheduling.QueuedJob;
 import dev.bambootray.core.scheduling.RegionScheduler;
 import dev.bambootray.core.scheduling.SchedulerEvent;
@@ -221,8 +223,8 @@
   }
 
   RegionLoad load(long nowMs) {
-    RegionLoad slots = router.loadOf(nowMs);
-    RegionLoad gangs = scheduler.loadOf(nowMs);
+    RouterLoad slots = router.loadOf(nowMs);
+    GangLoad gangs = scheduler.loadOf(nowMs);
     return new RegionLoad(
         ownership.region(),
         ownership.owner(),
@@ -340,8 +342,7 @@
                     Map.Entry::getValue,
                     Collectors.mapping(Map.Entry::getKey, Collectors.toList())));
     byWorker.forEach(
-        (worker, ended) ->
-            repeated.send(worker, new WorkerCommand.Acknowledge(ownership, ended)));
+        (worker, ended) -> repeated.send(worker, new WorkerCommand.Acknowledge(ownership, ended)));
     if (!byThisOwner) {
       context
           .outbox()
--- a/core/src/main/java/dev/bambootray/core/node/RowCodec.java
+++ b/core/src/main/java/dev/bambootray/core/node/RowCodec.java
@@ -1,5 +1,6 @@
 package dev.bambootray.core.node;
 
+import dev.bambootray.core.configuration.CurrentVersion;
 import dev.bambootray.core.configuration.PublishedDeclaration;
 import dev.bambootray.core.ledger.RecordCodec;
 import dev.bambootray.core.membership.MemberState;
@@ -21,6 +22,12 @@
   /** Returns an owner's row of the given version. */
   Either<String, OwnerRow> decodeOwner(String json, long rowVersion);
 
+  /** Returns the JSON text that names the current version of the declaration. */
+  String encodeCurrent(CurrentVersion current);
+
+  /** Returns the current version of the declaration. */
+  Either<String, CurrentVersion> decodeCurrent(String json);
+
   /** Returns the JSON text of a published declaration. */
   String encodeDeclaration(PublishedDeclaration declaration);
 
--- a/core/src/main/java/dev/bambootray/core/node/RunCommands.java
+++ b/core/src/main/java/dev/bambootray/core/node/RunCommands.java
@@ -104,10 +104,7 @@
     context
         .outbox()
         .callWorker(
-            worker,
-            command,
-            run.maxRunMs() + REPLY_GRACE_MS,
-            reply -> runEnded(run.task(), reply));
+            worker, command, run.maxRunMs() + REPLY_GRACE_MS, reply -> runEnded(run.task(), reply));
   }
 
   private void runEnded(TaskId task, WorkerReply reply) {
@@ -167,7 +164,11 @@
             worker,
             new WorkerCommand.QueryTask(ownership, PROBE, 0),
             PROBE_TIMEOUT_MS,
-            reply -> tell(answers(reply) ? new RouterEvent.ProbeAnswered(id) : new RouterEvent.ProbeMissed(id)));
+            reply ->
+                tell(
+                    answers(reply)
+                        ? new RouterEvent.ProbeAnswered(id)
+                        : new RouterEvent.ProbeMissed(id)));
   }
 
   private static boolean answers(WorkerReply reply) {
--- a/core/src/main/java/dev/bambootray/core/node/Takeover.java
+++ b/core/src/main/java/dev/bambootray/core/node/Takeover.java
@@ -126,7 +126,7 @@
     }
     boolean mayHaveRun =
         request.content.state() == RecordState.INTENT && !request.content.spec().repeatable();
-    if (mayHaveRun && !isKnownNotRun(request)) {
+    if (mayHaveRun) {
       undecided.add(request);
       return true;
     }
@@ -149,11 +149,7 @@
   private void scan(@Nullable String afterKey) {
     context
         .store()
-        .scan(
-            LedgerRows.openPrefix(ownership.region()),
-            afterKey,
-            PAGE_ROWS,
-            this::pageRead);
+        .scan(LedgerRows.openPrefix(ownership.region()), afterKey, PAGE_ROWS, this::pageRead);
   }
 
   private void pageRead(Either<StoreError, RowPage> outcome) {
@@ -214,35 +210,50 @@
   }
 
   private void decide(long nowMs) {
-    for (Iterator<ServedRequest> i = undecided.iterator(); i.hasNext(); ) {
-      ServedRequest request = i.next();
-      if (isKnownNotRun(request)) {
-        i.remove();
-        desk.queue(request, nowMs);
+    for (ServedRequest request : List.copyOf(undecided)) {
+      if (isEveryWorkerKnown(request)) {
+        undecided.remove(request);
+        new FateSurvey(context, ownership, links, request, this::surveyEnded).begin();
       } else if (nowMs >= request.content.spec().deadlineAtMs()) {
-        i.remove();
-        desk.finish(
-            request.content.spec().key(),
-            Answer.failure(
-                request.content.spec().key(),
-                RequestError.unknown(
-                    Step.RUN,
-                    request.content.workers().toString(),
-                    "the worker that may have run the request could not be asked before the"
-                        + " deadline")));
+        undecided.remove(request);
+        finishUnknown(request, "could not be asked before the deadline");
       }
     }
   }
 
+  private void surveyEnded(ServedRequest request, FateSurvey.Result result) {
+    RequestKey key = request.content.spec().key();
+    if (desk.find(key) != request) {
+      return;
+    }
+    switch (result) {
+      case NOT_RUN -> desk.queue(request, context.now());
+      case MAY_HAVE_RUN -> finishUnknown(request, "no longer knows the outcome");
+      case NOT_REACHED -> undecided.add(request);
+    }
+  }
+
+  private void finishUnknown(ServedRequest request, String reason) {
+    RequestKey key = request.content.spec().key();
+    desk.finish(
+        key,
+        Answer.failure(
+            key,
+            RequestError.unknown(
+                Step.RUN,
+                request.content.workers().toString(),
+                "the worker that may have run the request " + reason)));
+  }
+
   private boolean isUndecided(ServedRequest request) {
     return undecided.contains(request);
   }
 
   /**
-   * Returns whether every worker of the recorded attempt is adopted, has run without restart since
-   * before the attempt, and does not know it.
+   * Returns whether every worker of the recorded attempt is adopted and has run without restart
+   * since before the attempt, so that it can tell for certain whether it ran.
    */
-  private boolean isKnownNotRun(ServedRequest request) {
+  private boolean isEveryWorkerKnown(ServedRequest request) {
     RequestRecord content = request.content;
     return content.workers().stream()
         .allMatch(worker -> links.knowsAllSince(worker, content.spec().submittedAtMs()));
--- a/core/src/main/java/dev/bambootray/core/node/TaskCommands.java
+++ b/core/src/main/java/dev/bambootray/core/node/TaskCommands.java
@@ -105,11 +105,7 @@
             WorkerLinks.TASK_LEASE_MS);
     context
         .outbox()
-        .callWorker(
-            worker,
-            command,
-            COMMAND_TIMEOUT_MS,
-            reply -> reserveEnded(reserve, reply));
+        .callWorker(worker, command, COMMAND_TIMEOUT_MS, reply -> reserveEnded(reserve, reply));
   }
 
   private void reserveEnded(SchedulerEffect.ReserveMember reserve, WorkerReply reply) {
--- a/core/src/main/java/dev/bambootray/core/node/WorkerLinks.java
+++ b/core/src/main/java/dev/bambootray/core/node/WorkerLinks.java
@@ -149,8 +149,7 @@
   private void poll(Link link) {
     link.callUnderWay = true;
     long waitMs =
-        Math.min(
-            MAX_POLL_MS, Math.max(MIN_POLL_MS, links.size() * 1_000L / POLLS_PER_SECOND));
+        Math.min(MAX_POLL_MS, Math.max(MIN_POLL_MS, links.size() * 1_000L / POLLS_PER_SECOND));
     context
         .outbox()
         .callWorker(
--- a/core/src/main/java/dev/bambootray/core/worker/WorkerReply.java
+++ b/core/src/main/java/dev/bambootray/core/worker/WorkerReply.java
@@ -15,7 +15,8 @@
    * @param aliveForMs how long the agent has run without a restart, in milliseconds; a task that it
    *     does not know certainly did not run only if the agent is older than the attempt
    */
-  record Adopted(List<TaskSnapshot> tasks, long sequence, boolean leaving, long aliveForMs) implements WorkerReply {}
+  record Adopted(List<TaskSnapshot> tasks, long sequence, boolean leaving, long aliveForMs)
+      implements WorkerReply {}
 
   /** The command was carried out. */
   record Done() implements WorkerReply {}
--- a/daemon/src/main/java/dev/bambootray/daemon/EffectRunner.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/EffectRunner.java
@@ -84,17 +84,20 @@
   private <T> void store(
       CompletableFuture<Either<StoreError, T>> call,
       Function<Either<StoreError, T>, NodeEvent> toEvent) {
-    call.exceptionally(
-            failure ->
-                Either.left(new StoreError("platform", String.valueOf(failure.getMessage()), true)))
-        .thenAccept(outcome -> post.accept(toEvent.apply(outcome)));
+    CompletableFuture<Void> unused =
+        call.exceptionally(
+                failure ->
+                    Either.left(
+                        new StoreError("platform", String.valueOf(failure.getMessage()), true)))
+            .thenAccept(outcome -> post.accept(toEvent.apply(outcome)));
   }
 
   private void sendWorker(NodeEffect.SendWorker send) {
-    workers
-        .send(send.worker(), send.command(), send.timeoutMs())
-        .exceptionally(failure -> noReply(send, failure))
-        .thenAccept(reply -> post.accept(new NodeEvent.WorkerReplied(send.id(), reply)));
+    CompletableFuture<Void> unused =
+        workers
+            .send(send.worker(), send.command(), send.timeoutMs())
+            .exceptionally(failure -> noReply(send, failure))
+            .thenAccept(reply -> post.accept(new NodeEvent.WorkerReplied(send.id(), reply)));
   }
 
   private static WorkerReply noReply(NodeEffect.SendWorker send, Throwable failure) {
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/Tickets.java
@@ -0,0 +1,30 @@
+package dev.bambootray.daemon;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/** Futures of callers that wait for the control thread, by number. */
+final class Tickets<T> {
+  private final AtomicLong numbers;
+  private final Map<Long, CompletableFuture<T>> waiting = new ConcurrentHashMap<>();
+
+  Tickets(AtomicLong numbers) {
+    this.numbers = numbers;
+  }
+
+  long open(CompletableFuture<T> future) {
+    long number = numbers.incrementAndGet();
+    waiting.put(number, future);
+    return number;
+  }
+
+  void complete(long number, T value) {
+    @Nullable CompletableFuture<T> future = waiting.remove(number);
+    if (future != null) {
+      future.complete(value);
+    }
+  }
+}
--- a/daemon/src/main/java/dev/bambootray/daemon/TokenDigests.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/TokenDigests.java
@@ -68,8 +68,7 @@
     try {
       return HexFormat.of()
           .formatHex(
-              MessageDigest.getInstance("SHA-256")
-                  .digest(token.getBytes(StandardCharsets.UTF_8)));
+              MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8)));
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException("every Java platform has SHA-256", e);
     }
--- a/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
+++ b/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
@@ -28,6 +28,7 @@
   private final RunLedger ledger;
   private final ScheduledExecutorService timers;
   private final LongSupplier nowMs;
+  private final long startedAtMs;
   private final Map<String, WorkerTask> tasks = new LinkedHashMap<>();
   private final Set<String> fenced = new HashSet<>();
   private final EventLog events = new EventLog();
@@ -50,6 +51,7 @@
     this.ledger = ledger;
     this.timers = timers;
     this.nowMs = nowMs;
+    startedAtMs = nowMs.getAsLong();
   }
 
   synchronized void setFailEveryTask(boolean value) {
@@ -125,7 +127,11 @@
       }
     }
     call.answer(
-        200, reply.put("sequence", events.lastSequence()).put("leaving", leavingSinceMs >= 0));
+        200,
+        reply
+            .put("sequence", events.lastSequence())
+            .put("leaving", leavingSinceMs >= 0)
+            .put("aliveForMs", nowMs.getAsLong() - startedAtMs));
   }
 
   private void admit(boolean inSlot, JsonNode json, HttpCall call) {
