--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/configuration/ConfigurationState.java
@@ -0,0 +1,232 @@
+package dev.bambootray.core.configuration;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.NodeId;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Which declaration is in force on this node, and whether it is known to be the newest accepted.
+ *
+ * <p>Versions only rise. A node serves new work only while {@link #isCurrent} holds.
+ */
+public final class ConfigurationState {
+  /** Twice within the time for which a read shows that a node is current. */
+  private static final long READ_INTERVAL_MS = 1_800;
+
+  private static final long READ_TIMEOUT_MS = 2_000;
+
+  /** A node that hears of a newer version waits this long for the publisher's offer. */
+  private static final long OFFER_GRACE_MS = 300;
+
+  private static final long CATCH_UP_INTERVAL_MS = 500;
+
+  private final NodeId self;
+  private final DeclarationReader reader;
+  private final Publisher publisher;
+  private final VersionKnowledge knowledge;
+  private PublishedDeclaration held = PublishedDeclaration.NONE;
+  private @Nullable Declaration inForce;
+  private boolean toldCurrent;
+  private boolean toldExchangesWanted;
+  private long nextReadMs;
+  private long readSentMs = -1;
+  private long nextCatchUpMs = Long.MAX_VALUE;
+  private long unreadableVersion;
+
+  private ConfigurationState(NodeId self, long incarnation, DeclarationReader reader) {
+    this.self = self;
+    this.reader = reader;
+    this.publisher = new Publisher(self, incarnation, reader);
+    this.knowledge = new VersionKnowledge(self);
+  }
+
+  /**
+   * Returns a configuration that holds no version.
+   *
+   * @param self this node
+   * @param incarnation number of this process; with the node it makes write tokens unique
+   * @param reader checks and reads declarations
+   */
+  public static ConfigurationState create(NodeId self, long incarnation, DeclarationReader reader) {
+    return new ConfigurationState(self, incarnation, reader);
+  }
+
+  /** Returns the version in force, 0 for none. */
+  public long version() {
+    return held.version();
+  }
+
+  /** Returns the declaration in force. */
+  public Optional<Declaration> declaration() {
+    return Optional.ofNullable(inForce);
+  }
+
+  /**
+   * Returns the text of the declaration in force; author and time are empty if a peer offered it.
+   */
+  public PublishedDeclaration published() {
+    return held;
+  }
+
+  /** Returns whether the version in force is known to be the newest accepted one. */
+  public boolean isCurrent(long nowMs) {
+    return knowledge.isCurrent(held.version(), nowMs);
+  }
+
+  /** Handles an event and returns what is to be done. */
+  public List<ConfigurationEffect> handle(ConfigurationEvent event, long nowMs) {
+    List<ConfigurationEffect> effects = new ArrayList<>();
+    if (event instanceof ConfigurationEvent.Tick) {
+      tick(nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.CurrentRead read) {
+      currentRead(read, nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.CurrentReadFailed) {
+      readSentMs = -1;
+    } else if (event instanceof ConfigurationEvent.HistoryRead read) {
+      apply(read.declaration(), effects);
+      publisher.historyRead(read, nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.MembersChanged changed) {
+      knowledge.setMembers(changed.members());
+    } else if (event instanceof ConfigurationEvent.VersionExchanged exchanged) {
+      knowledge.exchanged(exchanged.peer(), exchanged.version(), exchanged.askedAtMs());
+    } else if (event instanceof ConfigurationEvent.VersionHeard heard) {
+      knowledge.heard(heard.peer(), heard.version());
+    } else {
+      handleMessageOrPublish(event, nowMs, effects);
+    }
+    planCatchUp(nowMs);
+    publishCurrency(nowMs, effects);
+    return effects;
+  }
+
+  private void handleMessageOrPublish(
+      ConfigurationEvent event, long nowMs, List<ConfigurationEffect> effects) {
+    if (event instanceof ConfigurationEvent.OfferReceived received) {
+      offered(received.offer(), effects);
+    } else if (event instanceof ConfigurationEvent.ConfirmReceived received) {
+      knowledge.heard(received.confirm().sender(), received.confirm().version());
+      publisher.confirmed(received.confirm().sender(), received.confirm().version());
+      publisher.tick(knowledge.members(), nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.FetchReceived received) {
+      fetched(received.fetch(), effects);
+    } else if (event instanceof ConfigurationEvent.PublishRequested request) {
+      publisher.publish(request, held, nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.RollForwardRequested request) {
+      publisher.rollForward(request, nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.CommitSucceeded success) {
+      apply(publisher.committed(success, nowMs), effects);
+      publisher.confirmed(self, held.version());
+      publisher.tick(knowledge.members(), nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.CommitConflicted conflict) {
+      knowledge.heard(self, conflict.current().version());
+      publisher.conflicted(conflict, nowMs, effects);
+    } else if (event instanceof ConfigurationEvent.CommitFailed failure) {
+      publisher.failed(failure, nowMs);
+    }
+  }
+
+  private void tick(long nowMs, List<ConfigurationEffect> effects) {
+    if (readSentMs >= 0 && nowMs - readSentMs >= READ_TIMEOUT_MS) {
+      readSentMs = -1;
+    }
+    if (readSentMs < 0 && nowMs >= nextReadMs) {
+      readSentMs = nowMs;
+      nextReadMs = nowMs + READ_INTERVAL_MS;
+      effects.add(new ConfigurationEffect.ReadCurrent(nowMs));
+    }
+    if (nowMs >= nextCatchUpMs) {
+      nextCatchUpMs = nowMs + CATCH_UP_INTERVAL_MS;
+      catchUp(nowMs, effects);
+    }
+    publisher.tick(knowledge.members(), nowMs, effects);
+  }
+
+  private void currentRead(
+      ConfigurationEvent.CurrentRead read, long nowMs, List<ConfigurationEffect> effects) {
+    readSentMs = -1;
+    knowledge.tableRead(read.current().version(), read.askedAtMs());
+    if (read.current().version() > held.version()
+        && read.current().version() != unreadableVersion) {
+      effects.add(new ConfigurationEffect.ReadHistory(read.current().version()));
+      nextCatchUpMs = nowMs + CATCH_UP_INTERVAL_MS;
+    }
+  }
+
+  private void offered(PeerMessage.ConfigurationOffer offer, List<ConfigurationEffect> effects) {
+    knowledge.heard(offer.sender(), offer.version());
+    apply(new PublishedDeclaration(offer.version(), offer.declarationJson(), 0, ""), effects);
+    if (held.version() >= offer.version()) {
+      effects.add(
+          new ConfigurationEffect.SendToPeer(
+              offer.sender(), new PeerMessage.ConfigurationConfirm(self, held.version())));
+    }
+  }
+
+  private void fetched(PeerMessage.ConfigurationFetch fetch, List<ConfigurationEffect> effects) {
+    PeerMessage reply =
+        held.version() > fetch.heldVersion()
+            ? new PeerMessage.ConfigurationOffer(self, held.version(), held.text())
+            : new PeerMessage.ConfigurationConfirm(self, held.version());
+    effects.add(new ConfigurationEffect.SendToPeer(fetch.sender(), reply));
+  }
+
+  private void apply(PublishedDeclaration declaration, List<ConfigurationEffect> effects) {
+    if (declaration.version() <= held.version() || declaration.version() == unreadableVersion) {
+      return;
+    }
+    Either<List<String>, Declaration> read = reader.read(declaration.text(), declaration.version());
+    if (read.isLeft()) {
+      unreadableVersion = declaration.version();
+      knowledge.heard(self, declaration.version());
+      effects.add(
+          new ConfigurationEffect.DeclarationUnreadable(declaration.version(), read.getLeft()));
+      return;
+    }
+    held = declaration;
+    inForce = read.get();
+    knowledge.heard(self, held.version());
+    publisher.confirmed(self, held.version());
+    effects.add(new ConfigurationEffect.DeclarationInForce(read.get(), held.text()));
+  }
+
+  private void planCatchUp(long nowMs) {
+    boolean behind = knowledge.highest() > held.version();
+    if (!behind) {
+      nextCatchUpMs = Long.MAX_VALUE;
+    } else if (nextCatchUpMs == Long.MAX_VALUE) {
+      nextCatchUpMs = nowMs + OFFER_GRACE_MS;
+    }
+  }
+
+  private void catchUp(long nowMs, List<ConfigurationEffect> effects) {
+    if (knowledge.highest() == unreadableVersion) {
+      return;
+    }
+    NodeId holder = knowledge.highestHolder();
+    if (holder.equals(self) || knowledge.isTableRecent(nowMs, READ_TIMEOUT_MS)) {
+      effects.add(new ConfigurationEffect.ReadHistory(knowledge.highest()));
+    } else {
+      effects.add(
+          new ConfigurationEffect.SendToPeer(
+              holder, new PeerMessage.ConfigurationFetch(self, held.version())));
+    }
+  }
+
+  private void publishCurrency(long nowMs, List<ConfigurationEffect> effects) {
+    boolean wanted = !knowledge.isTableRecent(nowMs, READ_INTERVAL_MS + OFFER_GRACE_MS);
+    if (wanted != toldExchangesWanted) {
+      toldExchangesWanted = wanted;
+      effects.add(new ConfigurationEffect.ExchangesWanted(wanted));
+    }
+    boolean current = isCurrent(nowMs);
+    if (current != toldCurrent) {
+      toldCurrent = current;
+      effects.add(new ConfigurationEffect.CurrencyChanged(current));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/configuration/VersionKnowledge.java
@@ -0,0 +1,98 @@
+package dev.bambootray.core.configuration;
+
+import dev.bambootray.core.model.NodeId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** What this node knows about the versions that others hold, and since when. */
+final class VersionKnowledge {
+  /** A version read or exchanged longer ago than this no longer shows that a node is current. */
+  static final long CURRENT_FOR_MS = 4_000;
+
+  private final NodeId self;
+  private final Map<NodeId, Exchange> exchanges = new HashMap<>();
+  private Set<NodeId> members;
+  private long tableAskedAtMs = Long.MIN_VALUE / 2;
+  private boolean tableAnswered;
+  private long highest;
+  private NodeId highestHolder;
+
+  VersionKnowledge(NodeId self) {
+    this.self = self;
+    this.members = Set.of(self);
+    this.highestHolder = self;
+  }
+
+  Set<NodeId> members() {
+    return members;
+  }
+
+  void setMembers(Set<NodeId> changed) {
+    members = changed;
+    exchanges.keySet().retainAll(changed);
+  }
+
+  int majority() {
+    return members.size() / 2 + 1;
+  }
+
+  /** Returns the highest version that any node was heard to hold. */
+  long highest() {
+    return highest;
+  }
+
+  NodeId highestHolder() {
+    return highestHolder;
+  }
+
+  void heard(NodeId peer, long version) {
+    if (version > highest) {
+      highest = version;
+      highestHolder = peer;
+    }
+  }
+
+  void exchanged(NodeId peer, long version, long askedAtMs) {
+    heard(peer, version);
+    Exchange known = exchanges.get(peer);
+    if (members.contains(peer) && (known == null || known.askedAtMs() <= askedAtMs)) {
+      exchanges.put(peer, new Exchange(version, askedAtMs));
+    }
+  }
+
+  void tableRead(long version, long askedAtMs) {
+    tableAnswered = true;
+    tableAskedAtMs = Math.max(tableAskedAtMs, askedAtMs);
+    heard(self, version);
+  }
+
+  boolean isTableRecent(long nowMs, long withinMs) {
+    return tableAnswered && nowMs - tableAskedAtMs <= withinMs;
+  }
+
+  /**
+   * Returns whether enough members were asked recently enough to know every accepted version.
+   *
+   * <p>Only members that hold a version count: a member that restarted has forgotten what it
+   * confirmed. This node counts itself only if it holds a version.
+   */
+  boolean isMajorityRecent(long heldVersion, long nowMs) {
+    long recent =
+        exchanges.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(self))
+            .map(Map.Entry::getValue)
+            .filter(exchange -> exchange.version() > 0)
+            .filter(exchange -> nowMs - exchange.askedAtMs() <= CURRENT_FOR_MS)
+            .count();
+    return recent + (heldVersion > 0 ? 1 : 0) >= majority();
+  }
+
+  boolean isCurrent(long heldVersion, long nowMs) {
+    return heldVersion >= highest
+        && heldVersion > 0
+        && (isTableRecent(nowMs, CURRENT_FOR_MS) || isMajorityRecent(heldVersion, nowMs));
+  }
+
+  private record Exchange(long version, long askedAtMs) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/membership/GossipBuffer.java
@@ -0,0 +1,114 @@
+package dev.bambootray.core.membership;
+
+import static java.util.Comparator.comparing;
+
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.routing.RegionLoad;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses what a probe tells: recent news first, and old states in turn. */
+final class GossipBuffer {
+  /** Most member states in a message. */
+  static final int MAX_MEMBERS = 8;
+
+  /** Most loads of regions in a message. */
+  static final int MAX_LOADS = 3;
+
+  private static final int LOAD_TRANSMISSIONS = 4;
+
+  private final Map<NodeId, Integer> memberNews = new LinkedHashMap<>();
+  private final Map<RegionId, RegionLoad> loads = new TreeMap<>();
+  private final Map<RegionId, Integer> loadNews = new LinkedHashMap<>();
+  private int nextFiller;
+
+  /** Marks the state of a member as news. */
+  void memberChanged(NodeId node, int memberCount) {
+    int steps = Integer.SIZE - Integer.numberOfLeadingZeros(memberCount);
+    memberNews.put(node, 6 + 2 * steps);
+  }
+
+  /** Forgets a member. */
+  void memberRemoved(NodeId node) {
+    memberNews.remove(node);
+  }
+
+  /** Takes over a load if it is newer than the known one; returns whether it is. */
+  boolean offerLoad(RegionLoad load) {
+    RegionLoad known = loads.get(load.region());
+    if (known != null && !isNewer(load, known)) {
+      return false;
+    }
+    loads.put(load.region(), load);
+    loadNews.put(load.region(), LOAD_TRANSMISSIONS);
+    return true;
+  }
+
+  /** Returns the newest known loads. */
+  List<RegionLoad> loads() {
+    return List.copyOf(loads.values());
+  }
+
+  /**
+   * Returns what to tell a node.
+   *
+   * @param members all known states by node
+   * @param first states that the message must carry
+   */
+  Gossip next(
+      Map<NodeId, MemberState> members, Collection<MemberState> first, long configurationVersion) {
+    Map<NodeId, MemberState> chosen = new LinkedHashMap<>();
+    first.forEach(state -> chosen.put(state.node(), state));
+    for (NodeId node : freshest(memberNews)) {
+      MemberState state = members.get(node);
+      if (chosen.size() < MAX_MEMBERS && state != null) {
+        chosen.put(node, state);
+        countDown(memberNews, node);
+      }
+    }
+    MemberState filler = filler(members);
+    if (filler != null && chosen.size() < MAX_MEMBERS) {
+      chosen.putIfAbsent(filler.node(), filler);
+    }
+    List<RegionLoad> told = new ArrayList<>();
+    for (RegionId region : freshest(loadNews)) {
+      RegionLoad load = loads.get(region);
+      if (told.size() < MAX_LOADS && load != null) {
+        told.add(load);
+        countDown(loadNews, region);
+      }
+    }
+    return new Gossip(List.copyOf(chosen.values()), configurationVersion, told);
+  }
+
+  private @Nullable MemberState filler(Map<NodeId, MemberState> members) {
+    if (members.isEmpty()) {
+      return null;
+    }
+    nextFiller = (nextFiller + 1) % members.size();
+    return members.values().stream().skip(nextFiller).findFirst().orElse(null);
+  }
+
+  private static <K> List<K> freshest(Map<K, Integer> news) {
+    return news.entrySet().stream()
+        .sorted(comparing((Map.Entry<K, Integer> entry) -> -entry.getValue()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  private static <K> void countDown(Map<K, Integer> news, K key) {
+    news.computeIfPresent(key, (k, left) -> left > 1 ? left - 1 : null);
+  }
+
+  private static boolean isNewer(RegionLoad load, RegionLoad known) {
+    return load.epoch() != known.epoch()
+        ? load.epoch() > known.epoch()
+        : load.measuredAtMs() > known.measuredAtMs();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/membership/Membership.java
@@ -0,0 +1,292 @@
+package dev.bambootray.core.membership;
+
+import static dev.bambootray.core.membership.MembershipTimes.OWN_PAUSE_MS;
+import static dev.bambootray.core.membership.MembershipTimes.PROBE_INTERVAL_MS;
+import static dev.bambootray.core.membership.MembershipTimes.REJOIN_INTERVAL_MS;
+import static dev.bambootray.core.membership.MembershipTimes.TABLE_READ_INTERVAL_MS;
+import static dev.bambootray.core.membership.MembershipTimes.URGENT_INTERVAL_MS;
+
+import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.routing.RegionLoad;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Finds out which nodes are alive, by probes of ring successors, gossip, the rows {@code node/<id>}
+ * and the platform's list of VMs.
+ */
+public final class Membership {
+  /** Unanswered probes that are remembered; older ones are forgotten. */
+  private static final int MAX_PENDING = 64;
+
+  private final MemberTable table;
+  private final GossipBuffer gossip = new GossipBuffer();
+  private final UniformRandomProvider random;
+  private final Map<Long, PendingProbe> pending = new LinkedHashMap<>();
+  private Set<NodeId> probed = new HashSet<>();
+  private long sequence;
+  private long configurationVersion;
+  private long lastEventMs = Long.MIN_VALUE;
+  private long nextProbeMs;
+  private long nextRejoinMs;
+  private long nextTableReadMs;
+  private long lastUrgentMs;
+  private boolean urgent;
+  private boolean ownRowWritten;
+  private int rejoinTurn;
+
+  private Membership(MemberState self, UniformRandomProvider random) {
+    this.table = new MemberTable(self);
+    this.random = random;
+  }
+
+  /**
+   * Returns a membership that knows only its own node.
+   *
+   * @param self state of this node; its incarnation must be above that of every earlier process
+   *     under the same identifier, for example the wall clock at start in milliseconds
+   * @param random spreads the first probes and reads of the nodes
+   */
+  public static Membership create(MemberState self, UniformRandomProvider random) {
+    return new Membership(self, random);
+  }
+
+  /** Returns the present state of this node. */
+  public MemberState self() {
+    return table.self();
+  }
+
+  /**
+   * Returns all members, this node included, in the order of their identifiers.
+   *
+   * <p>Dead members count until their row is gone from the table, so that a majority of members
+   * means the same on both sides of a partition.
+   */
+  public List<MemberState> members() {
+    return table.members();
+  }
+
+  /** Returns the newest known load of each region. */
+  public List<RegionLoad> loads() {
+    return gossip.loads();
+  }
+
+  /** Handles an event and returns what is to be done. */
+  public List<MembershipEffect> handle(MembershipEvent event, long nowMs) {
+    List<MembershipEffect> effects = new ArrayList<>();
+    if (lastEventMs == Long.MIN_VALUE) {
+      spreadTimers(nowMs);
+    } else if (nowMs - lastEventMs > OWN_PAUSE_MS) {
+      table.postponeDeadlines(nowMs - lastEventMs);
+    }
+    lastEventMs = Math.max(lastEventMs, nowMs);
+    if (event instanceof MembershipEvent.Tick) {
+      tick(nowMs, effects);
+    } else if (event instanceof MembershipEvent.ProbeReceived received) {
+      receiveProbe(received.probe(), nowMs, effects);
+    } else if (event instanceof MembershipEvent.ProbeAckReceived received) {
+      receiveAck(received.ack(), nowMs, effects);
+    } else if (event instanceof MembershipEvent.NodeRowsRead read) {
+      readRows(read.rows(), nowMs, effects);
+    } else if (event instanceof MembershipEvent.VmListRead read) {
+      readVms(read.vms(), nowMs, effects);
+    } else if (event instanceof MembershipEvent.LoadsMeasured measured) {
+      measured.loads().forEach(gossip::offerLoad);
+    } else if (event instanceof MembershipEvent.ConfigurationVersionChanged changed) {
+      configurationVersion = Math.max(configurationVersion, changed.version());
+    } else if (event instanceof MembershipEvent.LeaveRequested) {
+      leave(effects);
+    } else if (event instanceof MembershipEvent.LeaveCompleted) {
+      effects.add(new MembershipEffect.DeleteNodeRow(self().node()));
+    }
+    publishChanges(effects);
+    if (urgent && nowMs - lastUrgentMs >= URGENT_INTERVAL_MS) {
+      tellRelays(nowMs, effects);
+    }
+    return effects;
+  }
+
+  private void spreadTimers(long nowMs) {
+    nextProbeMs = nowMs + random.nextLong(PROBE_INTERVAL_MS);
+    nextRejoinMs = nowMs;
+    nextTableReadMs = nowMs;
+    lastUrgentMs = nowMs - URGENT_INTERVAL_MS;
+  }
+
+  private void tick(long nowMs, List<MembershipEffect> effects) {
+    for (MemberState silent : table.suspectSilent(probed, nowMs)) {
+      probe(silent, true, nowMs, effects);
+    }
+    table.buryUnrefuted(nowMs);
+    if (nowMs >= nextProbeMs) {
+      nextProbeMs = Math.max(nextProbeMs + PROBE_INTERVAL_MS, nowMs);
+      probeSuccessors(nowMs, effects);
+    }
+    if (nowMs >= nextRejoinMs) {
+      nextRejoinMs = nowMs + REJOIN_INTERVAL_MS;
+      probeOneAbsent(nowMs, effects);
+    }
+    if (nowMs >= nextTableReadMs) {
+      nextTableReadMs =
+          nowMs + TABLE_READ_INTERVAL_MS + random.nextLong(TABLE_READ_INTERVAL_MS / 10);
+      readAndWriteTable(effects);
+    }
+  }
+
+  private void probeSuccessors(long nowMs, List<MembershipEffect> effects) {
+    List<MemberState> targets = ring().targets();
+    Set<NodeId> now = new HashSet<>();
+    for (MemberState target : targets) {
+      if (!probed.contains(target.node())) {
+        table.startWatching(target.node(), nowMs);
+      }
+      now.add(target.node());
+      probe(target, false, nowMs, effects);
+    }
+    probed = now;
+  }
+
+  private void probeOneAbsent(long nowMs, List<MembershipEffect> effects) {
+    List<MemberState> absent = table.absent();
+    if (!absent.isEmpty()) {
+      probe(absent.get(rejoinTurn++ % absent.size()), true, nowMs, effects);
+    }
+  }
+
+  private void readAndWriteTable(List<MembershipEffect> effects) {
+    if (!ownRowWritten) {
+      writeOwnRow(effects);
+    }
+    effects.add(new MembershipEffect.ReadNodeRows());
+    effects.add(new MembershipEffect.ReadVmList());
+  }
+
+  private void receiveProbe(PeerMessage.Probe probe, long nowMs, List<MembershipEffect> effects) {
+    table.meet(probe.origin(), nowMs);
+    learn(probe.sender(), probe.gossip(), nowMs, effects);
+    effects.add(
+        new MembershipEffect.VersionHeard(probe.sender(), probe.gossip().configurationVersion()));
+    Gossip reply = gossipFor(probe.sender(), true);
+    effects.add(
+        new MembershipEffect.SendProbeAck(
+            probe.origin(), new PeerMessage.ProbeAck(self().node(), probe.sequence(), reply)));
+  }
+
+  private void receiveAck(PeerMessage.ProbeAck ack, long nowMs, List<MembershipEffect> effects) {
+    PendingProbe answered = pending.remove(ack.sequence());
+    learn(ack.sender(), ack.gossip(), nowMs, effects);
+    if (answered == null) {
+      effects.add(
+          new MembershipEffect.VersionHeard(ack.sender(), ack.gossip().configurationVersion()));
+      return;
+    }
+    ack.gossip().members().stream()
+        .filter(state -> state.node().equals(ack.sender()))
+        .forEach(state -> table.meet(state, nowMs));
+    if (!answered.node().equals(ack.sender())) {
+      table.replaced(answered.node(), nowMs);
+    }
+    table.answered(ack.sender(), nowMs);
+    effects.add(
+        new MembershipEffect.VersionExchanged(
+            ack.sender(), ack.gossip().configurationVersion(), answered.sentMs()));
+  }
+
+  private void learn(NodeId from, Gossip told, long nowMs, List<MembershipEffect> effects) {
+    told.members().forEach(state -> table.merge(state, nowMs));
+    for (RegionLoad load : told.loads()) {
+      if (!from.equals(self().node()) && gossip.offerLoad(load)) {
+        effects.add(new MembershipEffect.LoadLearned(load));
+      }
+    }
+  }
+
+  private void readRows(List<MemberState> rows, long nowMs, List<MembershipEffect> effects) {
+    ownRowWritten = rows.stream().anyMatch(row -> row.equals(self()));
+    if (!ownRowWritten) {
+      writeOwnRow(effects);
+    }
+    for (NodeId gone : table.readRows(rows, nowMs)) {
+      gossip.memberRemoved(gone);
+      effects.add(new MembershipEffect.MemberRemoved(gone));
+    }
+  }
+
+  private void readVms(
+      List<MembershipEvent.VmSighting> vms, long nowMs, List<MembershipEffect> effects) {
+    boolean ownLeaving =
+        vms.stream().anyMatch(vm -> vm.leaving() && vm.node().equals(self().node()));
+    if (ownLeaving && self().status() != MemberStatus.LEAVING) {
+      effects.add(new MembershipEffect.OwnVmLeaving());
+    }
+    if (table.isFirstAlive()) {
+      table.longDeadAndUnlisted(vms, nowMs).stream()
+          .map(MembershipEffect.DeleteNodeRow::new)
+          .forEach(effects::add);
+    }
+  }
+
+  private void leave(List<MembershipEffect> effects) {
+    if (self().status() != MemberStatus.LEAVING) {
+      table.leave();
+      writeOwnRow(effects);
+    }
+  }
+
+  private void writeOwnRow(List<MembershipEffect> effects) {
+    effects.add(new MembershipEffect.WriteNodeRow(self()));
+  }
+
+  private void publishChanges(List<MembershipEffect> effects) {
+    for (MemberState changed : table.takeChanges()) {
+      gossip.memberChanged(changed.node(), table.size());
+      effects.add(new MembershipEffect.MemberChanged(changed));
+      urgent = true;
+    }
+  }
+
+  private void tellRelays(long nowMs, List<MembershipEffect> effects) {
+    urgent = false;
+    lastUrgentMs = nowMs;
+    ring().relays().forEach(relay -> probe(relay, false, nowMs, effects));
+  }
+
+  private void probe(
+      MemberState target, boolean fresh, long nowMs, List<MembershipEffect> effects) {
+    long number = ++sequence;
+    pending.put(number, new PendingProbe(target.node(), nowMs));
+    if (pending.size() > MAX_PENDING) {
+      pending.remove(pending.keySet().iterator().next());
+    }
+    Gossip told = gossipFor(target.node(), false);
+    effects.add(
+        new MembershipEffect.SendProbe(
+            target, new PeerMessage.Probe(self().node(), number, self(), told), fresh));
+  }
+
+  /** Tells a suspected or dead receiver of its own state, so that it can refute it. */
+  private Gossip gossipFor(NodeId receiver, boolean withSelf) {
+    List<MemberState> first = new ArrayList<>();
+    if (withSelf) {
+      first.add(self());
+    }
+    table
+        .find(receiver)
+        .filter(
+            state -> state.status() == MemberStatus.SUSPECT || state.status() == MemberStatus.DEAD)
+        .ifPresent(first::add);
+    return gossip.next(table.states(), first, configurationVersion);
+  }
+
+  private ProbeRing ring() {
+    return ProbeRing.of(table.present(), self().node());
+  }
+
+  private record PendingProbe(NodeId node, long sentMs) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/ownership/RegionLease.java
@@ -0,0 +1,97 @@
+package dev.bambootray.core.ownership;
+
+import static dev.bambootray.core.ownership.LeaseTimes.LEASE_MS;
+import static dev.bambootray.core.ownership.LeaseTimes.MAX_READ_GAP_MS;
+import static dev.bambootray.core.ownership.LeaseTimes.SETTLED_MS;
+import static dev.bambootray.core.ownership.LeaseTimes.STORE_TIMEOUT_MS;
+
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.Ownership;
+import dev.bambootray.core.model.RegionId;
+import org.jspecify.annotations.Nullable;
+
+/** What this node knows and has under way for one region. */
+final class RegionLease {
+  final RegionId region;
+  OwnerRow row;
+  boolean rowKnown;
+  long unchangedSinceMs;
+  long lastReadMs = Long.MIN_VALUE / 2;
+  @Nullable Ownership held;
+  long renewAtMs;
+  long renewedAtMs;
+  long takeAtMs = -1;
+  long leaveAloneUntilMs;
+  long nextMoveMs;
+  long moveIntervalMs = SETTLED_MS;
+  @Nullable Attempt attempt;
+
+  /** Last attempt to take the region, also if its answer never came. */
+  @Nullable OwnerRow lastTake;
+
+  RegionLease(RegionId region) {
+    this.region = region;
+    this.row = OwnerRow.absent(region);
+  }
+
+  /** Notes the row as read now; returns whether its owner or epoch changed. */
+  boolean observe(OwnerRow read, long nowMs) {
+    if (rowKnown && read.rowVersion() < row.rowVersion()) {
+      return false;
+    }
+    boolean same = rowKnown && read.rowVersion() == row.rowVersion();
+    if (!same || nowMs - lastReadMs > MAX_READ_GAP_MS) {
+      unchangedSinceMs = nowMs;
+      takeAtMs = -1;
+    }
+    boolean changed = read.epoch() != row.epoch() || !sameOwner(read.owner(), row.owner());
+    row = read;
+    rowKnown = true;
+    lastReadMs = nowMs;
+    return changed;
+  }
+
+  /** Returns whether the row shows no living owner as far as the table tells. */
+  boolean isFree(NodeId self, long nowMs) {
+    if (!rowKnown || nowMs - lastReadMs > MAX_READ_GAP_MS) {
+      return false;
+    }
+    NodeId owner = row.owner();
+    // A row that names this node without a claim was written by an earlier process on this VM.
+    return owner == null || owner.equals(self) || nowMs - unchangedSinceMs >= LEASE_MS;
+  }
+
+  /** Returns whether the row is the outcome of this process's last attempt to take the region. */
+  boolean isOwnTake(OwnerRow read) {
+    return lastTake != null
+        && read.epoch() == lastTake.epoch()
+        && read.rowVersion() == lastTake.rowVersion() + 1
+        && sameOwner(read.owner(), lastTake.owner());
+  }
+
+  boolean isAttemptOverdue(long nowMs) {
+    return attempt != null && nowMs - attempt.sentMs() >= STORE_TIMEOUT_MS;
+  }
+
+  private static boolean sameOwner(@Nullable NodeId a, @Nullable NodeId b) {
+    return a == null ? b == null : a.equals(b);
+  }
+
+  /** Purpose of a write. */
+  enum Purpose {
+    TAKE,
+    RENEW,
+    RELEASE
+  }
+
+  /**
+   * A write or the read that settles it.
+   *
+   * @param token token of the write
+   * @param purpose its purpose
+   * @param row what it writes
+   * @param sentMs when the write or the read was sent
+   * @param settling whether the row is being read because the answer was lost
+   */
+  record Attempt(String token, Purpose purpose, OwnerRow row, long sentMs, boolean settling) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/store/OutageAdmission.java
@@ -0,0 +1,163 @@
+package dev.bambootray.core.store;
+
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.WorkspaceId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides which requests a node takes and holds while the table does not answer.
+ *
+ * <p>Repeatable requests are served without a record on the caller's open connection; others wait
+ * for the table. Both kinds together are bounded in number and bytes, and when half of that is used
+ * no workspace may hold more than its share.
+ */
+public final class OutageAdmission {
+  /** Most requests held on a node. */
+  public static final int MAX_REQUESTS = 1_000;
+
+  /** Most bytes of requests held on a node. */
+  public static final long MAX_BYTES = 16L * 1024 * 1024;
+
+  /** A request that waits for the table needs this much time left after the table is back. */
+  public static final long MIN_REMAINING_MS = 1_000;
+
+  /** Suggested to refused callers; the backoff tries the table at least this often. */
+  private static final long RETRY_AFTER_MS = StoreBackoff.CAP_MS;
+
+  private final Map<RequestKey, Held> held = new LinkedHashMap<>();
+  private final Map<WorkspaceId, Usage> usage = new HashMap<>();
+  private long heldBytes;
+
+  private OutageAdmission() {}
+
+  /** Returns an admission that holds nothing. */
+  public static OutageAdmission create() {
+    return new OutageAdmission();
+  }
+
+  /** Returns how many requests are held. */
+  public int heldRequests() {
+    return held.size();
+  }
+
+  /** Returns the bytes of the requests that are held. */
+  public long heldBytes() {
+    return heldBytes;
+  }
+
+  /**
+   * Decides on a request that arrived while the table does not answer.
+   *
+   * @param key the request; a request that is held already is not held twice
+   * @param repeatable whether it may run more than once
+   * @param sizeBytes size of its parameters
+   * @param deadlineMs when its answer is no longer wanted, in milliseconds since the epoch
+   * @param nowMs the present time
+   */
+  public Decision admit(
+      RequestKey key, boolean repeatable, long sizeBytes, long deadlineMs, long nowMs) {
+    Held present = held.get(key);
+    if (present != null) {
+      return present.repeatable() ? new Decision.ServeWithoutRecord() : new Decision.HoldForTable();
+    }
+    if (!repeatable && deadlineMs - nowMs < MIN_REMAINING_MS) {
+      return refuse("the table does not answer and the deadline leaves no time to wait for it");
+    }
+    if (held.size() >= MAX_REQUESTS || heldBytes + sizeBytes > MAX_BYTES) {
+      return refuse("the table does not answer and this node holds as many requests as it may");
+    }
+    if (isOverShare(key.workspace(), sizeBytes)) {
+      return refuse("the table does not answer and the workspace holds its share of requests");
+    }
+    held.put(key, new Held(repeatable, sizeBytes, deadlineMs));
+    usage.computeIfAbsent(key.workspace(), workspace -> new Usage()).add(1, sizeBytes);
+    heldBytes += sizeBytes;
+    return repeatable ? new Decision.ServeWithoutRecord() : new Decision.HoldForTable();
+  }
+
+  /** Forgets a request that was answered, cancelled, or whose caller went away. */
+  public void release(RequestKey key) {
+    Held released = held.remove(key);
+    if (released != null) {
+      heldBytes -= released.sizeBytes();
+      Usage used = usage.get(key.workspace());
+      if (used != null && used.add(-1, -released.sizeBytes())) {
+        usage.remove(key.workspace());
+      }
+    }
+  }
+
+  /** Forgets and returns the waiting requests whose deadline is too near; they did not run. */
+  public List<RequestKey> expire(long nowMs) {
+    List<RequestKey> expired = new ArrayList<>();
+    held.forEach(
+        (key, request) -> {
+          if (!request.repeatable() && request.deadlineMs() - nowMs < MIN_REMAINING_MS) {
+            expired.add(key);
+          }
+        });
+    expired.forEach(this::release);
+    return expired;
+  }
+
+  /** Forgets and returns the waiting requests in the order of their arrival; the table is back. */
+  public List<RequestKey> tableReturned() {
+    List<RequestKey> waiting =
+        held.entrySet().stream()
+            .filter(entry -> !entry.getValue().repeatable())
+            .map(Map.Entry::getKey)
+            .toList();
+    waiting.forEach(this::release);
+    return waiting;
+  }
+
+  private boolean isOverShare(WorkspaceId workspace, long sizeBytes) {
+    if (held.size() < MAX_REQUESTS / 2 && heldBytes + sizeBytes <= MAX_BYTES / 2) {
+      return false;
+    }
+    Usage used = usage.getOrDefault(workspace, new Usage());
+    int others = usage.size() - (usage.containsKey(workspace) ? 1 : 0);
+    int sharers = Math.max(2, others + 1);
+    return used.requests >= MAX_REQUESTS / sharers || used.bytes + sizeBytes > MAX_BYTES / sharers;
+  }
+
+  private static Decision refuse(String reason) {
+    return new Decision.Refuse(reason, RETRY_AFTER_MS);
+  }
+
+  /** What to do with a request. */
+  public sealed interface Decision {
+
+    /** Serve it on the caller's connection; the promise ends with the connection. */
+    record ServeWithoutRecord() implements Decision {}
+
+    /** Keep it until the table answers or its deadline is near. */
+    record HoldForTable() implements Decision {}
+
+    /**
+     * Refuse it; it did not run.
+     *
+     * @param reason one plain sentence
+     * @param retryAfterMs when to come back, in milliseconds from now
+     */
+    record Refuse(String reason, long retryAfterMs) implements Decision {}
+  }
+
+  private record Held(boolean repeatable, long sizeBytes, long deadlineMs) {}
+
+  private static final class Usage {
+    private int requests;
+    private long bytes;
+
+    /** Adds to the usage and returns whether nothing is left. */
+    private boolean add(int moreRequests, long moreBytes) {
+      requests += moreRequests;
+      bytes += moreBytes;
+      return requests == 0;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/store/PendingWrites.java
@@ -0,0 +1,166 @@
+package dev.bambootray.core.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+
+/** Writes that wait to be sent, in the order of their arrival. */
+final class PendingWrites {
+  /** Most rows in a transaction. */
+  static final int MAX_ROWS = 64;
+
+  /** Most bytes of values in a transaction; a larger write goes alone. */
+  static final long MAX_GROUP_BYTES = 256 * 1024;
+
+  /** How far a group looks past writes that it cannot take; bounds the time of one decision. */
+  private static final int MAX_LOOKAHEAD = 256;
+
+  private final Deque<Submission> urgent = new ArrayDeque<>();
+  private final Deque<Submission> normal = new ArrayDeque<>();
+  private long bytes;
+  private long nextDropMs = Long.MAX_VALUE;
+
+  int size() {
+    return urgent.size() + normal.size();
+  }
+
+  long bytes() {
+    return bytes;
+  }
+
+  void add(Submission submission) {
+    (submission.urgent() ? urgent : normal).addLast(submission);
+    bytes += submission.bytes();
+    nextDropMs = Math.min(nextDropMs, submission.dropAfterMs());
+  }
+
+  /** Puts writes back before all others, to be sent one by one. */
+  void putBack(List<Submission> submissions) {
+    for (int i = submissions.size() - 1; i >= 0; i--) {
+      Submission single = submissions.get(i).asSingle();
+      (single.urgent() ? urgent : normal).addFirst(single);
+      bytes += single.bytes();
+    }
+  }
+
+  /** Removes and returns the writes that were not sent in time. */
+  List<Submission> takeOverdue(long nowMs) {
+    if (nowMs <= nextDropMs) {
+      return List.of();
+    }
+    List<Submission> overdue = new ArrayList<>();
+    nextDropMs = Long.MAX_VALUE;
+    for (Deque<Submission> queue : List.of(urgent, normal)) {
+      for (Iterator<Submission> it = queue.iterator(); it.hasNext(); ) {
+        Submission next = it.next();
+        if (nowMs > next.dropAfterMs()) {
+          it.remove();
+          bytes -= next.bytes();
+          overdue.add(next);
+        } else {
+          nextDropMs = Math.min(nextDropMs, next.dropAfterMs());
+        }
+      }
+    }
+    return overdue;
+  }
+
+  boolean hasUrgent() {
+    return !urgent.isEmpty();
+  }
+
+  /**
+   * Takes the writes of the next transaction, none if all wait for rows that are being written.
+   *
+   * <p>A write never overtakes an earlier one of the same row.
+   *
+   * @param busyKeys rows that are being written
+   * @param urgentOnly whether only urgent writes may go
+   */
+  List<Submission> takeGroup(Set<String> busyKeys, boolean urgentOnly) {
+    Set<String> blocked = new HashSet<>(busyKeys);
+    List<Submission> group = new ArrayList<>();
+    takeFrom(urgent, blocked, group);
+    if (!urgentOnly && group.isEmpty()) {
+      // An urgent write that waits for its row also holds back later writes of the row.
+      urgent.forEach(waiting -> blocked.addAll(waiting.keys()));
+      takeFrom(normal, blocked, group);
+    }
+    return group;
+  }
+
+  private void takeFrom(Deque<Submission> queue, Set<String> blocked, List<Submission> group) {
+    int rows = 0;
+    long groupBytes = 0;
+    int seen = 0;
+    for (Iterator<Submission> it = queue.iterator(); it.hasNext() && seen < MAX_LOOKAHEAD; seen++) {
+      Submission next = it.next();
+      boolean free = next.keys().stream().noneMatch(blocked::contains);
+      boolean fits =
+          group.isEmpty()
+              || (!next.single()
+                  && rows + next.writes().size() <= MAX_ROWS
+                  && groupBytes + next.bytes() <= MAX_GROUP_BYTES);
+      blocked.addAll(next.keys());
+      if (free && fits) {
+        it.remove();
+        bytes -= next.bytes();
+        group.add(next);
+        rows += next.writes().size();
+        groupBytes += next.bytes();
+        if (next.single() || next.urgent()) {
+          return;
+        }
+      }
+    }
+  }
+
+  /**
+   * A write that waits.
+   *
+   * @param id its number
+   * @param writes its rows
+   * @param urgent whether it goes before others
+   * @param single whether it must not share a transaction, so that a conflict is its own
+   * @param bytes bytes of its keys and values
+   * @param keys its rows
+   * @param dropAfterMs when it is dropped if it was not sent yet
+   */
+  record Submission(
+      long id,
+      List<RowWrite> writes,
+      boolean urgent,
+      boolean single,
+      long bytes,
+      Set<String> keys,
+      long dropAfterMs) {
+
+    static Submission of(WriteQueueEvent.WriteSubmitted submitted) {
+      long bytes = 0;
+      Set<String> keys = new HashSet<>();
+      for (RowWrite write : submitted.writes()) {
+        keys.add(write.key());
+        String value = write.value();
+        bytes += write.key().length();
+        bytes += value == null ? 0 : value.getBytes(StandardCharsets.UTF_8).length;
+      }
+      return new Submission(
+          submitted.id(),
+          submitted.writes(),
+          submitted.urgent(),
+          false,
+          bytes,
+          keys,
+          submitted.dropAfterMs());
+    }
+
+    Submission asSingle() {
+      return new Submission(id, writes, urgent, true, bytes, keys, dropAfterMs);
+    }
+  }
+}
