--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/ConnectionPool.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/ConnectionPool.java
@@ -30,6 +30,7 @@
  */
 final class ConnectionPool {
   private static final long IDLE_CLOSE_MS = 30_000;
+  private static final long PEER_CLOSE_MS = 1_000;
 
   /**
    * Bounds of a pool.
@@ -220,8 +221,13 @@
       fail(exchange, noReply.reason());
       return;
     }
+    if (exchange.request().fresh()) {
+      exchange.complete(outcome);
+      releaseWhenClosed(exchange, connection);
+      return;
+    }
     release(exchange);
-    if (connection.isReusable() && !closed) {
+    if (connection.isReusable() && !closed && connections < limits.connections()) {
       idle.push(connection);
       connection.startIdleTimer(loop.schedule(connection::close, IDLE_CLOSE_MS, MILLISECONDS));
     } else {
@@ -231,6 +237,24 @@
     dispatch();
   }
 
+  /**
+   * Frees the place of a fresh connection only when the peer has closed it, so that the peer never
+   * sees more connections than the bound.
+   */
+  private void releaseWhenClosed(PooledExchange exchange, PooledConnection connection) {
+    connection.abandon();
+    var unused = loop.schedule(connection::close, PEER_CLOSE_MS, MILLISECONDS);
+    var unusedClose =
+        connection
+            .channel()
+            .closeFuture()
+            .addListener(
+                done -> {
+                  release(exchange);
+                  dispatch();
+                });
+  }
+
   /**
    * Ends an exchange without a response and closes its connection. Idle connections are closed as
    * well after an exchange that got no reply, because connections can go silent together while new
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PooledConnection.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PooledConnection.java
@@ -74,6 +74,7 @@
         .set(HttpHeaderNames.HOST, host)
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().bytes().length);
+    HttpUtil.setKeepAlive(message, !request.fresh());
     var unused =
         channel()
             .writeAndFlush(message)
--- /dev/null
+++ b/adapters/tls/src/main/java/dev/bambootray/adapters/tls/TlsError.java
@@ -0,0 +1,10 @@
+package dev.bambootray.adapters.tls;
+
+/**
+ * Keys that could not be loaded. The message names the files but never their content.
+ *
+ * @param step {@code read} or {@code check}
+ * @param peer the certificate file that was loaded
+ * @param message what went wrong
+ */
+public record TlsError(String step, String peer, String message) {}
--- a/standins/src/main/java/dev/bambootray/standins/Faults.java
+++ b/standins/src/main/java/dev/bambootray/standins/Faults.java
@@ -37,7 +37,7 @@
     lostAnswerShare = value;
   }
 
-  /** Answers requests beyond the given number in a second with 429; 0 for no limit. */
+  /** Answers requests beyond the given number in a second with 429; 0 for no limit, -1 for all. */
   public synchronized void setRequestsPerSecond(int value) {
     requestsPerSecond = value;
   }
--- a/standins/src/main/java/dev/bambootray/standins/HttpCall.java
+++ b/standins/src/main/java/dev/bambootray/standins/HttpCall.java
@@ -24,14 +24,16 @@
   private final String method;
   private final QueryStringDecoder uri;
   private final byte[] body;
+  private final Runnable onWritten;
   private final AtomicBoolean answered = new AtomicBoolean();
   private volatile boolean loseAnswer;
 
-  HttpCall(Channel channel, String method, String uri, byte[] body) {
+  HttpCall(Channel channel, String method, String uri, byte[] body, Runnable onWritten) {
     this.channel = channel;
     this.method = method;
     this.uri = new QueryStringDecoder(uri);
     this.body = body;
+    this.onWritten = onWritten;
   }
 
   String method() {
@@ -88,7 +90,11 @@
     if (status == 429) {
       response.headers().setInt(HttpHeaderNames.RETRY_AFTER, 1);
     }
-    var unused = channel.writeAndFlush(response).addListener(CLOSE_ON_FAILURE);
+    var unused =
+        channel
+            .writeAndFlush(response)
+            .addListener(CLOSE_ON_FAILURE)
+            .addListener(done -> onWritten.run());
   }
 
   void drop() {
--- a/standins/src/main/java/dev/bambootray/standins/HttpStandIn.java
+++ b/standins/src/main/java/dev/bambootray/standins/HttpStandIn.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,7 +33,6 @@
   private final Channel listener;
   private final Set<Channel> open = ConcurrentHashMap.newKeySet();
   private final Set<Channel> silent = ConcurrentHashMap.newKeySet();
-  private final AtomicInteger accepted = new AtomicInteger();
   private final AtomicInteger peak = new AtomicInteger();
   private final AtomicInteger refused = new AtomicInteger();
   private final List<HttpCall> held = new ArrayList<>();
@@ -80,7 +80,7 @@
   }
 
   int openConnections() {
-    return accepted.get();
+    return open.size();
   }
 
   int peakConnections() {
@@ -123,28 +123,28 @@
   }
 
   private void accept(Channel channel) {
-    int count = accepted.incrementAndGet();
-    var unusedListener =
-        channel
-            .closeFuture()
-            .addListener(
-                closed -> {
-                  accepted.decrementAndGet();
-                  open.remove(channel);
-                  silent.remove(channel);
-                });
-    if (count > maxConnections) {
-      refused.incrementAndGet();
-      var unused = channel.close();
-      return;
+    synchronized (open) {
+      if (open.size() >= maxConnections) {
+        refused.incrementAndGet();
+        var unused = channel.close();
+        return;
+      }
+      open.add(channel);
+      peak.accumulateAndGet(open.size(), Math::max);
     }
-    peak.accumulateAndGet(count, Math::max);
-    open.add(channel);
+    var unusedListener = channel.closeFuture().addListener(closed -> retire(channel));
     channel
         .pipeline()
         .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
   }
 
+  /** Counts the connection out before the peer can see that it is closed. */
+  private void retire(Channel channel) {
+    open.remove(channel);
+    silent.remove(channel);
+    var unused = channel.close();
+  }
+
   private void receive(HttpCall call, Channel channel) {
     if (silent.contains(channel)) {
       return;
@@ -202,7 +202,8 @@
               channel,
               request.method().name(),
               request.uri(),
-              ByteBufUtil.getBytes(request.content()));
+              ByteBufUtil.getBytes(request.content()),
+              HttpUtil.isKeepAlive(request) ? () -> {} : () -> retire(channel));
       receive(call, channel);
     }
 
