Add the HTTP server for callers and operators

It drives NodeApi as docs/reference/http-api.md states. Requests of a connection are answered in order; waits hold no thread and are cancelled when the caller disconnects.

--- /dev/null
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -0,0 +1,192 @@
+package dev.bambootray.adapters.http;
+
+import dev.bambootray.core.model.Step;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Answers the requests of one connection in their order, one at a time. While a request waits for
+ * its answer no thread is held; when the caller disconnects, the wait is cancelled.
+ */
+final class ConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+  /**
+   * A request that waits for the answer of an earlier one.
+   *
+   * @param request the request, or the response if it could not be read
+   * @param keepAlive whether the caller keeps the connection open after it
+   */
+  private record Queued(Either<ApiResponse, ApiRequest> request, boolean keepAlive) {}
+
+  private final ApiRouter router;
+  private final HttpLimits limits;
+  private final Deque<Queued> queue = new ArrayDeque<>();
+  private @Nullable PendingResponse current;
+  private @Nullable Future<?> idleTimer;
+  private @Nullable ChannelHandlerContext context;
+  private boolean stopping;
+  private boolean closing;
+
+  ConnectionHandler(ApiRouter router, HttpLimits limits) {
+    this.router = router;
+    this.limits = limits;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+    startIdleTimer(added);
+  }
+
+  /** Closes the connection once the request in progress is answered. */
+  void stop() {
+    ChannelHandlerContext added = context;
+    if (added == null) {
+      return;
+    }
+    added
+        .executor()
+        .execute(
+            () -> {
+              stopping = true;
+              if (current == null) {
+                closing = true;
+                var unused = added.close();
+              }
+            });
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext added, FullHttpRequest message) {
+    cancelIdleTimer();
+    if (closing) {
+      return;
+    }
+    Queued queued = read(message);
+    if (current != null) {
+      if (queue.size() >= limits.pipelined()) {
+        closing = true;
+        var unused = added.close();
+        return;
+      }
+      queue.add(queued);
+      return;
+    }
+    answer(added, queued);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext added) {
+    closing = true;
+    cancelIdleTimer();
+    queue.clear();
+    if (current != null) {
+      current.cancel();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext added, Throwable cause) {
+    Logger.debug("http: connection closed: {}", cause.toString());
+    var unused = added.close();
+  }
+
+  private static Queued read(FullHttpRequest message) {
+    DecoderResult result = message.decoderResult();
+    if (result.isSuccess()) {
+      return new Queued(ApiRequest.read(message), HttpUtil.isKeepAlive(message));
+    }
+    boolean tooLong =
+        result.cause() instanceof TooLongHttpHeaderException
+            || result.cause() instanceof TooLongHttpLineException;
+    ApiResponse response =
+        tooLong
+            ? Problems.local(431, Step.ADMISSION, "the request line or headers are too large")
+            : Problems.badRequest("the request is not HTTP/1.1");
+    return new Queued(Either.left(response), false);
+  }
+
+  private void answer(ChannelHandlerContext added, Queued queued) {
+    PendingResponse pending = queued.request().fold(PendingResponse::now, this::route);
+    String traceparent = queued.request().map(ApiRequest::traceparent).getOrElse("");
+    current = pending;
+    var unused =
+        pending
+            .response()
+            .whenComplete(
+                (response, failure) ->
+                    added
+                        .executor()
+                        .execute(
+                            () ->
+                                finish(
+                                    added,
+                                    failure == null ? response : failed(failure),
+                                    traceparent,
+                                    queued.keepAlive())));
+  }
+
+  private PendingResponse route(ApiRequest request) {
+    try {
+      return router.route(request);
+    } catch (RuntimeException e) {
+      return PendingResponse.now(failed(e));
+    }
+  }
+
+  private void finish(
+      ChannelHandlerContext added, ApiResponse response, String traceparent, boolean keepAlive) {
+    current = null;
+    if (closing) {
+      return;
+    }
+    boolean keep = keepAlive && !stopping;
+    closing = !keep;
+    var unused = ResponseWriter.write(added, response, traceparent, keep);
+    if (!keep) {
+      return;
+    }
+    Queued next = queue.poll();
+    if (next != null) {
+      answer(added, next);
+    } else {
+      startIdleTimer(added);
+    }
+  }
+
+  private void startIdleTimer(ChannelHandlerContext added) {
+    idleTimer =
+        added
+            .executor()
+            .schedule(
+                () -> {
+                  var unused = added.close();
+                },
+                limits.idleMs(),
+                TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelIdleTimer() {
+    if (idleTimer != null) {
+      idleTimer.cancel(false);
+      idleTimer = null;
+    }
+  }
+
+  private static ApiResponse failed(Throwable failure) {
+    Logger.error("http: the node failed to answer: {}", failure.getClass().getName());
+    return Problems.internal();
+  }
+}
--- /dev/null
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -0,0 +1,165 @@
+package dev.bambootray.adapters.http;
+
+import dev.bambootray.adapters.tls.ReloadableTls;
+import dev.bambootray.ports.api.NodeApi;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/** Serves the interface of {@code docs/reference/http-api.md} for callers and operators. */
+public final class HttpApiServer implements AutoCloseable {
+  private final EventLoopGroup group;
+  private final HttpLimits limits;
+  private final @Nullable ReloadableTls tls;
+  private final ApiRouter router;
+  private final Map<Channel, ConnectionHandler> connections = new ConcurrentHashMap<>();
+  private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
+  private final Channel listener;
+  private volatile boolean stopping;
+
+  private HttpApiServer(
+      EventLoopGroup group,
+      String host,
+      int port,
+      NodeApi api,
+      NodeProbes probes,
+      HttpLimits limits,
+      @Nullable ReloadableTls tls) {
+    this.group = group;
+    this.limits = limits;
+    this.tls = tls;
+    router = new ApiRouter(api, probes, limits.waitMs());
+    listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /**
+   * Starts a server.
+   *
+   * @param group event loops for its connections
+   * @param host IP number to listen on
+   * @param port TCP port to listen on, 0 for any free one
+   * @param api the node
+   * @param probes what the unauthenticated calls return
+   * @param limits bounds
+   * @param tls keys, or null for plain HTTP
+   */
+  public static HttpApiServer start(
+      EventLoopGroup group,
+      String host,
+      int port,
+      NodeApi api,
+      NodeProbes probes,
+      HttpLimits limits,
+      @Nullable ReloadableTls tls) {
+    return new HttpApiServer(group, host, port, api, probes, limits, tls);
+  }
+
+  /** Returns the TCP port that it listens on. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /**
+   * Stops accepting connections, lets requests in progress finish and closes each connection after
+   * its answer. Connections that remain after the grace period are closed.
+   *
+   * @param graceMs time for requests in progress, in milliseconds
+   * @return completes with whether all requests were answered
+   */
+  public CompletableFuture<Boolean> stop(long graceMs) {
+    stopping = true;
+    var unusedListener =
+        listener
+            .close()
+            .addListener(
+                done -> {
+                  connections.values().forEach(ConnectionHandler::stop);
+                  completeIfIdle();
+                });
+    var unused = group.schedule(this::endGrace, graceMs, TimeUnit.MILLISECONDS);
+    return stopped;
+  }
+
+  @Override
+  public void close() {
+    stop(0).join();
+  }
+
+  private void endGrace() {
+    if (connections.isEmpty()) {
+      completeIfIdle();
+      return;
+    }
+    Logger.warn("http: {} connections closed at the end of the grace period", connections.size());
+    stopped.complete(false);
+    for (Channel channel : connections.keySet()) {
+      var unused = channel.close();
+    }
+  }
+
+  private void completeIfIdle() {
+    if (stopping && connections.isEmpty()) {
+      stopped.complete(true);
+    }
+  }
+
+  private void accept(Channel channel) {
+    if (connections.size() >= limits.connections()) {
+      var unused = channel.close();
+      return;
+    }
+    ConnectionHandler handler = new ConnectionHandler(router, limits);
+    connections.put(channel, handler);
+    var unusedListener =
+        channel
+            .closeFuture()
+            .addListener(
+                done -> {
+                  connections.remove(channel);
+                  completeIfIdle();
+                });
+    if (tls != null) {
+      channel.pipeline().addLast(tls.server().newHandler(channel.alloc()));
+    }
+    HttpDecoderConfig decoding =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(limits.lineBytes())
+            .setMaxHeaderSize(limits.headerBytes());
+    channel
+        .pipeline()
+        .addLast(
+            new HttpServerCodec(decoding),
+            new ReceiveDeadline(limits.receiveMs()),
+            new BoundedAggregator(limits.bodyBytes()),
+            handler);
+    if (stopping) {
+      handler.stop();
+    }
+  }
+}
--- /dev/null
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/SubmitReader.java
@@ -0,0 +1,135 @@
+package dev.bambootray.adapters.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.TemplateId;
+import dev.bambootray.core.model.WorkspaceId;
+import dev.bambootray.ports.api.SubmitCommand;
+import io.vavr.control.Either;
+import java.util.Iterator;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the body of a submission; anything but the documented members is refused. */
+final class SubmitReader {
+  private static final Set<String> MEMBERS =
+      Set.of("template", "parameters", "idempotencyKey", "deadlineMs", "repeatable", "urgent");
+  private static final int MAX_DEPTH = 32;
+  // A year; longer deadlines are certainly a mistake of units.
+  private static final long MAX_DEADLINE_MS = 366L * 24 * 3_600_000;
+
+  private static final JsonMapper JSON = strictMapper();
+
+  private SubmitReader() {}
+
+  static Either<ApiResponse, SubmitCommand> read(
+      WorkspaceId workspace, ApiRequest request, long waitMs) {
+    return parse(request.body())
+        .flatMap(SubmitReader::checkMembers)
+        .flatMap(body -> command(workspace, request, waitMs, body));
+  }
+
+  private static Either<ApiResponse, SubmitCommand> command(
+      WorkspaceId workspace, ApiRequest request, long waitMs, JsonNode body) {
+    JsonNode deadline = body.path("deadlineMs");
+    JsonNode parameters = body.path("parameters");
+    if (!parameters.isObject()) {
+      return wrong("parameters", "a JSON object");
+    }
+    if (!deadline.isIntegralNumber()
+        || !deadline.canConvertToLong()
+        || deadline.asLong() < 1
+        || deadline.asLong() > MAX_DEADLINE_MS) {
+      return wrong("deadlineMs", "a whole number of 1 to " + MAX_DEADLINE_MS);
+    }
+    if (!isBooleanOrAbsent(body, "repeatable")) {
+      return wrong("repeatable", "true or false");
+    }
+    if (!isBooleanOrAbsent(body, "urgent")) {
+      return wrong("urgent", "true or false");
+    }
+    return text(body, "template")
+        .flatMap(template -> Texts.identifier("template", template, TemplateId::of))
+        .flatMap(
+            template ->
+                text(body, "idempotencyKey")
+                    .flatMap(
+                        key ->
+                            Texts.identifier(
+                                "idempotencyKey", key, text -> new RequestKey(workspace, text)))
+                    .map(
+                        key ->
+                            new SubmitCommand(
+                                key,
+                                template,
+                                parameters.toString(),
+                                deadline.asLong(),
+                                repeatable(body),
+                                body.path("urgent").asBoolean(false),
+                                request.traceparent(),
+                                waitMs)));
+  }
+
+  private static Either<ApiResponse, JsonNode> parse(String text) {
+    try {
+      JsonNode body = JSON.readTree(text);
+      return body.isObject() ? Either.right(body) : wrong("body", "a JSON object");
+    } catch (JsonProcessingException e) {
+      var at = e.getLocation();
+      String place =
+          at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr();
+      return Either.left(Problems.badRequest("malformed JSON" + place));
+    }
+  }
+
+  private static Either<ApiResponse, JsonNode> checkMembers(JsonNode body) {
+    for (Iterator<String> names = body.fieldNames(); names.hasNext(); ) {
+      String name = names.next();
+      if (!MEMBERS.contains(name)) {
+        return Either.left(
+            Problems.badRequest("member \"" + Texts.quote(name) + "\" is not known"));
+      }
+    }
+    return Either.right(body);
+  }
+
+  private static Either<ApiResponse, String> text(JsonNode body, String name) {
+    JsonNode value = body.path(name);
+    return value.isTextual() ? Either.right(value.asText()) : wrong(name, "a text");
+  }
+
+  private static boolean isBooleanOrAbsent(JsonNode body, String name) {
+    JsonNode value = body.path(name);
+    return value.isMissingNode() || value.isBoolean();
+  }
+
+  private static @Nullable Boolean repeatable(JsonNode body) {
+    JsonNode value = body.path("repeatable");
+    return value.isBoolean() ? value.asBoolean() : null;
+  }
+
+  private static <T> Either<ApiResponse, T> wrong(String name, String expected) {
+    return Either.left(Problems.badRequest("member \"" + name + "\": expected " + expected));
+  }
+
+  private static JsonMapper strictMapper() {
+    JsonMapper mapper =
+        JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .disable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+            .build();
+    mapper
+        .getFactory()
+        .setStreamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).maxNumberLength(64).build());
+    return mapper;
+  }
+}
