Add region choice, outlier ejection, hedging and adaptive concurrency to the router

Cause: a target that fails or slows down kept getting work, and requests could not leave their region. Conclusion: the policies are in place behind interfaces and can be measured.

--- a/core/src/main/java/dev/bambootray/core/routing/Dispatcher.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Dispatcher.java
@@ -3,7 +3,6 @@
 import static dev.bambootray.core.model.Step.RECORD;
 
 import dev.bambootray.core.model.RequestError;
-import org.jspecify.annotations.Nullable;
 
 /** Takes requests from the queues and starts their runs. */
 final class Dispatcher {
@@ -17,19 +16,21 @@
   private final RouterState state;
   private final RequestAnswers answers;
   private final TargetChoice choice;
+  private final HedgePolicy hedging;
   private final Backoff intentBackoff = new Backoff(200, 2_000);
 
-  Dispatcher(RouterState state, RequestAnswers answers, TargetChoice choice) {
+  Dispatcher(RouterState state, RequestAnswers answers, TargetChoice choice, HedgePolicy hedging) {
     this.state = state;
     this.answers = answers;
     this.choice = choice;
+    this.hedging = hedging;
   }
 
   /** Starts runs while requests wait and targets take them. */
   void dispatch(ServicePool pool, long nowMs) {
     while (pool.queue.size() > 0) {
       PendingRequest request = pool.queue.peek();
-      Target target = request == null ? null : choice.choose(state, request, nowMs);
+      Target target = request == null ? null : choice.choose(state, request, null, nowMs);
       if (request == null || target == null) {
         return;
       }
@@ -111,6 +112,7 @@
     run.phase = Run.Phase.SENT;
     run.sentAtMs = nowMs;
     target.lastSentAtMs = nowMs;
+    target.pool.sendsSinceExploration++;
     request.state = PendingRequest.State.RUNNING;
     request.sends++;
     if (!request.firstCounted) {
@@ -121,6 +123,7 @@
         new RouterEffect.RunOnTarget(
             request.key(), run.task, target.worker, maxRunMs(request, nowMs)));
     run.fateAtMs = nowMs + progressMs(request);
+    run.hedgeAtMs = hedging.hedgeAtMs(state, run, nowMs);
     state.scheduleRun(run);
   }
 
@@ -141,8 +144,25 @@
     return Math.max(MIN_PROGRESS_MS, Math.min(MAX_PROGRESS_MS, 2 * runTimes.quantileMs(0.99)));
   }
 
-  /** Returns a target for a second run beside a first one, or null. */
-  @Nullable Target chooseOther(PendingRequest request, long nowMs) {
-    return choice.choose(state, request, nowMs);
+  /** Starts a second run beside one that takes long, if policy and budget allow it. */
+  void hedge(Run run, long nowMs) {
+    run.hedgeAtMs = Run.NEVER;
+    PendingRequest request = run.request;
+    if (!run.isWanted()
+        || request.hedged
+        || request.state != PendingRequest.State.RUNNING
+        || request.runs.size() != 1
+        || !hedging.shouldHedge(run, nowMs)) {
+      return;
+    }
+    Target target = choice.choose(state, request, run.target, nowMs);
+    if (target != null
+        && !target.isSlow()
+        && request.pool.budget.spend(state.policy().retryBudgetShare(), nowMs)) {
+      request.hedged = true;
+      Run second = new Run(state.nextTask(), request, target);
+      state.addRun(second);
+      send(second, nowMs);
+    }
   }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/FairQueue.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FairQueue.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -92,22 +91,33 @@
   /** Returns how many requests are served before the next one that the workspace would add. */
   double ahead(WorkspaceId workspace, double weight) {
     Flow own = flows.get(workspace);
-    int ownSize = own == null ? 0 : own.size;
-    double ahead = ownSize;
+    return ahead(own, own == null ? 0 : own.size, weight);
+  }
+
+  private double ahead(@Nullable Flow own, int ownBefore, double weight) {
+    double ahead = ownBefore;
     for (Flow flow : active) {
       if (flow != own) {
-        ahead += Math.min(flow.size, (ownSize + 1) * flow.weight / weight);
+        ahead += Math.min(flow.size, (ownBefore + 1) * flow.weight / weight);
       }
     }
     return ahead;
   }
 
-  /** Passes every waiting request to a consumer that may not change the queue. */
-  void forEach(Consumer<PendingRequest> consumer) {
+  /** Takes a waiting request and the number of requests that are served before it. */
+  interface Visitor {
+    /** Visits a request; the queue must not be changed meanwhile. */
+    void visit(PendingRequest request, double ahead);
+  }
+
+  /** Visits every waiting request. */
+  void forEach(Visitor visitor) {
     for (Flow flow : active) {
+      int before = 0;
       for (PendingRequest entry : flow.entries) {
         if (entry.state == PendingRequest.State.QUEUED) {
-          consumer.accept(entry);
+          visitor.visit(entry, ahead(flow, before, flow.weight));
+          before++;
         }
       }
     }
--- a/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
@@ -68,6 +68,7 @@
         run.fateQueued = true;
         target.fateQueue.addLast(run);
       }
+      state.scheduleRun(run);
       return;
     }
     ask(run, nowMs);
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/HedgeWithSpareSlots.java
@@ -0,0 +1,29 @@
+package dev.bambootray.core.routing;
+
+/**
+ * Hedges after the declared quantile of run time, and only while slots are spare: at high load the
+ * second runs of long requests would take the slots of requests that wait.
+ */
+final class HedgeWithSpareSlots implements HedgePolicy {
+  /** Share of the usable slots that must be free. */
+  private static final double SPARE_SHARE = 0.15;
+
+  @Override
+  public long hedgeAtMs(RouterState state, Run run, long nowMs) {
+    double quantile = state.policy().hedgeAfterQuantile();
+    PendingRequest request = run.request;
+    if (!request.isRepeatable()
+        || request.hedged
+        || quantile >= 1
+        || !request.runTimes.knowsQuantiles()) {
+      return Run.NEVER;
+    }
+    return nowMs + request.runTimes.quantileMs(quantile);
+  }
+
+  @Override
+  public boolean shouldHedge(Run run, long nowMs) {
+    ServicePool pool = run.request.pool;
+    return pool.queue.size() == 0 && pool.freeSlots() >= Math.max(1, SPARE_SHARE * pool.capacity());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
@@ -0,0 +1,49 @@
+package dev.bambootray.core.routing;
+
+import java.util.List;
+
+/**
+ * Ejects a target that fails many different requests in a row while the better targets of its
+ * service do not, and only while the ejected share of the targets stays limited.
+ */
+final class OutlierEjection implements EjectionPolicy {
+  private static final int MIN_STREAK = 5;
+
+  /** Accepted probability that a target as good as the better ones fails this often in a row. */
+  private static final double CHANCE = 1e-4;
+
+  /** Failure rate of the better targets above which the requests are to blame. */
+  private static final double ALL_FAIL = 0.9;
+
+  @Override
+  public boolean shouldEject(Target target, double maxShare) {
+    if (target.failureStreak < MIN_STREAK || !withinShare(target.pool, maxShare)) {
+      return false;
+    }
+    double usual = lowerQuartileOfFailureRates(target.pool);
+    if (usual >= ALL_FAIL) {
+      return false;
+    }
+    return Math.pow(usual, target.failureStreak) < CHANCE;
+  }
+
+  private static boolean withinShare(ServicePool pool, double maxShare) {
+    int joined = 0;
+    int ejected = 0;
+    for (Target target : pool.targets) {
+      joined += target.joined ? 1 : 0;
+      ejected += target.joined && target.ejected ? 1 : 0;
+    }
+    return ejected + 1 <= maxShare * joined && ejected + 1 < joined;
+  }
+
+  private static double lowerQuartileOfFailureRates(ServicePool pool) {
+    List<Double> rates =
+        pool.targets.stream()
+            .filter(target -> target.joined)
+            .map(target -> target.failureRate)
+            .sorted()
+            .toList();
+    return rates.isEmpty() ? 0 : rates.get(rates.size() / 4);
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/routing/PendingRequest.java
+++ b/core/src/main/java/dev/bambootray/core/routing/PendingRequest.java
@@ -37,6 +37,9 @@
   /** Targets on which it failed; null until the first failure. */
   @Nullable List<Target> failedOn;
 
+  /** The target that was blamed for its first failure, or null. */
+  @Nullable Target blamed;
+
   /** Why the last run did not answer; the final answer if no further run is possible. */
   @Nullable RequestError lastError;
 
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/routing/RegionChooser.java
@@ -0,0 +1,190 @@
+package dev.bambootray.core.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.RegionDeclaration;
+import dev.bambootray.core.model.RegionId;
+import java.util.Collection;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the region that serves a request: the local one, unless its expected wait exceeds that of
+ * another region by more than the cost of the link.
+ *
+ * <p>Loads are reported with a lag, so all entry nodes see the same numbers at the same time. Only
+ * a share of the requests spills, the larger the more there is to gain, so that they do not all
+ * move to one region at once.
+ */
+public final class RegionChooser {
+  /** A load report older than this says nothing about another region, in milliseconds. */
+  private static final long MAX_AGE_MS = 3_000;
+
+  /** One-way latency of a link that is not declared, in milliseconds. */
+  private static final double DEFAULT_LATENCY_MS = 20;
+
+  private static final double BYTES_PER_KIB = 1_024;
+
+  private final RegionId local;
+  private final UniformRandomProvider random;
+  private final double costPerKibMs;
+  private Map<RegionId, Double> latencyMs = Map.of();
+  private long hysteresisMs;
+  private @Nullable RegionId slotSpill;
+  private @Nullable RegionId gangSpill;
+
+  private RegionChooser(Builder builder) {
+    local = requireNonNull(builder.local, "local");
+    random = requireNonNull(builder.random, "random");
+    costPerKibMs = builder.costPerKibMs;
+    declare(requireNonNull(builder.declaration, "declaration"));
+  }
+
+  /** Returns a builder of a chooser. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Puts another declaration in force. */
+  public void declare(Declaration declaration) {
+    RegionDeclaration region = declaration.regions().get(local);
+    latencyMs = region == null ? Map.of() : region.linkLatencyMs();
+    hysteresisMs = declaration.policy().spillHysteresisMs();
+  }
+
+  /**
+   * Returns the region that serves a request that needs a slot.
+   *
+   * @param bodyBytes bytes that would cross the link
+   * @param loads last known load of each region
+   * @param nowMs the time in milliseconds since the epoch
+   */
+  public RegionId chooseForSlot(long bodyBytes, Collection<RegionLoad> loads, long nowMs) {
+    RegionLoad best = best(bodyBytes, loads, false, nowMs);
+    slotSpill = spill(slotSpill, best, bodyBytes, loads, false, nowMs);
+    return draw(slotSpill, best, bodyBytes, loads, false, nowMs);
+  }
+
+  /**
+   * Returns the region that serves a request that needs a gang.
+   *
+   * @param bodyBytes bytes that would cross the link
+   * @param loads last known load of each region
+   * @param nowMs the time in milliseconds since the epoch
+   */
+  public RegionId chooseForGang(long bodyBytes, Collection<RegionLoad> loads, long nowMs) {
+    RegionLoad best = best(bodyBytes, loads, true, nowMs);
+    gangSpill = spill(gangSpill, best, bodyBytes, loads, true, nowMs);
+    return draw(gangSpill, best, bodyBytes, loads, true, nowMs);
+  }
+
+  /** Returns the cost of serving a request elsewhere: the round trip and its bytes. */
+  double linkCostMs(RegionId other, long bodyBytes) {
+    double oneWayMs = latencyMs.getOrDefault(other, DEFAULT_LATENCY_MS);
+    return 2 * oneWayMs + bodyBytes / BYTES_PER_KIB * costPerKibMs;
+  }
+
+  private @Nullable RegionLoad best(
+      long bodyBytes, Collection<RegionLoad> loads, boolean gang, long nowMs) {
+    RegionLoad best = null;
+    double bestMs = Double.MAX_VALUE;
+    for (RegionLoad load : loads) {
+      if (load.region().equals(local) || nowMs - load.measuredAtMs() > MAX_AGE_MS) {
+        continue;
+      }
+      double totalMs = waitMs(load, gang) + linkCostMs(load.region(), bodyBytes);
+      if (totalMs < bestMs) {
+        best = load;
+        bestMs = totalMs;
+      }
+    }
+    return best;
+  }
+
+  /** Starts to spill above the link's cost plus the hysteresis and returns at the link's cost. */
+  private @Nullable RegionId spill(
+      @Nullable RegionId before,
+      @Nullable RegionLoad best,
+      long bodyBytes,
+      Collection<RegionLoad> loads,
+      boolean gang,
+      long nowMs) {
+    if (best == null) {
+      return null;
+    }
+    double gainMs = localWaitMs(loads, gang, nowMs) - waitMs(best, gang);
+    double neededMs = linkCostMs(best.region(), bodyBytes) + (before == null ? hysteresisMs : 0);
+    return gainMs > neededMs ? best.region() : null;
+  }
+
+  private RegionId draw(
+      @Nullable RegionId spill,
+      @Nullable RegionLoad best,
+      long bodyBytes,
+      Collection<RegionLoad> loads,
+      boolean gang,
+      long nowMs) {
+    if (spill == null || best == null) {
+      return local;
+    }
+    double gainMs = localWaitMs(loads, gang, nowMs) - waitMs(best, gang);
+    double share = 1 - linkCostMs(spill, bodyBytes) / gainMs;
+    return random.nextDouble() < share ? spill : local;
+  }
+
+  /** A report of the local region that has gone stale counts as a wait that grows with its age. */
+  private double localWaitMs(Collection<RegionLoad> loads, boolean gang, long nowMs) {
+    for (RegionLoad load : loads) {
+      if (load.region().equals(local)) {
+        long ageMs = nowMs - load.measuredAtMs();
+        return waitMs(load, gang) + (ageMs > MAX_AGE_MS ? (double) ageMs : 0);
+      }
+    }
+    return Double.MAX_VALUE / 4;
+  }
+
+  private static double waitMs(RegionLoad load, boolean gang) {
+    return gang ? load.expectedGangWaitMs() : load.expectedSlotWaitMs();
+  }
+
+  /** Builds a {@link RegionChooser}. */
+  public static final class Builder {
+    private @Nullable RegionId local;
+    private @Nullable Declaration declaration;
+    private @Nullable UniformRandomProvider random;
+    private double costPerKibMs = 0.1;
+
+    private Builder() {}
+
+    /** Sets the region of this node. */
+    public Builder local(RegionId value) {
+      local = value;
+      return this;
+    }
+
+    /** Sets the declaration, which gives link latencies and the hysteresis. */
+    public Builder declaration(Declaration value) {
+      declaration = value;
+      return this;
+    }
+
+    /** Sets the source of random numbers. */
+    public Builder random(UniformRandomProvider value) {
+      random = value;
+      return this;
+    }
+
+    /** Sets the cost of a KiB that crosses between regions, in milliseconds; 0.1 if not set. */
+    public Builder costPerKibMs(double value) {
+      costPerKibMs = value;
+      return this;
+    }
+
+    /** Returns the chooser. */
+    public RegionChooser build() {
+      return new RegionChooser(this);
+    }
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/routing/RequestAnswers.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RequestAnswers.java
@@ -18,16 +18,21 @@
   private static final long CANCEL_CONFIRM_MS = 500;
 
   private final RouterState state;
+  private final TargetHealth health;
   private final Backoff retryBackoff = new Backoff(25, 1_000);
 
-  RequestAnswers(RouterState state) {
+  RequestAnswers(RouterState state, TargetHealth health) {
     this.state = state;
+    this.health = health;
   }
 
   /** Answers a request with the result of a run; its other runs are cancelled. */
   void complete(PendingRequest request, Run run, String resultJson, long nowMs) {
     state.emit(
         new RouterEffect.CompleteRequest(request.key(), resultJson, run.task, run.target.worker));
+    for (Run other : request.runs) {
+      health.overtaken(other, nowMs);
+    }
     finish(request, true, nowMs);
   }
 
--- a/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
+++ b/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
@@ -22,6 +22,7 @@
   final RetryBudget budget = new RetryBudget();
   private final Map<TemplateId, RunTimeEstimate> runTimes = new HashMap<>();
   private double meanRunMs = UNKNOWN_RUN_MS;
+  int sendsSinceExploration;
 
   /** Since when no target has been open, or -1 if one is. */
   long closedSinceMs;
@@ -48,10 +49,12 @@
     return meanRunMs;
   }
 
+  /** Returns the free slots of targets that are not slow. */
   int freeSlots() {
     int free = 0;
     for (int i = 0; i < targets.size(); i++) {
-      free += targets.get(i).freeSlots();
+      Target target = targets.get(i);
+      free += target.isSlow() ? 0 : target.freeSlots();
     }
     return free;
   }
@@ -70,6 +73,11 @@
     return targets.stream().filter(target -> target.joined).mapToInt(target -> target.slots).sum();
   }
 
+  /** Returns how long the queue takes to drain, in milliseconds. */
+  double queueWaitMs() {
+    return queue.size() * meanRunMs / Math.max(1, capacity());
+  }
+
   /** Returns how long a request waits that has the given number of requests before it. */
   long expectedWaitMs(double ahead) {
     int capacity = capacity();
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -9,6 +9,15 @@
 
 /** One service instance on a worker. */
 final class Target extends Timed {
+  /**
+   * Slowness from which a target counts as slow. Run times vary widely, so the fading mean of their
+   * logarithms strays by about a fifth; a factor of 2 is more than three times that.
+   */
+  private static final double SLOW = 2;
+
+  private static final double SLOWNESS_GAIN = 0.1;
+  private static final int MIN_SLOWNESS_SAMPLES = 8;
+
   final WorkerId worker;
   final ServicePool pool;
   final List<Run> runs = new ArrayList<>();
@@ -31,15 +40,20 @@
   int failureStreak;
 
   int ejections;
+  long ejectedUntilMs;
   int notSentStreak;
 
   /** Concurrency allowed by slow re-admission. */
   int rampLimit;
 
   int probesAnswered;
+
+  /** Fading share of its runs that failed. */
   double failureRate;
-  double logSlowness;
-  int slownessSamples;
+
+  private double logSlowness;
+  private double slowness = 1;
+  private int slownessSamples;
   long lastSentAtMs = Long.MIN_VALUE / 2;
   long readmittedAtMs = Long.MIN_VALUE / 2;
 
@@ -56,6 +70,23 @@
     this.rampLimit = slots;
   }
 
+  /** Takes the logarithm of a run time relative to the usual one into account. */
+  void observeSlowness(double logRatio) {
+    slownessSamples++;
+    double gain = Math.max(SLOWNESS_GAIN, 1.0 / slownessSamples);
+    logSlowness += (logRatio - logSlowness) * gain;
+    slowness = slownessSamples < MIN_SLOWNESS_SAMPLES ? 1 : Math.exp(logSlowness);
+  }
+
+  /** Returns how many times longer its runs take than those of the other targets. */
+  double slowness() {
+    return slowness;
+  }
+
+  boolean isSlow() {
+    return slowness >= SLOW;
+  }
+
   void setSlots(int newSlots) {
     slots = newSlots;
     limit = Math.min(limit, newSlots);
--- a/core/src/main/java/dev/bambootray/core/routing/TargetChoice.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetChoice.java
@@ -5,6 +5,11 @@
 /** Chooses the target of a run. */
 interface TargetChoice {
 
-  /** Returns an open target with a free slot, or null if the request should wait. */
-  @Nullable Target choose(RouterState state, PendingRequest request, long nowMs);
+  /**
+   * Returns an open target with a free slot, or null if the request should wait.
+   *
+   * @param excluded a target that is not wanted, or null
+   */
+  @Nullable Target choose(
+      RouterState state, PendingRequest request, @Nullable Target excluded, long nowMs);
 }
--- a/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
@@ -8,10 +8,26 @@
   /** Runs that could not be sent in a row before a target counts as unreachable. */
   private static final int NOT_SENT_LIMIT = 3;
 
+  private static final long FIRST_EJECTION_MS = 2_000;
+  private static final int MAX_EJECTION_DOUBLINGS = 4;
+  private static final int PROBES_TO_READMIT = 3;
+
+  /** Failure streak of a readmitted target; two more failures eject it again. */
+  private static final int READMITTED_STREAK = 3;
+
+  /** Time without ejection after which earlier ejections are forgotten, in milliseconds. */
+  private static final long FORGET_EJECTIONS_MS = 60_000;
+
+  private static final double FAILURE_RATE_GAIN = 0.1;
+
   private final RouterState state;
+  private final EjectionPolicy ejection;
+  private final ConcurrencyPolicy concurrency;
 
-  TargetHealth(RouterState state) {
+  TargetHealth(RouterState state, EjectionPolicy ejection, ConcurrencyPolicy concurrency) {
     this.state = state;
+    this.ejection = ejection;
+    this.concurrency = concurrency;
   }
 
   /** Notes a run that answered. */
@@ -19,20 +35,71 @@
     Target target = run.target;
     target.failureStreak = 0;
     target.notSentStreak = 0;
+    target.failureRate -= target.failureRate * FAILURE_RATE_GAIN;
+    if (target.ejections > 0 && nowMs - target.readmittedAtMs > FORGET_EJECTIONS_MS) {
+      target.ejections = 0;
+    }
+    target.observeSlowness(run.request.runTimes.logRatio(runMs));
     run.request.runTimes.record(runMs);
     run.request.pool.recordRun(runMs);
+    target.rampLimit = Math.min(target.slots, target.rampLimit + 1);
+    updateLimit(target);
+  }
+
+  /** Notes a run that was stopped before its end because another one was faster. */
+  void overtaken(Run run, long nowMs) {
+    run.target.observeSlowness(run.request.runTimes.logRatio(nowMs - run.sentAtMs));
+    updateLimit(run.target);
   }
 
-  /** Notes a run that failed. */
+  /**
+   * Notes a run that failed. A request that fails on a second target is itself suspect, so neither
+   * target is blamed for it.
+   */
   void failed(Run run, long nowMs) {
-    run.target.failureStreak++;
-    run.request.addFailedOn(run.target);
+    Target target = run.target;
+    PendingRequest request = run.request;
+    if (request.hasFailedOn(target)) {
+      return;
+    }
+    request.addFailedOn(target);
+    Target blamed = request.blamed;
+    if (blamed != null) {
+      blamed.failureStreak = Math.max(0, blamed.failureStreak - 1);
+      return;
+    }
+    request.blamed = target;
+    target.failureStreak++;
+    target.failureRate += (1 - target.failureRate) * FAILURE_RATE_GAIN;
+    if (!target.ejected && ejection.shouldEject(target, state.policy().ejectionMaxShare())) {
+      eject(target, nowMs);
+    }
+  }
+
+  private void eject(Target target, long nowMs) {
+    target.ejected = true;
+    target.probesAnswered = 0;
+    long baseMs = FIRST_EJECTION_MS << Math.min(MAX_EJECTION_DOUBLINGS, target.ejections++);
+    target.ejectedUntilMs = nowMs + baseMs + state.random.nextLong(baseMs / 4);
+    wake(target, target.ejectedUntilMs);
+  }
+
+  private void readmit(Target target, long nowMs) {
+    target.ejected = false;
+    target.failureStreak = READMITTED_STREAK;
+    target.rampLimit = 1;
+    target.readmittedAtMs = nowMs;
+    updateLimit(target);
+  }
+
+  private void updateLimit(Target target) {
+    target.limit = Math.min(target.rampLimit, concurrency.limit(target));
   }
 
   /** Notes a target that refused for lack of capacity. */
   void refusedForCapacity(Target target, long nowMs) {
     target.refusing = true;
-    state.timers.schedule(target, nowMs + REFUSAL_PAUSE_MS);
+    wake(target, nowMs + REFUSAL_PAUSE_MS);
   }
 
   /** Notes a run that could not be sent; one broken connection does not condemn the target. */
@@ -52,33 +119,47 @@
     }
   }
 
-  /** Asks a target for a sign of life on a fresh connection. */
-  void probe(Target target, long nowMs) {
-    state.emit(new RouterEffect.ProbeTarget(target.worker));
-    state.timers.schedule(target, nowMs + PROBE_INTERVAL_MS);
-  }
-
   /** Notes that a target answered on a fresh connection. */
   void reachable(Target target) {
     target.unreachable = false;
     target.notSentStreak = 0;
   }
 
-  /** Notes an answered probe. */
+  /** Notes an answered probe; an ejected target returns after several. */
   void probeAnswered(Target target, long nowMs) {
     reachable(target);
+    if (target.ejected
+        && nowMs >= target.ejectedUntilMs
+        && ++target.probesAnswered >= PROBES_TO_READMIT) {
+      readmit(target, nowMs);
+    }
   }
 
   /** Notes a missed probe. */
   void probeMissed(Target target, long nowMs) {
+    target.probesAnswered = 0;
     unreachable(target, nowMs);
   }
 
   /** Acts on the timer of a target. */
   void due(Target target, long nowMs) {
     target.refusing = false;
-    if (target.unreachable) {
+    if (target.unreachable || (target.ejected && nowMs >= target.ejectedUntilMs)) {
       probe(target, nowMs);
+    } else if (target.ejected) {
+      wake(target, target.ejectedUntilMs);
+    }
+  }
+
+  private void probe(Target target, long nowMs) {
+    state.emit(new RouterEffect.ProbeTarget(target.worker));
+    wake(target, nowMs + PROBE_INTERVAL_MS);
+  }
+
+  private void wake(Target target, long atMs) {
+    boolean sooner = target.heapIndex < 0 || atMs < target.dueAtMs;
+    if (sooner) {
+      state.timers.schedule(target, atMs);
     }
   }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
@@ -14,6 +14,9 @@
 final class TargetRegistry {
   private static final long REVIEW_INTERVAL_MS = 1_000;
 
+  /** Share of the expected wait that counts when an admitted request is reviewed. */
+  private static final double LATE_SHARE = 0.8;
+
   private final RouterState state;
   private final RequestAnswers answers;
   private final RunOutcomes outcomes;
@@ -112,11 +115,22 @@
     } else if (pool.closedSinceMs < 0) {
       pool.closedSinceMs = nowMs;
     }
-    if (DeadlineAdmission.isClosedTooLong(pool, nowMs)) {
-      List<PendingRequest> waiting = new ArrayList<>(pool.queue.size());
-      pool.queue.forEach(waiting::add);
-      for (PendingRequest request : waiting) {
-        answers.giveUpWaiting(request, "no target of the service is available", nowMs);
+    boolean closedTooLong = DeadlineAdmission.isClosedTooLong(pool, nowMs);
+    if (pool.queue.size() > 0 && (open || closedTooLong)) {
+      List<PendingRequest> late = new ArrayList<>();
+      pool.queue.forEach(
+          (request, ahead) -> {
+            if (closedTooLong
+                || !DeadlineAdmission.canMeetDeadline(pool, request, ahead * LATE_SHARE, nowMs)) {
+              late.add(request);
+            }
+          });
+      String reason =
+          closedTooLong
+              ? "no target of the service is available"
+              : "the expected wait has grown beyond the deadline";
+      for (PendingRequest request : late) {
+        answers.giveUpWaiting(request, reason, nowMs);
       }
     }
     state.timers.schedule(pool, nowMs + REVIEW_INTERVAL_MS);
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
@@ -57,11 +57,11 @@
 
   private TargetRouter(RouterState state) {
     this.state = state;
-    answers = new RequestAnswers(state);
-    health = new TargetHealth(state);
+    health = new TargetHealth(state, new OutlierEjection(), new SlownessLimit());
+    answers = new RequestAnswers(state, health);
     outcomes = new RunOutcomes(state, answers, health);
     fates = new FateInquiry(state, answers, outcomes, health);
-    dispatcher = new Dispatcher(state, answers, new LeastLoadedTarget());
+    dispatcher = new Dispatcher(state, answers, new LeastLoadedTarget(), new HedgeWithSpareSlots());
     registry = new TargetRegistry(state, answers, outcomes, fates);
   }
 
@@ -197,7 +197,7 @@
   private void fireTimers(long nowMs) {
     for (Timed due = state.timers.pollDue(nowMs); due != null; due = state.timers.pollDue(nowMs)) {
       if (due instanceof Run run) {
-        fates.due(run, nowMs);
+        runDue(run, nowMs);
       } else if (due instanceof PendingRequest request) {
         requestDue(request, nowMs);
       } else if (due instanceof Target target) {
@@ -208,6 +208,17 @@
     }
   }
 
+  private void runDue(Run run, long nowMs) {
+    if (run.hedgeAtMs <= nowMs) {
+      dispatcher.hedge(run, nowMs);
+    }
+    if (run.fateAtMs <= nowMs) {
+      fates.due(run, nowMs);
+    } else {
+      state.scheduleRun(run);
+    }
+  }
+
   private void requestDue(PendingRequest request, long nowMs) {
     if (request.spec().deadlineAtMs() <= nowMs) {
       answers.expire(request, nowMs);
