Find the other nodes within seconds when all start together

Cause: nodes that start at once read the table before the others have written their rows, and read it again only after 10 s; requests that entered a node that did not know the owner waited that long. Change: the table is read every second during the first 10 s of a node. Measured: NodePathTest 13 of 21 passed before, 21 of 21 after. Conclusion: kept; the cost is nine more reads for each start of a node.

--- a/core/src/main/java/dev/bambootray/core/membership/Membership.java
+++ b/core/src/main/java/dev/bambootray/core/membership/Membership.java
@@ -1,5 +1,6 @@
 package dev.bambootray.core.membership;
 
+import static dev.bambootray.core.membership.MembershipTimes.DISCOVERY_READ_INTERVAL_MS;
 import static dev.bambootray.core.membership.MembershipTimes.OWN_PAUSE_MS;
 import static dev.bambootray.core.membership.MembershipTimes.PROBE_INTERVAL_MS;
 import static dev.bambootray.core.membership.MembershipTimes.REJOIN_INTERVAL_MS;
@@ -36,6 +37,7 @@
   private long nextProbeMs;
   private long nextRejoinMs;
   private long nextTableReadMs;
+  private long discoveryEndsMs;
   private long lastUrgentMs;
   private boolean urgent;
   private boolean ownRowWritten;
@@ -116,6 +118,7 @@
     nextProbeMs = nowMs + random.nextLong(PROBE_INTERVAL_MS);
     nextRejoinMs = nowMs;
     nextTableReadMs = nowMs;
+    discoveryEndsMs = nowMs + TABLE_READ_INTERVAL_MS;
     lastUrgentMs = nowMs - URGENT_INTERVAL_MS;
   }
 
@@ -133,8 +136,9 @@
       probeOneAbsent(nowMs, effects);
     }
     if (nowMs >= nextTableReadMs) {
-      nextTableReadMs =
-          nowMs + TABLE_READ_INTERVAL_MS + random.nextLong(TABLE_READ_INTERVAL_MS / 10);
+      long intervalMs =
+          nowMs < discoveryEndsMs ? DISCOVERY_READ_INTERVAL_MS : TABLE_READ_INTERVAL_MS;
+      nextTableReadMs = nowMs + intervalMs + random.nextLong(intervalMs / 10);
       readAndWriteTable(effects);
     }
   }
--- a/core/src/main/java/dev/bambootray/core/membership/MembershipTimes.java
+++ b/core/src/main/java/dev/bambootray/core/membership/MembershipTimes.java
@@ -19,6 +19,9 @@
   static final long REJOIN_INTERVAL_MS = 1_000;
   static final long TABLE_READ_INTERVAL_MS = 10_000;
 
+  /** Nodes that start together have not written their rows yet when they read them first. */
+  static final long DISCOVERY_READ_INTERVAL_MS = 1_000;
+
   /** Least distance of two rounds of urgent news, which bounds the traffic in a mass failure. */
   static final long URGENT_INTERVAL_MS = 200;
 
--- a/daemon/src/test/java/dev/bambootray/daemon/rig/NodeRig.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/rig/NodeRig.java
@@ -282,6 +282,8 @@
       sendPeer(id, send.receiver().node(), send.message());
     } else if (effect instanceof NodeEffect.ReplyToCaller reply) {
       replies.computeIfAbsent(reply.ticket(), t -> new ArrayList<>()).add(reply.outcome());
+    } else if (effect instanceof NodeEffect.Report report && Boolean.getBoolean("rig.trace")) {
+      System.out.println(nowMs + " " + id + " " + report);
     } else if (effect instanceof NodeEffect.ReplyStatus reply) {
       snapshots.put(reply.ticket(), reply.snapshot());
     }
