--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -1,6 +1,8 @@
 package dev.bambootray.adapters.http;
 
 import dev.bambootray.core.model.Step;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
@@ -27,8 +29,12 @@
    *
    * @param request the request, or the response if it could not be read
    * @param keepAlive whether the caller keeps the connection open after it
+   * @param whole whether all of it was read
    */
-  private record Queued(Either<ApiResponse, ApiRequest> request, boolean keepAlive) {}
+  private record Queued(
+      Either<ApiResponse, ApiRequest> request, boolean keepAlive, boolean whole) {}
+
+  private static final long LINGER_MS = 1_000;
 
   private final ApiRouter router;
   private final HttpLimits limits;
@@ -74,17 +80,31 @@
     if (closing) {
       return;
     }
-    Queued queued = read(message);
-    if (current != null) {
-      if (queue.size() >= limits.pipelined()) {
-        closing = true;
-        var unused = added.close();
-        return;
-      }
+    enqueue(added, read(message));
+  }
+
+  /** Answers a request that cannot be read with a problem when its turn comes, and closes. */
+  void refuse(ApiResponse response) {
+    ChannelHandlerContext added = context;
+    if (added != null && !closing) {
+      cancelIdleTimer();
+      enqueue(added, new Queued(Either.left(response), false, false));
+    }
+  }
+
+  boolean isBusy() {
+    return current != null;
+  }
+
+  private void enqueue(ChannelHandlerContext added, Queued queued) {
+    if (current == null) {
+      answer(added, queued);
+    } else if (queue.size() < limits.pipelined()) {
       queue.add(queued);
-      return;
+    } else {
+      closing = true;
+      var unused = added.close();
     }
-    answer(added, queued);
   }
 
   @Override
@@ -106,7 +126,7 @@
   private static Queued read(FullHttpRequest message) {
     DecoderResult result = message.decoderResult();
     if (result.isSuccess()) {
-      return new Queued(ApiRequest.read(message), HttpUtil.isKeepAlive(message));
+      return new Queued(ApiRequest.read(message), HttpUtil.isKeepAlive(message), true);
     }
     boolean tooLong =
         result.cause() instanceof TooLongHttpHeaderException
@@ -115,7 +135,7 @@
         tooLong
             ? Problems.local(431, Step.ADMISSION, "the request line or headers are too large")
             : Problems.badRequest("the request is not HTTP/1.1");
-    return new Queued(Either.left(response), false);
+    return new Queued(Either.left(response), false, false);
   }
 
   private void answer(ChannelHandlerContext added, Queued queued) {
@@ -135,7 +155,7 @@
                                     added,
                                     failure == null ? response : failed(failure),
                                     traceparent,
-                                    queued.keepAlive())));
+                                    queued)));
   }
 
   private PendingResponse route(ApiRequest request) {
@@ -147,15 +167,16 @@
   }
 
   private void finish(
-      ChannelHandlerContext added, ApiResponse response, String traceparent, boolean keepAlive) {
+      ChannelHandlerContext added, ApiResponse response, String traceparent, Queued queued) {
     current = null;
     if (closing) {
       return;
     }
-    boolean keep = keepAlive && !stopping;
-    closing = !keep;
-    var unused = ResponseWriter.write(added, response, traceparent, keep);
+    boolean keep = queued.keepAlive() && !stopping;
+    ChannelFuture written = ResponseWriter.write(added, response, traceparent, keep);
     if (!keep) {
+      closing = true;
+      closeAfterLast(added, written, queued.whole());
       return;
     }
     Queued next = queue.poll();
@@ -166,16 +187,29 @@
     }
   }
 
+  /**
+   * Closes after the last answer. If the caller may still be sending, the close waits: closing with
+   * unread bytes resets the connection, and the caller could lose the answer.
+   */
+  private static void closeAfterLast(
+      ChannelHandlerContext added, ChannelFuture written, boolean whole) {
+    var unused =
+        whole ? written.addListener(ChannelFutureListener.CLOSE) : closeAfter(added, LINGER_MS);
+  }
+
   private void startIdleTimer(ChannelHandlerContext added) {
-    idleTimer =
-        added
-            .executor()
-            .schedule(
-                () -> {
-                  var unused = added.close();
-                },
-                limits.idleMs(),
-                TimeUnit.MILLISECONDS);
+    idleTimer = closeAfter(added, limits.idleMs());
+  }
+
+  private static Future<?> closeAfter(ChannelHandlerContext added, long delayMs) {
+    return added
+        .executor()
+        .schedule(
+            () -> {
+              var unused = added.close();
+            },
+            delayMs,
+            TimeUnit.MILLISECONDS);
   }
 
   private void cancelIdleTimer() {
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -156,7 +156,7 @@
         .addLast(
             new HttpServerCodec(decoding),
             new ReceiveDeadline(limits.receiveMs()),
-            new BoundedAggregator(limits.bodyBytes()),
+            new BoundedAggregator(limits.bodyBytes(), handler),
             handler);
     if (stopping) {
       handler.stop();
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ResponseWriter.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ResponseWriter.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -34,11 +33,6 @@
       message.headers().set("traceparent", traceparent);
     }
     HttpUtil.setKeepAlive(message, keepAlive);
-    ChannelFuture written = context.writeAndFlush(message);
-    return keepAlive ? written : written.addListener(ChannelFutureListener.CLOSE);
-  }
-
-  static void writeAndClose(ChannelHandlerContext context, ApiResponse response) {
-    var unused = write(context, response, "", false);
+    return context.writeAndFlush(message);
   }
 }
--- a/adapters/tls/src/main/java/dev/bambootray/adapters/tls/ReloadableTls.java
+++ b/adapters/tls/src/main/java/dev/bambootray/adapters/tls/ReloadableTls.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
@@ -83,12 +84,16 @@
       byte[] key = Files.readAllBytes(files.privateKey());
       Path trustedFile = files.trusted();
       byte[] trusted = trustedFile == null ? null : Files.readAllBytes(trustedFile);
+      if (!KeyPairCheck.matches(chain, key)) {
+        return Either.left(
+            new TlsError("check", peer, "the private key is not the one of " + peer));
+      }
       return Either.right(
           new Loaded(
               serverContext(chain, key, trusted),
               clientContext(chain, key, trusted),
               digest(chain, key, trusted)));
-    } catch (SSLException | IllegalArgumentException e) {
+    } catch (SSLException | GeneralSecurityException | IllegalArgumentException e) {
       return Either.left(
           new TlsError("check", peer, "certificate chain or private key in " + peer + " is wrong"));
     } catch (IOException e) {
