--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/SubmitReader.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/SubmitReader.java
@@ -1,11 +1,15 @@
 package dev.bambootray.adapters.http;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import dev.bambootray.core.model.RequestKey;
 import dev.bambootray.core.model.TemplateId;
@@ -14,6 +18,7 @@
 import io.vavr.control.Either;
 import java.util.Iterator;
 import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
 /** Reads the body of a submission; anything but the documented members is refused. */
@@ -21,6 +26,8 @@
   private static final Set<String> MEMBERS =
       Set.of("template", "parameters", "idempotencyKey", "deadlineMs", "repeatable", "urgent");
   private static final int MAX_DEPTH = 32;
+  private static final int MAX_REASON_CHARS = 120;
+  private static final int MAX_PARAMETERS_BYTES = 64 * 1024;
   // A year; longer deadlines are certainly a mistake of units.
   private static final long MAX_DEADLINE_MS = 366L * 24 * 3_600_000;
 
@@ -42,6 +49,10 @@
     if (!parameters.isObject()) {
       return wrong("parameters", "a JSON object");
     }
+    String parametersJson = parameters.toString();
+    if (parametersJson.getBytes(UTF_8).length > MAX_PARAMETERS_BYTES) {
+      return wrong("parameters", "at most " + MAX_PARAMETERS_BYTES + " bytes of JSON");
+    }
     if (!deadline.isIntegralNumber()
         || !deadline.canConvertToLong()
         || deadline.asLong() < 1
@@ -68,7 +79,7 @@
                             new SubmitCommand(
                                 key,
                                 template,
-                                parameters.toString(),
+                                parametersJson,
                                 deadline.asLong(),
                                 repeatable(body),
                                 body.path("urgent").asBoolean(false),
@@ -81,19 +92,31 @@
       JsonNode body = JSON.readTree(text);
       return body.isObject() ? Either.right(body) : wrong("body", "a JSON object");
     } catch (JsonProcessingException e) {
-      var at = e.getLocation();
-      String place =
-          at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr();
-      return Either.left(Problems.badRequest("malformed JSON" + place));
+      return Either.left(Problems.badRequest("malformed JSON" + place(e) + ": " + reason(e)));
     }
   }
 
+  private static String place(JsonProcessingException e) {
+    JsonLocation at = e.getLocation();
+    return at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr();
+  }
+
+  /** Returns the parser's reason without its remarks on the source and on the parser's settings. */
+  private static String reason(JsonProcessingException e) {
+    String message = e.getOriginalMessage().replaceAll(" \\(start marker.*| ?\\(.*, from `.*", "");
+    return Texts.printable(message, MAX_REASON_CHARS);
+  }
+
   private static Either<ApiResponse, JsonNode> checkMembers(JsonNode body) {
     for (Iterator<String> names = body.fieldNames(); names.hasNext(); ) {
       String name = names.next();
       if (!MEMBERS.contains(name)) {
         return Either.left(
-            Problems.badRequest("member \"" + Texts.quote(name) + "\" is not known"));
+            Problems.badRequest(
+                "member \""
+                    + Texts.quote(name)
+                    + "\" is not known: expected one of "
+                    + String.join(", ", new TreeSet<>(MEMBERS))));
       }
     }
     return Either.right(body);
@@ -125,6 +148,7 @@
             .disable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+            .disable(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES)
             .build();
     mapper
         .getFactory()
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/Texts.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/Texts.java
@@ -11,11 +11,16 @@
 
   /** Returns a text that is safe to repeat: printable and short. */
   static String quote(String text) {
-    StringBuilder quoted = new StringBuilder();
+    return printable(text.replace('"', '?'), MAX_QUOTED_CHARS);
+  }
+
+  /** Returns a text without control and non-ASCII characters, cut at a length. */
+  static String printable(String text, int maxChars) {
+    StringBuilder printable = new StringBuilder();
     text.chars()
-        .limit(MAX_QUOTED_CHARS)
-        .forEach(c -> quoted.append(c < ' ' || c == '"' || c > '~' ? '?' : (char) c));
-    return text.length() > MAX_QUOTED_CHARS ? quoted + "..." : quoted.toString();
+        .limit(maxChars)
+        .forEach(c -> printable.append(c < ' ' || c > '~' ? '?' : (char) c));
+    return text.length() > maxChars ? printable + "..." : printable.toString();
   }
 
   /** Reads a number within bounds. */
