--- a/documents/src/main/java/dev/bambootray/documents/ParameterChecker.java
+++ b/documents/src/main/java/dev/bambootray/documents/ParameterChecker.java
@@ -1,6 +1,7 @@
 package dev.bambootray.documents;
 
 import dev.bambootray.core.declaration.ParameterDeclaration;
+import dev.bambootray.documents.json.JsonText;
 import dev.bambootray.documents.json.JsonTreeReader;
 import dev.bambootray.documents.json.JsonValue;
 import dev.bambootray.documents.json.ObjectCursor;
@@ -32,7 +33,7 @@
     List<String> members = new ArrayList<>();
     for (ParameterDeclaration parameter : declared) {
       checked(parameter, given)
-          .ifPresent(json -> members.add(ParameterValues.quote(parameter.name()) + ":" + json));
+          .ifPresent(json -> members.add(JsonText.quote(parameter.name()) + ":" + json));
     }
     given.finish();
     return problems.isEmpty()
@@ -51,6 +52,6 @@
     }
     Optional<String> expected = ParameterValues.objection(parameter, value.get());
     expected.ifPresent(text -> given.reject(name, value.get().describe(), text));
-    return value.map(ParameterValues::json);
+    return value.map(JsonText::of);
   }
 }
--- a/documents/src/main/java/dev/bambootray/documents/ParameterReader.java
+++ b/documents/src/main/java/dev/bambootray/documents/ParameterReader.java
@@ -1,6 +1,7 @@
 package dev.bambootray.documents;
 
 import dev.bambootray.core.declaration.ParameterDeclaration;
+import dev.bambootray.documents.json.JsonText;
 import dev.bambootray.documents.json.JsonValue;
 import dev.bambootray.documents.json.ObjectCursor;
 import dev.bambootray.documents.json.Problems;
@@ -41,7 +42,7 @@
     Optional<String> objection = ParameterValues.objection(bare, defaultValue.get());
     objection.ifPresent(
         expected -> parameter.reject("default", defaultValue.get().describe(), expected));
-    String defaultJson = objection.isPresent() ? null : ParameterValues.json(defaultValue.get());
+    String defaultJson = objection.isPresent() ? null : JsonText.of(defaultValue.get());
     return Optional.of(
         new ParameterDeclaration(
             name, type, required, minimum, maximum, allowedValues, defaultJson));
--- a/documents/src/main/java/dev/bambootray/documents/ParameterValues.java
+++ b/documents/src/main/java/dev/bambootray/documents/ParameterValues.java
@@ -1,6 +1,5 @@
 package dev.bambootray.documents;
 
-import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import dev.bambootray.core.declaration.ParameterDeclaration;
 import dev.bambootray.documents.json.JsonValue;
 import dev.bambootray.documents.json.JsonValue.BooleanValue;
@@ -66,20 +65,4 @@
     }
     return maximum == null ? "" : " of at most " + Names.plain(maximum);
   }
-
-  /** Returns a scalar value as JSON. */
-  static String json(JsonValue value) {
-    if (value instanceof TextValue text) {
-      return quote(text.text());
-    }
-    if (value instanceof NumberValue number) {
-      return number.text();
-    }
-    return value.describe();
-  }
-
-  /** Returns a text as a JSON string. */
-  static String quote(String text) {
-    return "\"" + new String(JsonStringEncoder.getInstance().quoteAsString(text)) + "\"";
-  }
 }
--- a/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
+++ b/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
@@ -22,6 +22,7 @@
 import dev.bambootray.core.model.TemplateId;
 import dev.bambootray.core.model.WorkerId;
 import dev.bambootray.core.model.WorkspaceId;
+import dev.bambootray.documents.json.JsonText;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -179,7 +180,7 @@
                         null,
                         null,
                         List.of(),
-                        ParameterValues.quote(text))),
+                        JsonText.quote(text))),
                 flag,
                 timeMs,
                 timeMs * 2,
