--- a/cli/src/main/java/dev/bambootray/cli/verb/ValidateVerb.java
+++ b/cli/src/main/java/dev/bambootray/cli/verb/ValidateVerb.java
@@ -29,7 +29,7 @@
     List<String> errors = new ArrayList<>();
     for (Path file : files) {
       DeclarationFiles.read(file)
-          .peek(source -> summaries.add(file + ": " + summary(source.declaration())))
+          .peek(source -> summaries.add(file + ": valid: " + summary(source.declaration())))
           .peekLeft(failure -> errors.addAll(failure.lines()));
     }
     if (!errors.isEmpty()) {
@@ -42,18 +42,17 @@
   private static String summary(Declaration declaration) {
     int accelerators =
         declaration.workers().values().stream().mapToInt(w -> w.capacity().accelerators()).sum();
-    return "valid: "
+    return "regions "
         + declaration.regions().size()
-        + " regions, "
+        + ", workers "
         + declaration.workers().size()
-        + " workers with "
+        + ", accelerators "
         + accelerators
-        + " accelerators, "
+        + ", workspaces "
         + declaration.workspaces().size()
-        + " workspaces, "
+        + ", services "
         + declaration.services().size()
-        + " services, "
-        + declaration.templates().size()
-        + " templates";
+        + ", templates "
+        + declaration.templates().size();
   }
 }
