--- a/core/src/main/java/dev/bambootray/core/routing/EjectionPolicy.java
+++ b/core/src/main/java/dev/bambootray/core/routing/EjectionPolicy.java
@@ -1,8 +1,18 @@
 package dev.bambootray.core.routing;
 
-/** Decides whether a failing target is taken out of use. */
+/** Judges a target whose runs fail. */
 interface EjectionPolicy {
 
-  /** Returns whether a target that has just failed a run is to be ejected. */
-  boolean shouldEject(Target target, double maxShare);
+  /** What is done with a failing target. */
+  enum Verdict {
+    /** It stays in use. */
+    KEEP,
+    /** It fails unlike the others, but too many are ejected already; it gets one run at a time. */
+    PACE,
+    /** It is taken out of use. */
+    EJECT
+  }
+
+  /** Returns what is done with a target that has just failed a run. */
+  Verdict judge(Target target, double maxShare);
 }
--- a/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
@@ -63,7 +63,7 @@
       return;
     }
     run.fateAtMs = Run.NEVER;
-    if (target.fateInFlight != null) {
+    if (target.fateInFlight != null || target.probeInFlight) {
       if (!run.fateQueued) {
         run.fateQueued = true;
         target.fateQueue.addLast(run);
@@ -138,6 +138,8 @@
     run.phase = Run.Phase.ENDED;
     run.hedgeAtMs = Run.NEVER;
     run.fateAtMs = nowMs + OVERDUE_MS;
+    // Its connection is still in use, so the slot stays taken until the reply or the close.
+    run.target.runs.add(run);
     state.runs.put(run.task, run);
     state.scheduleRun(run);
   }
@@ -217,8 +219,9 @@
     }
   }
 
-  private void askNext(Target target, long nowMs) {
-    if (target.fateInFlight != null) {
+  /** Asks for the next run that waits to be asked for, if the target's connection is free. */
+  void askNext(Target target, long nowMs) {
+    if (target.fateInFlight != null || target.probeInFlight) {
       return;
     }
     Run next = target.fateQueue.pollFirst();
--- a/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
+++ b/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
@@ -39,6 +39,7 @@
       Target target = targets.get(index < size ? index : index - size);
       if (target != excluded
           && target.freeSlots() > 0
+          && (!target.paced || nowMs - target.lastSentAtMs >= pool.meanRunMs())
           && (!target.isSlow() || mayUseSlow(request, target, queueWaitMs, nowMs))) {
         double cost = cost(request, target, nowMs);
         if (cost < bestCost) {
--- a/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
+++ b/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
@@ -16,15 +16,15 @@
   private static final double ALL_FAIL = 0.9;
 
   @Override
-  public boolean shouldEject(Target target, double maxShare) {
-    if (target.failureStreak < MIN_STREAK || !withinShare(target.pool, maxShare)) {
-      return false;
+  public Verdict judge(Target target, double maxShare) {
+    if (target.failureStreak < MIN_STREAK) {
+      return Verdict.KEEP;
     }
     double usual = lowerQuartileOfFailureRates(target.pool);
-    if (usual >= ALL_FAIL) {
-      return false;
+    if (usual >= ALL_FAIL || Math.pow(usual, target.failureStreak) >= CHANCE) {
+      return Verdict.KEEP;
     }
-    return Math.pow(usual, target.failureStreak) < CHANCE;
+    return withinShare(target.pool, maxShare) ? Verdict.EJECT : Verdict.PACE;
   }
 
   private static boolean withinShare(ServicePool pool, double maxShare) {
--- a/core/src/main/java/dev/bambootray/core/routing/RegionChooser.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RegionChooser.java
@@ -22,6 +22,9 @@
   /** A load report older than this says nothing about another region, in milliseconds. */
   private static final long MAX_AGE_MS = 3_000;
 
+  /** Time between two load reports in gossip, in milliseconds. */
+  private static final double REPORT_INTERVAL_MS = 500;
+
   /** One-way latency of a link that is not declared, in milliseconds. */
   private static final double DEFAULT_LATENCY_MS = 20;
 
@@ -130,7 +133,7 @@
       return local;
     }
     double gainMs = localWaitMs(loads, gang, nowMs) - waitMs(best, gang);
-    double share = 1 - linkCostMs(spill, bodyBytes) / gainMs;
+    double share = (gainMs - linkCostMs(spill, bodyBytes)) / REPORT_INTERVAL_MS;
     return random.nextDouble() < share ? spill : local;
   }
 
--- a/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
+++ b/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
@@ -49,12 +49,12 @@
     return meanRunMs;
   }
 
-  /** Returns the free slots of targets that are not slow. */
+  /** Returns the free slots of targets that are neither slow nor paced. */
   int freeSlots() {
     int free = 0;
     for (int i = 0; i < targets.size(); i++) {
       Target target = targets.get(i);
-      free += target.isSlow() ? 0 : target.freeSlots();
+      free += target.isDoubtful() ? 0 : target.freeSlots();
     }
     return free;
   }
--- a/core/src/main/java/dev/bambootray/core/routing/SlownessLimit.java
+++ b/core/src/main/java/dev/bambootray/core/routing/SlownessLimit.java
@@ -2,11 +2,15 @@
 
 /**
  * Lowers the concurrency of a target in proportion to how much slower its runs are than those of
- * the other targets, so a target that slows down under load gets less of it.
+ * the other targets, so a target that slows down under load gets less of it. A paced target gets
+ * one run at a time.
  */
 final class SlownessLimit implements ConcurrencyPolicy {
   @Override
   public int limit(Target target) {
+    if (target.paced) {
+      return 1;
+    }
     return target.isSlow() ? Math.max(1, (int) (target.slots / target.slowness())) : target.slots;
   }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -39,6 +39,9 @@
   /** Consecutive failures of different requests. */
   int failureStreak;
 
+  /** It fails unlike the others but may not be ejected; it gets one run per usual run time. */
+  boolean paced;
+
   int ejections;
   long ejectedUntilMs;
   int notSentStreak;
@@ -62,6 +65,9 @@
 
   @Nullable Run fateInFlight;
 
+  /** A probe is under way; it shares one connection with questions for the fate of runs. */
+  boolean probeInFlight;
+
   Target(WorkerId worker, ServicePool pool, int slots) {
     this.worker = worker;
     this.pool = pool;
@@ -87,6 +93,11 @@
     return slowness >= SLOW;
   }
 
+  /** Returns whether it is used only if nothing better is left. */
+  boolean isDoubtful() {
+    return paced || isSlow();
+  }
+
   void setSlots(int newSlots) {
     slots = newSlots;
     limit = Math.min(limit, newSlots);
--- a/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
@@ -34,6 +34,7 @@
   void succeeded(Run run, long runMs, long nowMs) {
     Target target = run.target;
     target.failureStreak = 0;
+    target.paced = false;
     target.notSentStreak = 0;
     target.failureRate -= target.failureRate * FAILURE_RATE_GAIN;
     if (target.ejections > 0 && nowMs - target.readmittedAtMs > FORGET_EJECTIONS_MS) {
@@ -71,8 +72,13 @@
     request.blamed = target;
     target.failureStreak++;
     target.failureRate += (1 - target.failureRate) * FAILURE_RATE_GAIN;
-    if (!target.ejected && ejection.shouldEject(target, state.policy().ejectionMaxShare())) {
-      eject(target, nowMs);
+    if (!target.ejected) {
+      EjectionPolicy.Verdict verdict = ejection.judge(target, state.policy().ejectionMaxShare());
+      target.paced = verdict == EjectionPolicy.Verdict.PACE;
+      if (verdict == EjectionPolicy.Verdict.EJECT) {
+        eject(target, nowMs);
+      }
+      updateLimit(target);
     }
   }
 
@@ -127,6 +133,7 @@
 
   /** Notes an answered probe; an ejected target returns after several. */
   void probeAnswered(Target target, long nowMs) {
+    target.probeInFlight = false;
     reachable(target);
     if (target.ejected
         && nowMs >= target.ejectedUntilMs
@@ -137,6 +144,7 @@
 
   /** Notes a missed probe. */
   void probeMissed(Target target, long nowMs) {
+    target.probeInFlight = false;
     target.probesAnswered = 0;
     unreachable(target, nowMs);
   }
@@ -152,7 +160,10 @@
   }
 
   private void probe(Target target, long nowMs) {
-    state.emit(new RouterEffect.ProbeTarget(target.worker));
+    if (target.fateInFlight == null && !target.probeInFlight) {
+      target.probeInFlight = true;
+      state.emit(new RouterEffect.ProbeTarget(target.worker));
+    }
     wake(target, nowMs + PROBE_INTERVAL_MS);
   }
 
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
@@ -155,9 +155,19 @@
     } else if (event instanceof RunAdopted adopted) {
       registry.adopted(adopted.worker(), adopted.snapshot(), adopted.request(), nowMs);
     } else if (event instanceof ProbeAnswered answered) {
-      withTargets(answered.worker(), target -> health.probeAnswered(target, nowMs));
+      withTargets(
+          answered.worker(),
+          target -> {
+            health.probeAnswered(target, nowMs);
+            fates.askNext(target, nowMs);
+          });
     } else if (event instanceof ProbeMissed missed) {
-      withTargets(missed.worker(), target -> health.probeMissed(target, nowMs));
+      withTargets(
+          missed.worker(),
+          target -> {
+            health.probeMissed(target, nowMs);
+            fates.askNext(target, nowMs);
+          });
     } else if (event instanceof DeclarationChanged changed) {
       registry.declare(changed.declaration(), nowMs);
     }
