--- a/core/src/main/java/dev/bambootray/core/scheduling/Adoption.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Adoption.java
@@ -10,12 +10,18 @@
   private final Pool pool;
   private final GangLifecycle lifecycle;
   private final Effects effects;
+  private final GuaranteePlan plan;
+  private final FairShare shares;
+  private final JobQueue queue;
   private final Set<Gang> collected = new LinkedHashSet<>();
 
-  Adoption(Pool pool, GangLifecycle lifecycle, Effects effects) {
-    this.pool = pool;
-    this.lifecycle = lifecycle;
-    this.effects = effects;
+  Adoption(SchedulerParts parts) {
+    this.pool = parts.pool;
+    this.lifecycle = parts.lifecycle;
+    this.effects = parts.effects;
+    this.plan = parts.plan;
+    this.shares = parts.shares;
+    this.queue = parts.queue;
   }
 
   /** Takes over one task. */
@@ -29,18 +35,22 @@
       return;
     }
     if (gang == null) {
-      gang = new Gang(job, snapshot.task().attempt(), snapshot.members(), kindOf(job), null);
+      gang =
+          new Gang(
+              job,
+              snapshot.task().attempt(),
+              snapshot.members(),
+              PlacementRound.kindBeyond(job),
+              null);
       gang.stepSinceMs = nowMs;
+      queue.remove(job);
       lifecycle.collect(gang, nowMs);
+      shares.add(gang, nowMs);
       collected.add(gang);
     }
     add(gang, worker, snapshot, nowMs);
   }
 
-  private static GrantKind kindOf(Job job) {
-    return job.repeatable() ? GrantKind.BORROWED : GrantKind.PINNED;
-  }
-
   private void add(Gang gang, WorkerSlot worker, TaskSnapshot snapshot, long nowMs) {
     Member member = lifecycle.add(gang, snapshot.task(), worker, snapshot.firstAccelerator());
     switch (snapshot.phase()) {
@@ -85,6 +95,8 @@
     for (Gang gang : new ArrayList<>(collected)) {
       if (gang.step == Gang.Step.ADOPTING) {
         lifecycle.end(gang, EndCause.LOST, "the gang was incomplete at the change of owner", nowMs);
+      } else if (gang.step == Gang.Step.RUNNING) {
+        plan.adopt(gang);
       }
     }
     collected.clear();
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/ArrivalOrder.java
@@ -0,0 +1,20 @@
+package dev.bambootray.core.scheduling;
+
+/** Tries jobs in the order of their arrival. */
+final class ArrivalOrder implements OrderPolicy {
+  private final boolean blocking;
+
+  ArrivalOrder(boolean blocking) {
+    this.blocking = blocking;
+  }
+
+  @Override
+  public double score(Job job, long nowMs) {
+    return job.sequence;
+  }
+
+  @Override
+  public boolean blocksBehindHead() {
+    return blocking;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/BestFitPlacement.java
@@ -0,0 +1,253 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Adjacency;
+import dev.bambootray.core.model.Shape;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes the place that leaves the longest runs and the emptiest racks to others: the shortest run,
+ * the fullest worker and the fullest rack that hold the shape.
+ */
+final class BestFitPlacement implements PlacementPolicy {
+  /** Workers of one run length that are compared; more would cost time and gain little. */
+  private static final int COMPARED_WORKERS = 32;
+
+  @Override
+  public List<Spot> place(Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    if (shape.members() == 1) {
+      WorkerSlot worker = single(pool, shape, view, allowed);
+      return worker == null ? List.of() : take(List.of(worker), shape, view, allowed);
+    }
+    return switch (shape.adjacency()) {
+      case ADJACENT_WORKERS, RACK -> inRack(pool, shape, view, allowed);
+      case FAILURE_DOMAIN -> overRacks(pool.domains.values(), shape, view, allowed);
+      case REGION -> {
+        List<Spot> spots = overRacks(pool.domains.values(), shape, view, allowed);
+        yield spots.isEmpty() ? overRacks(List.of(pool.racks), shape, view, allowed) : spots;
+      }
+    };
+  }
+
+  private static @Nullable WorkerSlot single(
+      Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    SpotIndex index = pool.index(view);
+    if (index == null) {
+      return scan(pool, shape, view, allowed);
+    }
+    for (int run = shape.acceleratorsPerMember(); run <= Runs.MAX_ACCELERATORS; run++) {
+      BitSet candidates = index.withLongest(run);
+      WorkerSlot best = null;
+      int bestScore = Integer.MAX_VALUE;
+      int compared = 0;
+      for (int i = candidates.nextSetBit(0);
+          i >= 0 && compared < COMPARED_WORKERS;
+          i = candidates.nextSetBit(i + 1)) {
+        WorkerSlot worker = pool.workers.get(i);
+        if (allowed.test(worker) && view.fit(worker, shape) > 0) {
+          compared++;
+          int score = index.openInRack(worker.rack) + index.openIn(worker);
+          if (score < bestScore) {
+            best = worker;
+            bestScore = score;
+          }
+        }
+      }
+      if (best != null) {
+        return best;
+      }
+    }
+    return null;
+  }
+
+  private static @Nullable WorkerSlot scan(
+      Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    WorkerSlot best = null;
+    int bestOpen = Integer.MAX_VALUE;
+    for (WorkerSlot worker : pool.workers) {
+      int open = Long.bitCount(view.mask(worker));
+      if (open < bestOpen
+          && open >= shape.acceleratorsPerMember()
+          && allowed.test(worker)
+          && view.fit(worker, shape) > 0) {
+        best = worker;
+        bestOpen = open;
+        if (open == shape.acceleratorsPerMember()) {
+          return best;
+        }
+      }
+    }
+    return best;
+  }
+
+  private static List<Spot> inRack(
+      Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    for (RackGroup rack : candidates(pool, pool.racks, shape, view)) {
+      List<Spot> spots =
+          shape.adjacency() == Adjacency.RACK
+              ? take(rack.workers, shape, view, allowed)
+              : inWindow(rack.workers, shape, view, allowed);
+      if (!spots.isEmpty()) {
+        return spots;
+      }
+    }
+    return List.of();
+  }
+
+  /** Returns the racks with enough open accelerators, fullest first. */
+  private static List<RackGroup> candidates(
+      Pool pool, List<RackGroup> racks, Shape shape, View view) {
+    SpotIndex index = pool.index(view);
+    ToIntFunction<RackGroup> open = index == null ? rack -> count(rack, view) : index::openInRack;
+    List<RackGroup> candidates = new ArrayList<>();
+    for (RackGroup rack : racks) {
+      if (open.applyAsInt(rack) >= shape.totalAccelerators()) {
+        candidates.add(rack);
+      }
+    }
+    candidates.sort(Comparator.comparingInt(open));
+    return candidates;
+  }
+
+  private static int count(RackGroup rack, View view) {
+    return rack.workers.stream().mapToInt(w -> Long.bitCount(view.mask(w))).sum();
+  }
+
+  /** Returns the spots in the shortest stretch of neighbours that leaves the least over. */
+  private static List<Spot> inWindow(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    int[] fits = fits(workers, shape, view, allowed);
+    int bestFrom = -1;
+    int bestSize = Integer.MAX_VALUE;
+    int bestFit = Integer.MAX_VALUE;
+    for (int from = 0; from < workers.size(); from++) {
+      int sum = 0;
+      for (int to = from; to < workers.size() && fits[to] > 0; to++) {
+        sum += fits[to];
+        int size = to - from + 1;
+        if (!Groups.adjacent(workers, from, size)) {
+          break;
+        }
+        if (sum >= shape.members()) {
+          if (size < bestSize || (size == bestSize && sum < bestFit)) {
+            bestFrom = from;
+            bestSize = size;
+            bestFit = sum;
+          }
+          break;
+        }
+      }
+    }
+    return bestFrom < 0
+        ? List.of()
+        : takeInOrder(workers.subList(bestFrom, bestFrom + bestSize), shape, view, allowed);
+  }
+
+  private static List<Spot> takeInOrder(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    int[] fits = fits(workers, shape, view, allowed);
+    List<Spot> spots = new ArrayList<>(shape.members());
+    for (int i = 0; i < fits.length; i++) {
+      int members = Math.min(fits[i], shape.members() - spots.size());
+      Groups.take(spots, workers.get(i), view, shape, members);
+    }
+    return spots;
+  }
+
+  private static List<Spot> overRacks(
+      Iterable<List<RackGroup>> groups, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    List<RackGroup> best = List.of();
+    int[] bestFits = {};
+    int bestSum = Integer.MAX_VALUE;
+    for (List<RackGroup> racks : groups) {
+      int[] fits = new int[racks.size()];
+      int sum = 0;
+      for (int i = 0; i < fits.length; i++) {
+        for (int fit : fits(racks.get(i).workers, shape, view, allowed)) {
+          fits[i] += fit;
+        }
+        sum += fits[i];
+      }
+      if (sum >= shape.members() && sum < bestSum) {
+        best = racks;
+        bestFits = fits;
+        bestSum = sum;
+      }
+    }
+    if (best.isEmpty()) {
+      return List.of();
+    }
+    int[] shares = shares(bestFits, shape.members());
+    List<Spot> spots = new ArrayList<>(shape.members());
+    for (int i = 0; i < shares.length; i++) {
+      if (shares[i] > 0) {
+        spots.addAll(take(best.get(i).workers, withMembers(shape, shares[i]), view, allowed));
+      }
+    }
+    return spots;
+  }
+
+  private static Shape withMembers(Shape shape, int members) {
+    return new Shape(
+        members,
+        shape.acceleratorsPerMember(),
+        shape.millicoresPerMember(),
+        shape.memoryMibPerMember(),
+        shape.adjacency());
+  }
+
+  private static List<Spot> take(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    int[] shares = shares(fits(workers, shape, view, allowed), shape.members());
+    List<Spot> spots = new ArrayList<>(shape.members());
+    for (int i = 0; i < shares.length; i++) {
+      Groups.take(spots, workers.get(i), view, shape, shares[i]);
+    }
+    return spots;
+  }
+
+  private static int[] fits(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    int[] fits = new int[workers.size()];
+    for (int i = 0; i < fits.length; i++) {
+      WorkerSlot worker = workers.get(i);
+      fits[i] = allowed.test(worker) ? view.fit(worker, shape) : 0;
+    }
+    return fits;
+  }
+
+  /**
+   * Spreads members over units so that the fewest units are touched: the largest units whole, the
+   * rest in the smallest unit that holds it. Returns an empty array if they do not fit.
+   */
+  private static int[] shares(int[] fits, int members) {
+    int[] shares = new int[fits.length];
+    int rest = members;
+    while (rest > 0) {
+      int chosen = -1;
+      for (int i = 0; i < fits.length; i++) {
+        if (shares[i] == 0 && fits[i] > 0 && (chosen < 0 || better(fits[i], fits[chosen], rest))) {
+          chosen = i;
+        }
+      }
+      if (chosen < 0) {
+        return new int[0];
+      }
+      shares[chosen] = Math.min(rest, fits[chosen]);
+      rest -= shares[chosen];
+    }
+    return shares;
+  }
+
+  private static boolean better(int fit, int other, int rest) {
+    if (fit >= rest && other >= rest) {
+      return fit < other;
+    }
+    return fit > other;
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
@@ -17,9 +17,12 @@
   /** Where its members are bound; empty while the guarantee is broken. */
   List<Spot> spots = List.of();
 
-  /** Gangs that run within it or claim it. */
+  /** Gangs that run within it. */
   final Set<Gang> gangs = new ReferenceOpenHashSet<>(0);
 
+  /** Jobs that wait for victims to leave it. */
+  int claims;
+
   Cell(WorkspaceId workspace, Guarantee guarantee) {
     this.workspace = workspace;
     this.guarantee = guarantee;
@@ -34,7 +37,7 @@
   }
 
   boolean unused() {
-    return gangs.isEmpty();
+    return gangs.isEmpty() && claims == 0;
   }
 
   /** Binds the cell to free space and protects it there. */
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/CellFit.java
@@ -0,0 +1,62 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Shape;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToLongFunction;
+
+/** Finds the place of a job within a guaranteed cell; several small jobs may share a cell. */
+final class CellFit {
+  private CellFit() {}
+
+  /**
+   * Returns the spots of a shape within a bound cell, or an empty list.
+   *
+   * @param cell the cell
+   * @param shape the shape of the job
+   * @param blocked accelerators of a worker that may not be used
+   */
+  static List<Spot> spots(Cell cell, Shape shape, ToLongFunction<WorkerSlot> blocked) {
+    List<Spot> parts = new ArrayList<>(cell.spots);
+    parts.sort(Comparator.comparingInt((Spot s) -> s.worker().index).thenComparingInt(Spot::first));
+    List<Spot> spots = new ArrayList<>(shape.members());
+    for (Spot part : parts) {
+      long mask =
+          Runs.mask(part.first(), cell.shape().acceleratorsPerMember())
+              & ~blocked.applyAsLong(part.worker());
+      int fit = fit(cell, part, shape, mask);
+      for (int i = 0; i < fit && spots.size() < shape.members(); i++) {
+        int first = Runs.bestFit(mask, shape.acceleratorsPerMember());
+        spots.add(new Spot(part.worker(), first));
+        mask &= ~Runs.mask(first, shape.acceleratorsPerMember());
+      }
+    }
+    return spots.size() == shape.members() && Groups.satisfies(spots, shape) ? spots : List.of();
+  }
+
+  private static int fit(Cell cell, Spot part, Shape shape, long mask) {
+    int fit = Runs.count(mask, shape.acceleratorsPerMember());
+    if (fit == 0) {
+      return 0;
+    }
+    long partMask = Runs.mask(part.first(), cell.shape().acceleratorsPerMember());
+    int millicores = cell.shape().millicoresPerMember();
+    int memoryMib = cell.shape().memoryMibPerMember();
+    if (!cell.unused()) {
+      for (Member member : part.worker().members) {
+        if (member.gang.cell == cell && (member.mask() & partMask) != 0) {
+          millicores -= member.resources.millicores();
+          memoryMib -= member.resources.memoryMib();
+        }
+      }
+    }
+    if (shape.millicoresPerMember() > 0) {
+      fit = Math.min(fit, Math.max(0, millicores) / shape.millicoresPerMember());
+    }
+    if (shape.memoryMibPerMember() > 0) {
+      fit = Math.min(fit, Math.max(0, memoryMib) / shape.memoryMibPerMember());
+    }
+    return fit;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Claims.java
@@ -0,0 +1,168 @@
+package dev.bambootray.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes borrowed capacity back: victims are checkpointed, a late one is throttled and then stopped,
+ * and their place is held until the claiming job can be reserved there.
+ *
+ * <p>Mutual preemption cannot occur. Work within a guarantee is never a victim, and a job without
+ * guarantee only ever stops smaller jobs.
+ */
+final class Claims {
+  /** Victims stop within seconds unless their worker is silent. */
+  private static final long TIMEOUT_MS = 30_000;
+
+  private final Pool pool;
+  private final GangLifecycle lifecycle;
+  private final Map<Job, Claim> claims = new LinkedHashMap<>();
+
+  Claims(Pool pool, GangLifecycle lifecycle) {
+    this.pool = pool;
+    this.lifecycle = lifecycle;
+  }
+
+  /**
+   * Returns the gangs that must stop before the spots are free, or null if one of them must go on.
+   */
+  static @Nullable Set<Gang> victims(List<Spot> spots, Job job) {
+    Set<Gang> victims = new LinkedHashSet<>();
+    Map<WorkerSlot, Integer> members = new LinkedHashMap<>();
+    for (Spot spot : spots) {
+      WorkerSlot worker = spot.worker();
+      long mask = Runs.mask(spot.first(), job.shape.acceleratorsPerMember());
+      if ((worker.fixedMask & mask) != 0) {
+        return null;
+      }
+      for (Member member : worker.members) {
+        if ((member.mask() & mask) != 0) {
+          victims.add(member.gang);
+        }
+      }
+      members.merge(worker, 1, Integer::sum);
+    }
+    members.forEach((worker, count) -> addForProcessors(worker, count, job, victims));
+    return victims;
+  }
+
+  /** Adds borrowed gangs until processors and memory of the worker suffice as well. */
+  private static void addForProcessors(WorkerSlot worker, int count, Job job, Set<Gang> victims) {
+    long millicores = worker.freeMillicores() - (long) count * job.shape.millicoresPerMember();
+    long memoryMib = worker.freeMemoryMib() - (long) count * job.shape.memoryMibPerMember();
+    for (Member member : worker.members) {
+      if (victims.contains(member.gang)) {
+        millicores += member.resources.millicores();
+        memoryMib += member.resources.memoryMib();
+      }
+    }
+    for (Member member : worker.members) {
+      if (millicores >= 0 && memoryMib >= 0) {
+        return;
+      }
+      if (member.gang.kind == GrantKind.BORROWED && victims.add(member.gang)) {
+        for (Member other : member.gang.members) {
+          if (other.worker == worker) {
+            millicores += other.resources.millicores();
+            memoryMib += other.resources.memoryMib();
+          }
+        }
+      }
+    }
+  }
+
+  /** Stops the victims and holds the place for the job. */
+  void begin(Claim claim, Set<Gang> victims, long nowMs) {
+    claims.put(claim.job(), claim);
+    claim.job().claim = claim;
+    Cell cell = claim.cell();
+    if (cell != null) {
+      cell.claims++;
+    }
+    pool.hold(claim.spots(), claim.job().perMember(), true);
+    for (Gang victim : victims) {
+      if (victim.step != Gang.Step.DRAINING) {
+        victim.job.preemptions++;
+        victim.job.notBeforeMs = nowMs + backoffMs(victim.job.preemptions);
+        lifecycle.end(victim, EndCause.PREEMPTED, "reclaimed for " + claim.job().key(), nowMs);
+      }
+    }
+  }
+
+  private static long backoffMs(int preemptions) {
+    return Math.min(60_000, 1_000L << Math.min(preemptions, 6));
+  }
+
+  /** Ends a claim whose job was answered, or whose place is lost. */
+  void abort(Job job) {
+    Claim claim = claims.remove(job);
+    if (claim == null) {
+      return;
+    }
+    job.claim = null;
+    Cell cell = claim.cell();
+    if (cell != null) {
+      cell.claims--;
+    }
+    pool.hold(claim.spots(), job.perMember(), false);
+  }
+
+  /** Removes and returns the claims whose place is free by now. */
+  List<Claim> takeReady() {
+    List<Claim> ready = new ArrayList<>();
+    for (Claim claim : claims.values()) {
+      if (isFree(claim.spots(), claim.job())) {
+        ready.add(claim);
+      }
+    }
+    ready.forEach(claim -> abort(claim.job()));
+    return ready;
+  }
+
+  /**
+   * Removes and returns the jobs whose place includes a worker that takes no work any more, or did
+   * not become free in time.
+   */
+  List<Job> takeLost(long nowMs) {
+    List<Job> lost = new ArrayList<>();
+    for (Claim claim : claims.values()) {
+      boolean late = nowMs - claim.sinceMs() > TIMEOUT_MS;
+      if (late || claim.spots().stream().anyMatch(spot -> !spot.worker().takesWork())) {
+        lost.add(claim.job());
+      }
+    }
+    lost.forEach(this::abort);
+    return lost;
+  }
+
+  Collection<Claim> all() {
+    return claims.values();
+  }
+
+  /** Returns whether a job could be reserved on the spots now, apart from what is held. */
+  static boolean isFree(List<Spot> spots, Job job) {
+    Map<WorkerSlot, Integer> members = new LinkedHashMap<>();
+    for (Spot spot : spots) {
+      long mask = Runs.mask(spot.first(), job.shape.acceleratorsPerMember());
+      if ((spot.worker().usedMask & mask) != 0) {
+        return false;
+      }
+      members.merge(spot.worker(), 1, Integer::sum);
+    }
+    for (Map.Entry<WorkerSlot, Integer> entry : members.entrySet()) {
+      WorkerSlot worker = entry.getKey();
+      int count = entry.getValue();
+      if (worker.millicores - worker.usedMillicores < count * job.shape.millicoresPerMember()
+          || worker.memoryMib - worker.usedMemoryMib < count * job.shape.memoryMibPerMember()) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/EndCause.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/EndCause.java
@@ -29,7 +29,8 @@
           ? RequestError.failed(Step.RUN, "local", message)
           : RequestError.unknown(Step.RUN, "local", message);
     }
-    if (this == PREEMPTED || this == REFUSED) {
+    if (this == PREEMPTED || this == REFUSED || job.excused) {
+      job.excused = false;
       return null;
     }
     job.failures++;
--- a/core/src/main/java/dev/bambootray/core/scheduling/Gang.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Gang.java
@@ -34,8 +34,8 @@
   final Job job;
   final AttemptToken token;
   final int memberCount;
-  final GrantKind kind;
-  final @Nullable Cell cell;
+  GrantKind kind;
+  @Nullable Cell cell;
   final List<Member> members = new ArrayList<>();
   Step step = Step.RESERVING;
   AfterDrain afterDrain = AfterDrain.REQUEUE;
@@ -58,4 +58,16 @@
   boolean allIn(Member.Phase phase) {
     return members.size() == memberCount && members.stream().allMatch(m -> m.phase == phase);
   }
+
+  /** Returns whether every member wrote a checkpoint when it stopped. */
+  boolean checkpointed() {
+    return members.size() == memberCount && members.stream().allMatch(m -> m.checkpoint != null);
+  }
+
+  /** Returns whether it, or the cell that it leaves, lay on a worker that takes no work. */
+  boolean lostPlace() {
+    Cell left = cell;
+    return members.stream().anyMatch(m -> !m.worker.takesWork())
+        || (left != null && left.spots.stream().anyMatch(s -> !s.worker().takesWork()));
+  }
 }
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangBookkeeping.java
@@ -0,0 +1,95 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.RequestKey;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps queue, shares, estimates, health and plan in step with what becomes of gangs. */
+final class GangBookkeeping implements GangListener {
+  /** Wait before a job runs again after a failure, doubled with each further one. */
+  private static final long RETRY_MS = 1_000;
+
+  private static final int MOST_DOUBLINGS = 6;
+
+  private final Map<RequestKey, Job> jobs;
+  private @Nullable SchedulerParts parts;
+  private @Nullable GuaranteeWatch watch;
+
+  GangBookkeeping(Map<RequestKey, Job> jobs) {
+    this.jobs = jobs;
+  }
+
+  void connect(SchedulerParts newParts, GuaranteeWatch newWatch) {
+    parts = newParts;
+    watch = newWatch;
+  }
+
+  private SchedulerParts parts() {
+    if (parts == null) {
+      throw new IllegalStateException("not connected");
+    }
+    return parts;
+  }
+
+  private void poolChanged() {
+    if (watch != null) {
+      watch.poolChanged();
+    }
+  }
+
+  @Override
+  public void started(Gang gang, long nowMs) {}
+
+  @Override
+  public void stoppedRunning(Gang gang, long nowMs) {}
+
+  @Override
+  public void memberSucceeded(Member member, long nowMs) {
+    parts().health.succeeded(member);
+  }
+
+  @Override
+  public void memberFailed(Member member, long nowMs) {
+    if (member.worker.joined && parts().health.failed(member, nowMs)) {
+      poolChanged();
+    }
+  }
+
+  @Override
+  public void memberRefused(Member member, long nowMs) {}
+
+  @Override
+  public void completed(Gang gang, long nowMs) {
+    Job job = gang.job;
+    parts().estimates.observe(job, job.ranMs + nowMs - gang.runningSinceMs);
+  }
+
+  @Override
+  public void answered(Job job, long nowMs) {
+    job.answered = true;
+    jobs.remove(job.key());
+    parts().queue.remove(job);
+    parts().claims.abort(job);
+    parts().reservations.drop(job);
+  }
+
+  @Override
+  public void drained(Gang gang, long nowMs) {
+    Job job = gang.job;
+    parts().shares.remove(gang, nowMs);
+    if (gang.lostPlace()) {
+      poolChanged();
+    }
+    if (gang.checkpointed() && gang.runningSinceMs > 0) {
+      job.ranMs += gang.stepSinceMs - gang.runningSinceMs;
+    }
+    if (job.answered || gang.afterDrain == Gang.AfterDrain.DROP) {
+      return;
+    }
+    if (job.failures > 0) {
+      long backoffMs = RETRY_MS << Math.min(job.failures - 1, MOST_DOUBLINGS);
+      job.notBeforeMs = Math.max(job.notBeforeMs, nowMs + backoffMs);
+    }
+    parts().queue.add(job, nowMs);
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
@@ -5,7 +5,6 @@
 import dev.bambootray.core.model.Step;
 import dev.bambootray.core.worker.RefusalReason;
 import dev.bambootray.core.worker.TaskId;
-import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,12 +24,10 @@
   /** Recording an intent may outlast a short outage of the store. */
   static final long CONFIRM_TIMEOUT_MS = 10_000;
 
-  /** A release that is not answered by then is asked for again. */
-  static final long RELEASE_RETRY_MS = 2_000;
-
   private final Pool pool;
   private final Effects effects;
   private final GangListener listener;
+  private final MemberRelease releases;
   private final Map<TaskId, Member> members = new HashMap<>();
   private final Map<AttemptToken, Gang> gangs = new HashMap<>();
 
@@ -41,6 +38,7 @@
     this.pool = pool;
     this.effects = effects;
     this.listener = listener;
+    this.releases = new MemberRelease(effects);
   }
 
   /** Grants the spots to a new attempt and asks the workers to reserve them. */
@@ -91,7 +89,7 @@
 
   /** Releases a member that turned up after its gang began to drain. */
   void releaseLate(Member member, long nowMs) {
-    release(member, false, nowMs);
+    releases.release(member, false, nowMs);
     drainIfEmpty(member.gang, nowMs);
   }
 
@@ -203,6 +201,7 @@
             tasks,
             gang.members.stream().map(m -> m.worker.id).toList()));
     gang.afterDrain = Gang.AfterDrain.DROP;
+    listener.completed(gang, nowMs);
     listener.answered(gang.job, nowMs);
     drainIfEmpty(gang, nowMs);
   }
@@ -289,9 +288,12 @@
       giveUp(job, error, nowMs);
       gang.afterDrain = Gang.AfterDrain.DROP;
     }
-    boolean checkpoint = cause == EndCause.PREEMPTED && job.request.template().checkpointable();
+    boolean checkpoint =
+        (cause == EndCause.PREEMPTED || cause == EndCause.OVERUSE)
+            && error == null
+            && job.request.template().checkpointable();
     for (Member member : gang.members) {
-      release(member, checkpoint && member.phase == Member.Phase.RUNNING, nowMs);
+      releases.release(member, checkpoint && member.phase == Member.Phase.RUNNING, nowMs);
     }
     drainIfEmpty(gang, nowMs);
   }
@@ -302,31 +304,6 @@
     listener.answered(job, nowMs);
   }
 
-  private void release(Member member, boolean checkpoint, long nowMs) {
-    switch (member.phase) {
-      case GONE, RELEASING -> {
-        return;
-      }
-      case FINISHED -> {
-        effects.add(new SchedulerEffect.ReleaseMember(member.task, member.worker.id));
-        return;
-      }
-      default -> {
-        if (checkpoint) {
-          effects.add(new SchedulerEffect.CheckpointTask(member.task, member.worker.id));
-        } else if (member.phase == Member.Phase.RUNNING) {
-          effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
-        } else {
-          effects.add(new SchedulerEffect.ReleaseMember(member.task, member.worker.id));
-        }
-      }
-    }
-    member.checkpointing = checkpoint;
-    member.ranBeforeRelease = member.mayRun();
-    member.phase = Member.Phase.RELEASING;
-    member.releaseAskedAtMs = nowMs;
-  }
-
   /** Acts on every phase that has lasted too long. */
   void tick(long nowMs) {
     for (Gang gang : new ArrayList<>(pending)) {
@@ -357,39 +334,10 @@
   }
 
   private void retryReleases(Gang gang, long nowMs) {
-    Set<TaskId> forgotten = new ObjectOpenHashSet<>();
-    for (Member member : gang.members) {
-      if (member.phase != Member.Phase.RELEASING) {
-        continue;
-      }
-      long askedMs = nowMs - member.releaseAskedAtMs;
-      if (member.checkpointing) {
-        escalate(member, askedMs, nowMs);
-      } else if (askedMs >= RELEASE_RETRY_MS && member.ranBeforeRelease) {
-        effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
-        member.releaseAskedAtMs = nowMs;
-      } else if (askedMs >= RELEASE_RETRY_MS) {
-        forgotten.add(member.task);
-      }
-    }
-    forgotten.forEach(task -> gone(members.get(task)));
+    gang.members.stream().filter(member -> releases.isForgotten(member, nowMs)).forEach(this::gone);
     drainIfEmpty(gang, nowMs);
   }
 
-  /** A late checkpoint is hastened by a throttle, which frees processors, and then given up. */
-  private void escalate(Member member, long askedMs, long nowMs) {
-    if (askedMs >= Reclaim.STOP_AFTER_MS) {
-      member.checkpointing = false;
-      member.releaseAskedAtMs = nowMs;
-      effects.add(new SchedulerEffect.StopTask(member.task, member.worker.id));
-    } else if (askedMs >= Reclaim.THROTTLE_AFTER_MS && !member.throttled) {
-      member.throttled = true;
-      effects.add(
-          new SchedulerEffect.ThrottleTask(
-              member.task, member.worker.id, Reclaim.THROTTLE_PERCENT));
-    }
-  }
-
   private void gone(@Nullable Member member) {
     if (member == null || member.phase == Member.Phase.GONE) {
       return;
--- a/core/src/main/java/dev/bambootray/core/scheduling/GangListener.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangListener.java
@@ -17,6 +17,9 @@
   /** A worker refused a member. */
   void memberRefused(Member member, long nowMs);
 
+  /** All members ended with a result. */
+  void completed(Gang gang, long nowMs);
+
   /** The job was answered; nothing of it may be placed again. */
   void answered(Job job, long nowMs);
 
--- a/core/src/main/java/dev/bambootray/core/scheduling/Groups.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Groups.java
@@ -1,6 +1,8 @@
 package dev.bambootray.core.scheduling;
 
 import dev.bambootray.core.model.Shape;
+import it.unimi.dsi.fastutil.ints.IntRBTreeSet;
+import it.unimi.dsi.fastutil.ints.IntSortedSet;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -59,4 +61,23 @@
   static boolean adjacent(List<WorkerSlot> workers, int from, int size) {
     return workers.get(from + size - 1).position - workers.get(from).position == size - 1;
   }
+
+  /** Returns whether the spots lie as close to each other as the shape demands. */
+  static boolean satisfies(List<Spot> spots, Shape shape) {
+    RackGroup rack = spots.get(0).worker().rack;
+    return switch (shape.adjacency()) {
+      case REGION -> true;
+      case FAILURE_DOMAIN ->
+          spots.stream().allMatch(s -> s.worker().rack.domain.equals(rack.domain));
+      case RACK -> spots.stream().allMatch(s -> s.worker().rack == rack);
+      case ADJACENT_WORKERS ->
+          spots.stream().allMatch(s -> s.worker().rack == rack) && neighbours(spots);
+    };
+  }
+
+  private static boolean neighbours(List<Spot> spots) {
+    IntSortedSet positions = new IntRBTreeSet();
+    spots.forEach(s -> positions.add(s.worker().position));
+    return positions.lastInt() - positions.firstInt() == positions.size() - 1;
+  }
 }
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GuaranteePlan.java
@@ -0,0 +1,233 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.Guarantee;
+import dev.bambootray.core.declaration.WorkspaceDeclaration;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.model.Shape;
+import dev.bambootray.core.model.WorkspaceId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Binds every instance of every guarantee to a place of its own.
+ *
+ * <p>The bound places are disjoint and hold no work that must go on, except work of the workspace
+ * within its guarantee. All unused guarantees can therefore be placed at once by stopping only
+ * borrowed work.
+ */
+final class GuaranteePlan {
+  private final Pool pool;
+  private final PlacementPolicy placement = new BestFitPlacement();
+  private final Map<WorkspaceId, List<Cell>> cells = new LinkedHashMap<>();
+
+  private final Map<Shape, List<Cell>> byShape = new LinkedHashMap<>();
+
+  GuaranteePlan(Pool pool) {
+    this.pool = pool;
+  }
+
+  /** Takes the guarantees of a declaration; cells in use stay where they are. */
+  void declare(Declaration declaration, RegionId region) {
+    Map<WorkspaceId, List<Cell>> previous = new LinkedHashMap<>(cells);
+    cells.clear();
+    declaration.workspaces().values().stream()
+        .sorted(Comparator.comparing(WorkspaceDeclaration::id))
+        .forEach(workspace -> declare(workspace, region, previous));
+    byShape.clear();
+    for (List<Cell> list : cells.values()) {
+      list.forEach(c -> byShape.computeIfAbsent(c.shape(), s -> new ArrayList<>()).add(c));
+    }
+    for (List<Cell> dropped : previous.values()) {
+      dropped.forEach(this::retire);
+    }
+  }
+
+  private void declare(
+      WorkspaceDeclaration workspace, RegionId region, Map<WorkspaceId, List<Cell>> previous) {
+    List<Cell> reusable = previous.getOrDefault(workspace.id(), new ArrayList<>());
+    reusable.sort(Comparator.comparing(Cell::unused));
+    List<Cell> kept = new ArrayList<>();
+    for (Guarantee guarantee : workspace.guarantees()) {
+      if (!guarantee.region().equals(region)) {
+        continue;
+      }
+      for (int i = 0; i < guarantee.count(); i++) {
+        kept.add(reuse(reusable, workspace.id(), guarantee));
+      }
+    }
+    if (!kept.isEmpty()) {
+      cells.put(workspace.id(), kept);
+    }
+  }
+
+  private static Cell reuse(List<Cell> reusable, WorkspaceId workspace, Guarantee guarantee) {
+    for (Cell cell : reusable) {
+      if (cell.guarantee.equals(guarantee)) {
+        reusable.remove(cell);
+        return cell;
+      }
+    }
+    return new Cell(workspace, guarantee);
+  }
+
+  /** Gives up a cell that is no longer declared; gangs within it end as work beyond a guarantee. */
+  private void retire(Cell cell) {
+    for (Gang gang : new ArrayList<>(cell.gangs)) {
+      setKind(gang, gang.job.repeatable() ? GrantKind.BORROWED : GrantKind.PINNED);
+    }
+    cell.gangs.clear();
+    if (cell.bound()) {
+      pool.unbind(cell);
+    }
+  }
+
+  /**
+   * Binds a cell around a gang that ran before the plan existed, so that it counts as work within
+   * the guarantee again. Gangs for which no cell is left run beyond the guarantee.
+   */
+  void adopt(Gang gang) {
+    Shape shape = gang.job.shape;
+    List<Spot> spots =
+        gang.members.stream().map(m -> new Spot(m.worker, m.firstAccelerator)).toList();
+    for (Cell cell : of(gang.job.workspace())) {
+      boolean equal =
+          cell.shape().members() == shape.members()
+              && cell.shape().acceleratorsPerMember() == shape.acceleratorsPerMember()
+              && cell.shape().millicoresPerMember() >= shape.millicoresPerMember()
+              && cell.shape().memoryMibPerMember() >= shape.memoryMibPerMember();
+      if (equal && cell.unused() && !cell.bound() && Groups.satisfies(spots, cell.shape())) {
+        pool.bind(cell, spots);
+        gang.cell = cell;
+        cell.gangs.add(gang);
+        setKind(gang, GrantKind.GUARANTEED);
+        return;
+      }
+    }
+  }
+
+  /** Changes the right under which a gang holds its resources. */
+  void setKind(Gang gang, GrantKind kind) {
+    List<Member> granted = gang.members.stream().filter(m -> m.worker.members.contains(m)).toList();
+    granted.forEach(pool::revoke);
+    gang.kind = kind;
+    granted.forEach(pool::grant);
+  }
+
+  List<Cell> of(WorkspaceId workspace) {
+    return cells.getOrDefault(workspace, List.of());
+  }
+
+  /** Returns the unused bound cells of a shape, of whatever workspace. */
+  List<Cell> unusedLike(Shape shape) {
+    List<Cell> unused = new ArrayList<>();
+    for (Cell cell : byShape.getOrDefault(shape, List.of())) {
+      if (cell.bound() && cell.unused()) {
+        unused.add(cell);
+      }
+    }
+    return unused;
+  }
+
+  /** Exchanges the places of two unused cells of the same shape. */
+  void swap(Cell a, Cell b) {
+    List<Spot> spotsOfA = a.spots;
+    List<Spot> spotsOfB = b.spots;
+    pool.unbind(a);
+    pool.unbind(b);
+    pool.bind(a, spotsOfB);
+    pool.bind(b, spotsOfA);
+  }
+
+  /** Moves an unused cell. */
+  void move(Cell cell, List<Spot> spots) {
+    pool.unbind(cell);
+    pool.bind(cell, spots);
+  }
+
+  /** Returns the cells without a place. */
+  List<Cell> broken() {
+    List<Cell> broken = new ArrayList<>();
+    cells.values().forEach(list -> list.stream().filter(c -> !c.bound()).forEach(broken::add));
+    return broken;
+  }
+
+  /** Moves cells off places that they cannot keep and binds those without a place. */
+  void repair() {
+    for (List<Cell> list : cells.values()) {
+      for (Cell cell : list) {
+        if (cell.bound() && cell.unused() && !isTenable(cell)) {
+          pool.unbind(cell);
+        }
+      }
+    }
+    List<Cell> broken = broken();
+    if (!broken.isEmpty() && !bindAll(broken)) {
+      rebindUnused();
+    }
+  }
+
+  private static boolean isTenable(Cell cell) {
+    for (Spot spot : cell.spots) {
+      long mask = Runs.mask(spot.first(), cell.shape().acceleratorsPerMember());
+      WorkerSlot worker = spot.worker();
+      if (!worker.takesWork()
+          || (worker.fixedMask & mask) != 0
+          || worker.pinnedMillicores + worker.cellMillicores > worker.millicores
+          || worker.pinnedMemoryMib + worker.cellMemoryMib > worker.memoryMib) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean bindAll(List<Cell> unbound) {
+    boolean all = true;
+    unbound.sort(Comparator.comparing(Cell::shape, GuaranteePlan::hardestFirst));
+    for (Cell cell : unbound) {
+      List<Spot> spots = placement.place(pool, cell.shape(), View.BINDABLE, worker -> true);
+      if (spots.isEmpty()) {
+        all = false;
+      } else {
+        pool.bind(cell, spots);
+      }
+    }
+    return all;
+  }
+
+  /** Binds all unused cells anew, hardest first; keeps the old places if that gains nothing. */
+  private void rebindUnused() {
+    Map<Cell, List<Spot>> before = new LinkedHashMap<>();
+    List<Cell> movable = new ArrayList<>();
+    for (List<Cell> list : cells.values()) {
+      for (Cell cell : list) {
+        if (cell.unused()) {
+          movable.add(cell);
+          if (cell.bound()) {
+            before.put(cell, cell.spots);
+            pool.unbind(cell);
+          }
+        }
+      }
+    }
+    bindAll(movable);
+    long bound = movable.stream().filter(Cell::bound).count();
+    if (bound < before.size()) {
+      movable.stream().filter(Cell::bound).forEach(pool::unbind);
+      before.forEach(pool::bind);
+    }
+  }
+
+  /** Orders shapes so that the one with the fewest possible places comes first. */
+  static int hardestFirst(Shape a, Shape b) {
+    int total = Integer.compare(b.totalAccelerators(), a.totalAccelerators());
+    if (total != 0) {
+      return total;
+    }
+    int run = Integer.compare(b.acceleratorsPerMember(), a.acceleratorsPerMember());
+    return run != 0 ? run : a.adjacency().compareTo(b.adjacency());
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/Job.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Job.java
@@ -21,6 +21,16 @@
   @Nullable List<String> checkpoints;
 
   @Nullable Gang gang;
+  @Nullable Claim claim;
+
+  /** Whether it is in the queue. */
+  boolean waiting;
+
+  boolean answered;
+
+  /** Whether its next failure counts against its worker instead of against its budget. */
+  boolean excused;
+
   int attempts;
   int failures;
   int preemptions;
--- a/core/src/main/java/dev/bambootray/core/scheduling/Member.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Member.java
@@ -31,6 +31,8 @@
   final Resources resources;
   Phase phase = Phase.RESERVING;
   long releaseAskedAtMs;
+  int overuseSteps;
+  long overuseActedAtMs;
   boolean checkpointing;
   boolean throttled;
   boolean ranBeforeRelease;
--- a/core/src/main/java/dev/bambootray/core/scheduling/Pool.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Pool.java
@@ -5,6 +5,7 @@
 import dev.bambootray.core.model.FailureDomainId;
 import dev.bambootray.core.model.RackId;
 import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.model.Resources;
 import dev.bambootray.core.model.WorkerId;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -24,6 +25,10 @@
   private final Map<WorkerId, WorkerSlot> byId = new HashMap<>();
   private final Map<RackId, RackGroup> racksById = new HashMap<>();
 
+  private int totalAccelerators;
+  private long totalMillicores;
+  private long totalMemoryMib;
+
   /** Returns the pool of a region with all workers absent. */
   static Pool of(Declaration declaration, RegionId region) {
     Pool pool = new Pool();
@@ -50,6 +55,9 @@
     workers.add(worker);
     rack.add(worker);
     byId.put(worker.id, worker);
+    totalAccelerators += worker.accelerators;
+    totalMillicores += worker.millicores;
+    totalMemoryMib += worker.memoryMib;
     refresh(worker);
   }
 
@@ -60,6 +68,18 @@
     return rack;
   }
 
+  int totalAccelerators() {
+    return totalAccelerators;
+  }
+
+  long totalMillicores() {
+    return totalMillicores;
+  }
+
+  long totalMemoryMib() {
+    return totalMemoryMib;
+  }
+
   @Nullable WorkerSlot find(WorkerId id) {
     return byId.get(id);
   }
@@ -91,12 +111,15 @@
     spots.forEach(spot -> refresh(spot.worker()));
   }
 
-  /** Holds or frees accelerators for a claim. */
-  void hold(List<Spot> spots, int length, boolean held) {
+  /** Holds the resources of spots for a claim, or lets go of them. */
+  void hold(List<Spot> spots, Resources perMember, boolean held) {
+    int sign = held ? 1 : -1;
     for (Spot spot : spots) {
-      long mask = Runs.mask(spot.first(), length);
+      long mask = Runs.mask(spot.first(), perMember.accelerators());
       WorkerSlot worker = spot.worker();
       worker.heldMask = held ? worker.heldMask | mask : worker.heldMask & ~mask;
+      worker.heldMillicores += sign * perMember.millicores();
+      worker.heldMemoryMib += sign * perMember.memoryMib();
       refresh(worker);
     }
   }
@@ -106,7 +129,7 @@
     return switch (view) {
       case FREE -> free;
       case SPARE -> spare;
-      case BINDABLE -> null;
+      case BINDABLE, STOPPABLE, DECLARED -> null;
     };
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/QuantileRunTimes.java
@@ -0,0 +1,80 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.TemplateId;
+import dev.bambootray.core.model.WorkspaceId;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Learns run times for each template and workspace by quantiles of the latest runs.
+ *
+ * <p>With too few runs of the workspace it falls back to all runs of the template, and then to the
+ * declared run time. The declared maximum caps every estimate.
+ */
+final class QuantileRunTimes implements RunTimeEstimate {
+  /** Runs that are remembered; older ones may describe another version of the work. */
+  private static final int REMEMBERED_RUNS = 32;
+
+  /** Fewer runs than this say little about a quantile. */
+  private static final int ENOUGH_RUNS = 3;
+
+  private static final double TYPICAL = 0.5;
+  private static final double CAUTIOUS = 0.9;
+
+  private final Map<Key, Sample> samples = new HashMap<>();
+
+  @Override
+  public long typicalMs(Job job) {
+    return estimate(job, TYPICAL);
+  }
+
+  @Override
+  public long cautiousMs(Job job) {
+    return estimate(job, CAUTIOUS);
+  }
+
+  private long estimate(Job job, double quantile) {
+    TemplateId template = job.request.template().id();
+    long declaredMs = Math.max(1, job.request.template().expectedRunMs());
+    long capMs = Math.max(1, job.request.template().maxRunMs());
+    Sample own = samples.get(new Key(template, job.workspace()));
+    Sample sample =
+        own != null && own.count >= ENOUGH_RUNS ? own : samples.get(new Key(template, null));
+    long estimateMs =
+        sample != null && sample.count >= ENOUGH_RUNS ? sample.quantile(quantile) : declaredMs;
+    return Math.min(estimateMs, capMs);
+  }
+
+  @Override
+  public void observe(Job job, long ranMs) {
+    TemplateId template = job.request.template().id();
+    sample(new Key(template, job.workspace())).add(ranMs);
+    sample(new Key(template, null)).add(ranMs);
+  }
+
+  private Sample sample(Key key) {
+    return samples.computeIfAbsent(key, k -> new Sample());
+  }
+
+  private record Key(TemplateId template, @Nullable WorkspaceId workspace) {}
+
+  /** The latest run times, and the same in order. */
+  private static final class Sample {
+    private final long[] latest = new long[REMEMBERED_RUNS];
+    private long[] sorted = {};
+    private int count;
+
+    void add(long ranMs) {
+      latest[count % REMEMBERED_RUNS] = Math.max(1, ranMs);
+      count++;
+      sorted = Arrays.copyOf(latest, Math.min(count, REMEMBERED_RUNS));
+      Arrays.sort(sorted);
+    }
+
+    long quantile(double quantile) {
+      return sorted[(int) Math.min(sorted.length - 1, quantile * sorted.length)];
+    }
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/Reclaim.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Reclaim.java
@@ -11,5 +11,14 @@
   /** Processor share of a member whose checkpoint is late. */
   static final int THROTTLE_PERCENT = 10;
 
+  /** Wait over promised wait after which checkpointable work is stopped for a reservation. */
+  static final double OVERDUE_RATIO = 1.2;
+
+  /** Wait over promised wait after which other borrowed work is stopped as well. */
+  static final double LATE_RATIO = 1.6;
+
+  /** Wait after which a claim that is not urgent may cost work that was done. */
+  static final long PATIENCE_MS = 30_000;
+
   private Reclaim() {}
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
@@ -7,7 +7,6 @@
 import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.model.RequestKey;
 import dev.bambootray.core.model.Step;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,29 +21,57 @@
  */
 public final class RegionScheduler {
   /** Placement runs at most this often, so that a burst of events is placed as one batch. */
-  private static final long BATCH_MS = 10;
+  static final long BATCH_MS = 10;
+
+  private static final String CANCELLED = "cancelled by the caller";
+  private static final long EXPIRED_RETRY_MS = 5_000;
 
   private final RegionId region;
   private final String tokenPrefix;
-  private final Pool pool;
-  private final Effects effects = new Effects();
-  private final GangLifecycle lifecycle;
+  private final SchedulingPolicies policies;
+  private final SchedulerParts parts;
+  private final GuaranteeWatch watch;
   private final Adoption adoption;
+  private final PlacementRound round;
+  private final Explainer explainer;
   private final Map<RequestKey, Job> jobs = new LinkedHashMap<>();
-  private final PlacementPolicy placement = new FirstFitPlacement();
+  private Declaration declaration;
+  private OrderPolicy order;
   private boolean adopting = true;
   private boolean dirty;
   private long placedAtMs = Long.MIN_VALUE / 2;
   private long sequence;
   private long attempts;
 
-  private RegionScheduler(Builder builder, RegionId region, Declaration declaration, NodeId owner) {
+  private RegionScheduler(
+      Builder builder,
+      RegionId region,
+      Declaration declaration,
+      NodeId owner,
+      UniformRandomProvider random) {
     this.region = region;
+    this.declaration = declaration;
+    this.policies = builder.policies;
     this.tokenPrefix =
         builder.epoch + ":" + abbreviate(region.value()) + ":" + abbreviate(owner.value()) + ":";
-    this.pool = Pool.of(declaration, region);
-    this.lifecycle = new GangLifecycle(pool, effects, new Listener());
-    this.adoption = new Adoption(pool, lifecycle, effects);
+    GangBookkeeping bookkeeping = new GangBookkeeping(jobs);
+    this.parts = new SchedulerParts(declaration, region, policies, random, bookkeeping);
+    this.watch = new GuaranteeWatch(parts.plan, parts.effects);
+    bookkeeping.connect(parts, watch);
+    this.adoption = new Adoption(parts);
+    this.round = new PlacementRound(parts, policies, this::nextToken);
+    this.explainer = new Explainer(parts);
+    this.order = declare();
+  }
+
+  private OrderPolicy declare() {
+    if (policies.guarantees()) {
+      parts.plan.declare(declaration, region);
+    }
+    parts.shares.declare(declaration);
+    parts.admission.declare(declaration);
+    watch.poolChanged();
+    return policies.order(parts.estimates, parts.shares, declaration.policy());
   }
 
   /** Returns a builder without any value set. */
@@ -55,37 +82,75 @@
   /**
    * Takes one event.
    *
+   * <p>A job is placed at once if no placement ran within the last 10 ms, else with a later event
+   * or {@link SchedulerEvent.Tick}. Callers that have many events at hand use {@link #handleAll}.
+   *
    * @param event the event
    * @param nowMs the time in milliseconds since the epoch; must not go back
    * @return what is to be done, in order
    */
   public List<SchedulerEffect> handle(SchedulerEvent event, long nowMs) {
     apply(event, nowMs);
-    boolean tick = event instanceof SchedulerEvent.Tick;
-    if (dirty && !adopting && (tick || nowMs - placedAtMs >= BATCH_MS)) {
-      dirty = false;
-      placedAtMs = nowMs;
-      placeWaiting(nowMs);
+    placeIfDue(event instanceof SchedulerEvent.Tick, nowMs);
+    return parts.effects.drain();
+  }
+
+  /**
+   * Takes events that arrived together and places once after all of them.
+   *
+   * @param events the events, oldest first
+   * @param nowMs the time in milliseconds since the epoch; must not go back
+   * @return what is to be done, in order
+   */
+  public List<SchedulerEffect> handleAll(List<SchedulerEvent> events, long nowMs) {
+    events.forEach(event -> apply(event, nowMs));
+    placeIfDue(true, nowMs);
+    return parts.effects.drain();
+  }
+
+  private void placeIfDue(boolean batchComplete, long nowMs) {
+    if (adopting || !dirty || (!batchComplete && nowMs - placedAtMs < BATCH_MS)) {
+      return;
+    }
+    dirty = false;
+    placedAtMs = nowMs;
+    if (round.dropLostClaims(nowMs)) {
+      watch.poolChanged();
     }
-    return effects.drain();
+    watch.check(nowMs);
+    round.run(order, declaration.policy().ageingMs(), nowMs);
   }
 
   private void apply(SchedulerEvent event, long nowMs) {
+    GangLifecycle lifecycle = parts.lifecycle;
     if (event instanceof SchedulerEvent.JobSubmitted e) {
-      submit(e.job());
+      submit(e.job(), nowMs);
     } else if (event instanceof SchedulerEvent.JobsCancelled e) {
       e.keys().forEach(key -> cancel(key, nowMs));
     } else if (event instanceof SchedulerEvent.MemberReserved e) {
       lifecycle.memberReserved(e.task(), nowMs);
-    } else if (event instanceof SchedulerEvent.MemberRefused e) {
-      lifecycle.refused(e.task(), e.reason(), nowMs);
     } else if (event instanceof SchedulerEvent.AttemptConfirmed e) {
       lifecycle.confirmed(e.attempt(), nowMs);
-    } else if (event instanceof SchedulerEvent.AttemptRejected e) {
-      lifecycle.rejected(e.attempt(), nowMs);
     } else if (event instanceof SchedulerEvent.MemberStarted e) {
       lifecycle.memberStarted(e.task(), nowMs);
-    } else if (event instanceof SchedulerEvent.TaskFinished e) {
+    } else if (event instanceof SchedulerEvent.UsageReported e) {
+      parts.usage.report(e.usage(), nowMs);
+    } else if (event instanceof SchedulerEvent.TaskAdopted e) {
+      adoption.adopt(e, jobs.computeIfAbsent(e.job().spec().key(), k -> newJob(e.job())), nowMs);
+      dirty = true;
+    } else if (event instanceof SchedulerEvent.AdoptionCompleted) {
+      adoption.complete(nowMs);
+      adopting = false;
+      dirty = true;
+    } else {
+      dirty = true;
+      applyEnd(event, nowMs);
+    }
+  }
+
+  private void applyEnd(SchedulerEvent event, long nowMs) {
+    GangLifecycle lifecycle = parts.lifecycle;
+    if (event instanceof SchedulerEvent.TaskFinished e) {
       lifecycle.finished(e.task(), e.resultJson(), nowMs);
     } else if (event instanceof SchedulerEvent.TaskFailed e) {
       lifecycle.failed(e.task(), e.message(), nowMs);
@@ -93,12 +158,10 @@
       lifecycle.stopped(e.task(), nowMs);
     } else if (event instanceof SchedulerEvent.TaskCheckpointed e) {
       lifecycle.checkpointed(e.task(), e.checkpoint(), nowMs);
-    } else if (event instanceof SchedulerEvent.TaskAdopted e) {
-      adoption.adopt(e, jobs.computeIfAbsent(e.job().spec().key(), k -> newJob(e.job())), nowMs);
-    } else if (event instanceof SchedulerEvent.AdoptionCompleted) {
-      adoption.complete(nowMs);
-      adopting = false;
-      dirty = true;
+    } else if (event instanceof SchedulerEvent.MemberRefused e) {
+      lifecycle.refused(e.task(), e.reason(), nowMs);
+    } else if (event instanceof SchedulerEvent.AttemptRejected e) {
+      lifecycle.rejected(e.attempt(), nowMs);
     } else {
       applyToWorkers(event, nowMs);
     }
@@ -106,21 +169,55 @@
 
   private void applyToWorkers(SchedulerEvent event, long nowMs) {
     if (event instanceof SchedulerEvent.WorkerJoined e) {
-      changeWorker(pool.find(e.worker()), true, false);
+      changeWorker(parts.pool.find(e.worker()), true, false);
     } else if (event instanceof SchedulerEvent.WorkerLost e) {
-      WorkerSlot worker = pool.find(e.worker());
+      WorkerSlot worker = parts.pool.find(e.worker());
       changeWorker(worker, false, false);
       if (worker != null) {
-        lifecycle.workerLost(worker, nowMs);
+        parts.lifecycle.workerLost(worker, nowMs);
       }
     } else if (event instanceof SchedulerEvent.WorkerLeaving e) {
-      changeWorker(pool.find(e.worker()), true, true);
+      WorkerSlot worker = parts.pool.find(e.worker());
+      changeWorker(worker, worker != null && worker.joined, true);
     } else if (event instanceof SchedulerEvent.DeclarationChanged e) {
-      pool.addMissing(e.declaration(), region);
-      dirty = true;
+      declarationChanged(e.declaration(), nowMs);
     } else if (event instanceof SchedulerEvent.Tick) {
-      lifecycle.tick(nowMs);
-      dirty = true;
+      tick(nowMs);
+    }
+  }
+
+  private void tick(long nowMs) {
+    parts.lifecycle.tick(nowMs);
+    if (parts.health.tick(nowMs)) {
+      watch.poolChanged();
+    }
+    parts.queue.expire(nowMs, job -> expire(job, nowMs));
+    for (Claim claim : List.copyOf(parts.claims.all())) {
+      if (claim.job().request.spec().deadlineAtMs() <= nowMs) {
+        expire(claim.job(), nowMs);
+      }
+    }
+  }
+
+  private void expire(Job job, long nowMs) {
+    boolean ran = job.attempts > 0 && job.preemptions + job.failures > 0;
+    String message = "the deadline passed in the queue";
+    RequestError error =
+        ran
+            ? RequestError.failed(Step.QUEUE, "local", message)
+            : RequestError.notRun(Step.QUEUE, "local", message, EXPIRED_RETRY_MS);
+    parts.lifecycle.giveUp(job, error, nowMs);
+  }
+
+  private void declarationChanged(Declaration newDeclaration, long nowMs) {
+    declaration = newDeclaration;
+    parts.pool.addMissing(newDeclaration, region);
+    order = declare();
+    for (Job job : List.copyOf(jobs.values())) {
+      RequestError error = job.waiting ? parts.admission.impossibility(job) : null;
+      if (error != null) {
+        parts.lifecycle.giveUp(job, error, nowMs);
+      }
     }
   }
 
@@ -130,12 +227,23 @@
     }
     worker.joined = joined;
     worker.leaving = leaving;
-    pool.refresh(worker);
-    dirty = true;
+    parts.pool.refresh(worker);
+    watch.poolChanged();
   }
 
-  private void submit(QueuedJob request) {
-    jobs.computeIfAbsent(request.spec().key(), key -> newJob(request));
+  private void submit(QueuedJob request, long nowMs) {
+    Job known = jobs.get(request.spec().key());
+    if (known != null) {
+      return;
+    }
+    Job job = newJob(request);
+    RequestError error = parts.admission.refusal(job, parts.queue);
+    if (error != null) {
+      parts.effects.add(new SchedulerEffect.JobFailed(job.key(), error));
+      return;
+    }
+    jobs.put(job.key(), job);
+    parts.queue.add(job, nowMs);
     dirty = true;
   }
 
@@ -151,29 +259,12 @@
     dirty = true;
     Gang gang = job.gang;
     if (gang == null) {
-      lifecycle.giveUp(
-          job, RequestError.impossible(Step.QUEUE, "local", "cancelled by the caller"), nowMs);
+      parts.lifecycle.giveUp(job, RequestError.impossible(Step.QUEUE, "local", CANCELLED), nowMs);
     } else if (gang.step == Gang.Step.DRAINING) {
       gang.afterDrain = Gang.AfterDrain.DROP;
-      lifecycle.giveUp(
-          job, RequestError.failed(Step.RUN, "local", "cancelled by the caller"), nowMs);
+      parts.lifecycle.giveUp(job, RequestError.failed(Step.RUN, "local", CANCELLED), nowMs);
     } else {
-      lifecycle.end(gang, EndCause.CANCELLED, "cancelled by the caller", nowMs);
-    }
-  }
-
-  private void placeWaiting(long nowMs) {
-    for (Job job : new ArrayList<>(jobs.values())) {
-      if (job.gang != null || job.notBeforeMs > nowMs) {
-        continue;
-      }
-      List<Spot> spots =
-          placement.place(pool, job.shape, View.FREE, worker -> worker.notBeforeMs <= nowMs);
-      if (spots.isEmpty()) {
-        return;
-      }
-      GrantKind kind = job.repeatable() ? GrantKind.BORROWED : GrantKind.PINNED;
-      lifecycle.begin(job, nextToken(), spots, kind, null, nowMs);
+      parts.lifecycle.end(gang, EndCause.CANCELLED, CANCELLED, nowMs);
     }
   }
 
@@ -193,28 +284,7 @@
    */
   public Explanation explain(RequestKey key, long nowMs) {
     Job job = jobs.get(key);
-    if (job == null) {
-      return new Explanation(key, "unknown", 0, "no such job", List.of(), List.of(), -1);
-    }
-    Gang gang = job.gang;
-    if (gang == null) {
-      int position = 1;
-      for (Job other : jobs.values()) {
-        if (other == job) {
-          break;
-        }
-        position += other.gang == null ? 1 : 0;
-      }
-      return new Explanation(
-          key, "queued", position, "waits for accelerators", List.of(), List.of(), -1);
-    }
-    String state =
-        switch (gang.step) {
-          case RUNNING, ADOPTING -> "running";
-          case DRAINING -> "reclaimed";
-          default -> "reserving";
-        };
-    return new Explanation(key, state, 0, "", List.of(), List.of(), 0);
+    return job == null ? Explainer.unknown(key) : explainer.explain(job, order, adopting, nowMs);
   }
 
   /**
@@ -223,39 +293,12 @@
    * @param nowMs the time in milliseconds since the epoch
    */
   public GangLoad loadOf(long nowMs) {
-    int total = 0;
-    for (WorkerSlot worker : pool.workers) {
-      total += worker.takesWork() ? worker.accelerators : 0;
-    }
-    return new GangLoad(pool.free.total(), total, 0);
+    return parts.load(nowMs);
   }
 
-  /** Follows the gangs. */
-  private final class Listener implements GangListener {
-    @Override
-    public void started(Gang gang, long nowMs) {}
-
-    @Override
-    public void stoppedRunning(Gang gang, long nowMs) {}
-
-    @Override
-    public void memberSucceeded(Member member, long nowMs) {}
-
-    @Override
-    public void memberFailed(Member member, long nowMs) {}
-
-    @Override
-    public void memberRefused(Member member, long nowMs) {}
-
-    @Override
-    public void answered(Job job, long nowMs) {
-      jobs.remove(job.key());
-    }
-
-    @Override
-    public void drained(Gang gang, long nowMs) {
-      dirty = true;
-    }
+  /** Returns the guarantees that cannot be honoured at present. */
+  public List<MissingGuarantee> brokenGuarantees() {
+    return GuaranteeCheck.missing(parts.plan);
   }
 
   /** Collects what a scheduler needs. */
@@ -266,6 +309,8 @@
     private long epoch;
     private @Nullable UniformRandomProvider random;
 
+    private SchedulingPolicies policies = SchedulingPolicies.declared();
+
     private Builder() {}
 
     /** Sets the region. */
@@ -298,6 +343,12 @@
       return this;
     }
 
+    /** Sets other policies than the declared ones. */
+    public Builder policies(SchedulingPolicies value) {
+      policies = value;
+      return this;
+    }
+
     /**
      * Returns the scheduler.
      *
@@ -308,7 +359,7 @@
         throw new IllegalStateException(
             "region, declaration, owner and random must be set before build");
       }
-      return new RegionScheduler(this, region, declaration, owner);
+      return new RegionScheduler(this, region, declaration, owner, random);
     }
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/ReservationPlanner.java
@@ -0,0 +1,113 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Shape;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Finds where and when a job that does not fit now will fit, from the expected ends of others. */
+final class ReservationPlanner {
+  /** Racks that are compared; those with the most open accelerators come first. */
+  private static final int COMPARED_RACKS = 24;
+
+  private final Pool pool;
+  private final RunTimeEstimate estimates;
+
+  ReservationPlanner(Pool pool, RunTimeEstimate estimates) {
+    this.pool = pool;
+    this.estimates = estimates;
+  }
+
+  /** Returns the earliest reservation for a job, or null if no place can ever become free. */
+  @Nullable Reservation plan(Job job, long nowMs) {
+    View view = job.repeatable() ? View.FREE : View.SPARE;
+    Reservation best = null;
+    for (List<WorkerSlot> group : groups(job.shape)) {
+      Reservation candidate = planIn(group, job, view, nowMs);
+      if (candidate != null && (best == null || candidate.startMs() < best.startMs())) {
+        best = candidate;
+      }
+    }
+    return best;
+  }
+
+  private List<List<WorkerSlot>> groups(Shape shape) {
+    return switch (shape.adjacency()) {
+      case ADJACENT_WORKERS, RACK ->
+          mostOpen(pool.racks).stream().map(rack -> rack.workers).toList();
+      case FAILURE_DOMAIN ->
+          pool.domains.values().stream().map(racks -> Groups.workers(mostOpen(racks))).toList();
+      case REGION -> List.of(Groups.workers(mostOpen(pool.racks)));
+    };
+  }
+
+  private List<RackGroup> mostOpen(List<RackGroup> racks) {
+    if (racks.size() <= COMPARED_RACKS) {
+      return racks;
+    }
+    List<RackGroup> sorted = new ArrayList<>(racks);
+    sorted.sort(Comparator.comparingInt(pool.free::openInRack).reversed());
+    return sorted.subList(0, COMPARED_RACKS);
+  }
+
+  private @Nullable Reservation planIn(List<WorkerSlot> group, Job job, View view, long nowMs) {
+    List<Opening> openings = new ArrayList<>();
+    for (WorkerSlot worker : group) {
+      if (worker.takesWork() && worker.reservation == null) {
+        addOpenings(openings, worker, job.shape, view, nowMs);
+      }
+    }
+    int members = job.shape.members();
+    if (openings.size() < members) {
+      return null;
+    }
+    openings.sort(Comparator.comparingLong(Opening::atMs));
+    Set<WorkerSlot> workers = new LinkedHashSet<>();
+    openings.subList(0, members).forEach(opening -> workers.add(opening.worker()));
+    return new Reservation(job, workers, openings.get(members - 1).atMs());
+  }
+
+  /** Adds the times at which the worker can take one more member of the shape. */
+  private void addOpenings(
+      List<Opening> openings, WorkerSlot worker, Shape shape, View view, long nowMs) {
+    long protectedMask = view == View.SPARE ? worker.cellMask : 0;
+    int run = shape.acceleratorsPerMember();
+    long mask = worker.freeMask() & ~protectedMask;
+    int fit = addNew(openings, worker, 0, Runs.count(mask, run), nowMs);
+    List<Member> members = new ArrayList<>(worker.members);
+    members.sort(Comparator.comparingLong((Member m) -> expectedEndMs(m.gang, nowMs)));
+    for (Member member : members) {
+      mask |= member.mask() & ~protectedMask;
+      fit = addNew(openings, worker, fit, Runs.count(mask, run), expectedEndMs(member.gang, nowMs));
+    }
+  }
+
+  private static int addNew(
+      List<Opening> openings, WorkerSlot worker, int before, int after, long atMs) {
+    for (int i = before; i < after; i++) {
+      openings.add(new Opening(worker, atMs));
+    }
+    return Math.max(before, after);
+  }
+
+  /**
+   * Returns when a gang should have ended. One that has outrun its estimate is expected to take
+   * half as long again, because run times have heavy tails.
+   */
+  long expectedEndMs(Gang gang, long nowMs) {
+    if (gang.step == Gang.Step.DRAINING) {
+      return nowMs;
+    }
+    long estimateMs = Math.max(1, estimates.cautiousMs(gang.job) - gang.job.ranMs);
+    if (gang.step != Gang.Step.RUNNING) {
+      return nowMs + estimateMs;
+    }
+    long elapsedMs = nowMs - gang.runningSinceMs;
+    return elapsedMs < estimateMs ? gang.runningSinceMs + estimateMs : nowMs + elapsedMs / 2;
+  }
+
+  private record Opening(WorkerSlot worker, long atMs) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Reservations.java
@@ -0,0 +1,61 @@
+package dev.bambootray.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The reservations in force; later jobs may use their workers only if they end in time. */
+final class Reservations {
+  /** One for the largest waiting job and one for a job that has waited too long. */
+  private static final int MOST = 2;
+
+  private final ReservationPlanner planner;
+  private final Map<Job, Reservation> reservations = new LinkedHashMap<>();
+
+  Reservations(ReservationPlanner planner) {
+    this.planner = planner;
+  }
+
+  List<Reservation> all() {
+    return new ArrayList<>(reservations.values());
+  }
+
+  @Nullable Reservation of(Job job) {
+    return reservations.get(job);
+  }
+
+  /** Reserves for a job unless it has a reservation or there are enough of them. */
+  void reserve(Job job, long nowMs) {
+    if (reservations.containsKey(job) || reservations.size() >= MOST) {
+      return;
+    }
+    Reservation reservation = planner.plan(job, nowMs);
+    if (reservation == null) {
+      return;
+    }
+    reservations.put(job, reservation);
+    reservation.workers().forEach(worker -> worker.reservation = reservation);
+    if (job.promisedStartMs == 0) {
+      job.promisedStartMs = reservation.startMs();
+    }
+  }
+
+  /** Drops the reservation of a job that starts or was answered. */
+  void drop(Job job) {
+    Reservation reservation = reservations.remove(job);
+    if (reservation != null) {
+      reservation.workers().forEach(worker -> worker.reservation = null);
+    }
+  }
+
+  /** Drops reservations that include a worker that takes no work any more. */
+  void dropLost() {
+    for (Reservation reservation : all()) {
+      if (reservation.workers().stream().anyMatch(worker -> !worker.takesWork())) {
+        drop(reservation.job());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/SchedulerParts.java
@@ -0,0 +1,63 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.model.RegionId;
+import java.util.SortedSet;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** The parts that a region scheduler is composed of. */
+final class SchedulerParts {
+  final Effects effects = new Effects();
+  final JobQueue queue = new JobQueue();
+  final Pool pool;
+  final GangLifecycle lifecycle;
+  final GuaranteePlan plan;
+  final Claims claims;
+  final Reservations reservations;
+  final FairShare shares;
+  final Admission admission;
+  final RunTimeEstimate estimates;
+  final GuaranteedPlacement guaranteed;
+  final WorkerHealth health;
+  final UsageControl usage;
+  final ReservationPlanner planner;
+
+  SchedulerParts(
+      Declaration declaration,
+      RegionId region,
+      SchedulingPolicies policies,
+      UniformRandomProvider random,
+      GangListener listener) {
+    pool = Pool.of(declaration, region);
+    lifecycle = new GangLifecycle(pool, effects, listener);
+    plan = new GuaranteePlan(pool);
+    claims = new Claims(pool, lifecycle);
+    estimates = policies.estimates();
+    planner = new ReservationPlanner(pool, estimates);
+    reservations = new Reservations(planner);
+    shares = new FairShare(pool);
+    admission = new Admission(pool, declaration);
+    guaranteed = new GuaranteedPlacement(pool, plan, policies.placement(), policies.victims());
+    health = new WorkerHealth(pool, random);
+    usage = new UsageControl(lifecycle, effects);
+  }
+
+  /** Returns the load; the expected wait is that of the average waiting gang. */
+  GangLoad load(long nowMs) {
+    int total = 0;
+    for (WorkerSlot worker : pool.workers) {
+      total += worker.takesWork() ? worker.accelerators : 0;
+    }
+    return new GangLoad(pool.free.total(), total, backlogMs(Math.max(1, total)));
+  }
+
+  /** Returns the estimated accelerator time of the queue over all accelerators. */
+  private long backlogMs(int totalAccelerators) {
+    double backlog = 0;
+    for (SortedSet<Job> lane : queue.lanes()) {
+      Job head = lane.first();
+      backlog += (double) lane.size() * estimates.typicalMs(head) * head.shape.totalAccelerators();
+    }
+    return (long) (backlog / totalAccelerators);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/SchedulingPolicies.java
@@ -0,0 +1,75 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.declaration.PolicyDeclaration;
+
+/** Which policies a scheduler is composed of: order, placement, estimate, victims and backfill. */
+public final class SchedulingPolicies {
+  /** Which waiting job gets a reservation that later jobs must not delay. */
+  enum Reserve {
+    /** None. */
+    NONE,
+    /** The first job that cannot be placed. */
+    FIRST_BLOCKED,
+    /** The largest waiting job, and the oldest one that has waited too long. */
+    LARGEST_AND_AGED
+  }
+
+  private final boolean guarantees;
+  private final boolean fair;
+  private final boolean blocking;
+  private final boolean bestFit;
+  private final Reserve reserve;
+
+  private SchedulingPolicies(
+      boolean guarantees, boolean fair, boolean blocking, boolean bestFit, Reserve reserve) {
+    this.guarantees = guarantees;
+    this.fair = fair;
+    this.blocking = blocking;
+    this.bestFit = bestFit;
+    this.reserve = reserve;
+  }
+
+  /** Returns the policies that the declaration governs; this is what a deployment runs. */
+  public static SchedulingPolicies declared() {
+    return new SchedulingPolicies(true, true, false, true, Reserve.LARGEST_AND_AGED);
+  }
+
+  /** Returns the declared policies over a pool without guarantees, for comparison. */
+  public static SchedulingPolicies sharedPool() {
+    return new SchedulingPolicies(false, true, false, true, Reserve.LARGEST_AND_AGED);
+  }
+
+  /** Returns arrival order with first fit, where a blocked job blocks all later ones. */
+  public static SchedulingPolicies fifoFirstFit() {
+    return new SchedulingPolicies(false, false, true, false, Reserve.NONE);
+  }
+
+  /** Returns arrival order with best fit and backfill behind the first blocked job. */
+  public static SchedulingPolicies backfillBestFit() {
+    return new SchedulingPolicies(false, false, false, true, Reserve.FIRST_BLOCKED);
+  }
+
+  boolean guarantees() {
+    return guarantees;
+  }
+
+  Reserve reserve() {
+    return reserve;
+  }
+
+  OrderPolicy order(RunTimeEstimate estimates, FairShare shares, PolicyDeclaration declared) {
+    return fair ? new FairShortestOrder(estimates, shares, declared) : new ArrivalOrder(blocking);
+  }
+
+  PlacementPolicy placement() {
+    return bestFit ? new BestFitPlacement() : new FirstFitPlacement();
+  }
+
+  RunTimeEstimate estimates() {
+    return fair ? new QuantileRunTimes() : new DeclaredRunTimes();
+  }
+
+  VictimPolicy victims() {
+    return new LeastLossVictims();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/UsageControl.java
@@ -0,0 +1,76 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.core.worker.TaskUsage;
+import java.util.List;
+
+/**
+ * Acts on members that use more than they were granted: throttle, checkpoint, stop, the largest
+ * over-user of a worker first.
+ *
+ * <p>Reports lag, so the grants alone decide what is free; a report only ever acts on its own task.
+ */
+final class UsageControl {
+  /** Readings slightly above the grant are noise. */
+  private static final double TOLERANCE = 1.1;
+
+  /** Time that a step gets to take effect; readings from before it are ignored. */
+  static final long STEP_MS = 5_000;
+
+  private final GangLifecycle lifecycle;
+  private final Effects effects;
+
+  UsageControl(GangLifecycle lifecycle, Effects effects) {
+    this.lifecycle = lifecycle;
+    this.effects = effects;
+  }
+
+  /** Takes one report of a worker. */
+  void report(List<TaskUsage> usage, long nowMs) {
+    Member worst = null;
+    double worstExcess = TOLERANCE;
+    for (TaskUsage reading : usage) {
+      Member member = lifecycle.find(reading.task());
+      if (member == null || member.phase != Member.Phase.RUNNING) {
+        continue;
+      }
+      double excess = excess(reading.used(), member.resources);
+      boolean fresh = nowMs - reading.ageMs() >= member.overuseActedAtMs + STEP_MS;
+      if (excess > worstExcess && (member.overuseSteps == 0 || fresh)) {
+        worst = member;
+        worstExcess = excess;
+      }
+    }
+    if (worst != null) {
+      act(worst, worstExcess, nowMs);
+    }
+  }
+
+  private static double excess(Resources used, Resources granted) {
+    double millicores = (double) used.millicores() / Math.max(1, granted.millicores());
+    double memory = (double) used.memoryMib() / Math.max(1, granted.memoryMib());
+    return Math.max(
+        granted.millicores() > 0 ? millicores : 0, granted.memoryMib() > 0 ? memory : 0);
+  }
+
+  private void act(Member member, double excess, long nowMs) {
+    member.overuseActedAtMs = nowMs;
+    member.overuseSteps++;
+    Gang gang = member.gang;
+    if (member.overuseSteps == 1) {
+      int percent = (int) Math.max(1, Math.min(100, 100 / excess));
+      effects.add(new SchedulerEffect.ThrottleTask(member.task, member.worker.id, percent));
+    } else {
+      String message = describe(member, excess);
+      lifecycle.end(gang, EndCause.OVERUSE, message, nowMs);
+    }
+  }
+
+  private static String describe(Member member, double excess) {
+    return "a member on "
+        + member.worker.id
+        + " used "
+        + Math.round(excess * 100)
+        + "% of its grant";
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/View.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/View.java
@@ -45,7 +45,7 @@
   BINDABLE {
     @Override
     long mask(WorkerSlot worker) {
-      return worker.takesWork()
+      return worker.takesWork() && !worker.probation
           ? worker.allMask & ~worker.fixedMask & ~worker.cellMask & ~worker.heldMask
           : 0;
     }
@@ -59,6 +59,42 @@
     int memoryMib(WorkerSlot worker) {
       return worker.memoryMib - worker.pinnedMemoryMib - worker.cellMemoryMib;
     }
+  },
+  /** What a job may take whose reservation is overdue: all but work that must go on. */
+  STOPPABLE {
+    @Override
+    long mask(WorkerSlot worker) {
+      return worker.takesWork() && !worker.probation
+          ? worker.allMask & ~worker.fixedMask & ~worker.heldMask
+          : 0;
+    }
+
+    @Override
+    int millicores(WorkerSlot worker) {
+      return worker.millicores - worker.pinnedMillicores;
+    }
+
+    @Override
+    int memoryMib(WorkerSlot worker) {
+      return worker.memoryMib - worker.pinnedMemoryMib;
+    }
+  },
+  /** The whole worker, whatever its state. */
+  DECLARED {
+    @Override
+    long mask(WorkerSlot worker) {
+      return worker.allMask;
+    }
+
+    @Override
+    int millicores(WorkerSlot worker) {
+      return worker.millicores;
+    }
+
+    @Override
+    int memoryMib(WorkerSlot worker) {
+      return worker.memoryMib;
+    }
   };
 
   abstract long mask(WorkerSlot worker);
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/scheduling/WorkerHealth.java
@@ -0,0 +1,130 @@
+package dev.bambootray.core.scheduling;
+
+import dev.bambootray.core.model.TemplateId;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Quarantines workers on which several distinct jobs failed in a row, and probes them back.
+ *
+ * <p>A job or template that also fails elsewhere is no evidence, so a poison job condemns no
+ * worker.
+ */
+final class WorkerHealth {
+  /** Distinct jobs that must fail in a row; two may be a coincidence. */
+  static final int DISTINCT_JOBS = 3;
+
+  /** A template without success that failed on so many workers is to blame itself. */
+  private static final int POISON_WORKERS = 3;
+
+  /** At most this share of the pool is quarantined, so that bad evidence cannot empty it. */
+  private static final double MOST_QUARANTINED = 0.25;
+
+  /** First time until a probe; it doubles with each failed probe. */
+  static final long PROBE_AFTER_MS = 30_000;
+
+  private static final int MOST_DOUBLINGS = 5;
+
+  private final Pool pool;
+  private final UniformRandomProvider random;
+  private final Map<WorkerSlot, Set<Job>> evidence = new LinkedHashMap<>();
+  private final Map<TemplateId, Set<WorkerSlot>> failedTemplates = new HashMap<>();
+  private final Map<WorkerSlot, Sentence> quarantined = new LinkedHashMap<>();
+
+  WorkerHealth(Pool pool, UniformRandomProvider random) {
+    this.pool = pool;
+    this.random = random;
+  }
+
+  /** Takes the success of a member as proof that its worker and template work. */
+  void succeeded(Member member) {
+    evidence.remove(member.worker);
+    failedTemplates.remove(member.gang.job.request.template().id());
+    if (member.worker.probation) {
+      member.worker.probation = false;
+      quarantined.remove(member.worker);
+      pool.refresh(member.worker);
+    }
+  }
+
+  /**
+   * Weighs the failure of a member.
+   *
+   * @return whether the worker was quarantined by it
+   */
+  boolean failed(Member member, long nowMs) {
+    Job job = member.gang.job;
+    WorkerSlot worker = member.worker;
+    job.failedOn.add(worker.id);
+    Set<WorkerSlot> of =
+        failedTemplates.computeIfAbsent(job.request.template().id(), t -> new HashSet<>());
+    of.add(worker);
+    if (worker.probation) {
+      job.excused = true;
+      quarantine(worker, nowMs);
+      return true;
+    }
+    if (job.failedOn.size() > 1 || of.size() >= POISON_WORKERS) {
+      evidence.values().forEach(jobs -> jobs.remove(job));
+      return false;
+    }
+    Set<Job> jobs = evidence.computeIfAbsent(worker, w -> new LinkedHashSet<>());
+    jobs.add(job);
+    boolean room = quarantined.size() < Math.max(1, MOST_QUARANTINED * pool.workers.size());
+    if (jobs.size() < DISTINCT_JOBS || !room) {
+      return false;
+    }
+    for (Job blamed : jobs) {
+      blamed.failures = Math.max(0, blamed.failures - 1);
+    }
+    job.excused = true;
+    evidence.remove(worker);
+    quarantine(worker, nowMs);
+    return true;
+  }
+
+  private void quarantine(WorkerSlot worker, long nowMs) {
+    Sentence sentence = quarantined.computeIfAbsent(worker, w -> new Sentence());
+    long afterMs = PROBE_AFTER_MS << Math.min(sentence.doublings, MOST_DOUBLINGS);
+    sentence.doublings++;
+    sentence.probeAtMs = nowMs + afterMs + random.nextLong(afterMs / 4);
+    worker.probation = false;
+    worker.quarantined = true;
+    pool.refresh(worker);
+  }
+
+  /**
+   * Lets workers whose time has come take one small job.
+   *
+   * @return whether any worker changed
+   */
+  boolean tick(long nowMs) {
+    boolean changed = false;
+    for (Map.Entry<WorkerSlot, Sentence> entry : quarantined.entrySet()) {
+      WorkerSlot worker = entry.getKey();
+      if (worker.quarantined && entry.getValue().probeAtMs <= nowMs) {
+        worker.quarantined = false;
+        worker.probation = true;
+        pool.refresh(worker);
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  /** Returns whether a worker in probation may take the job. */
+  static boolean mayProbe(WorkerSlot worker, Job job) {
+    return job.shape.members() == 1 && job.repeatable() && worker.members.isEmpty();
+  }
+
+  /** When a quarantined worker is probed, and how often that failed. */
+  private static final class Sentence {
+    private long probeAtMs;
+    private int doublings;
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
@@ -5,6 +5,7 @@
 import dev.bambootray.core.model.WorkerId;
 import it.unimi.dsi.fastutil.objects.ReferenceOpenHashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One worker of the pool with everything that is granted on it.
@@ -40,12 +41,23 @@
   int pinnedMillicores;
 
   int pinnedMemoryMib;
+  int heldMillicores;
+  int heldMemoryMib;
   int cellMillicores;
   int cellMemoryMib;
   boolean joined;
   boolean leaving;
   boolean quarantined;
+
+  /** Whether it is being probed after a quarantine and takes one small job at a time. */
+  boolean probation;
+
+  /** No member is placed here before, because the worker refused one or did not answer. */
   long notBeforeMs;
+
+  /** Reservation that later jobs must not delay, or null. */
+  @Nullable Reservation reservation;
+
   final Set<Member> members = new ReferenceOpenHashSet<>();
 
   WorkerSlot(WorkerDeclaration declaration, int index, RackGroup rack) {
@@ -80,11 +92,11 @@
   }
 
   int freeMillicores() {
-    return millicores - usedMillicores;
+    return millicores - usedMillicores - heldMillicores;
   }
 
   int freeMemoryMib() {
-    return memoryMib - usedMemoryMib;
+    return memoryMib - usedMemoryMib - heldMemoryMib;
   }
 
   /** Adds the grant of a member. */
--- a/core/src/test/java/dev/bambootray/core/scheduling/ScriptedCluster.java
+++ b/core/src/test/java/dev/bambootray/core/scheduling/ScriptedCluster.java
@@ -26,6 +26,7 @@
   final Set<WorkerId> silentOnReserve = new HashSet<>();
   final Set<WorkerId> silentOnStart = new HashSet<>();
   final Set<WorkerId> refusing = new HashSet<>();
+  Runnable afterEach = () -> {};
   boolean confirming = true;
   boolean checkpointing = true;
   long nowMs = 1_000;
@@ -44,6 +45,7 @@
         effects.add(effect);
         answer(effect);
       }
+      afterEach.run();
     }
   }
 
