--- a/core/src/main/java/dev/bambootray/core/membership/MemberTable.java
+++ b/core/src/main/java/dev/bambootray/core/membership/MemberTable.java
@@ -96,6 +96,24 @@
     clock(node, nowMs).lastAnswerMs = nowMs;
   }
 
+  /**
+   * Returns whether the connection to a node is to be replaced because that node, which was reached
+   * on its own connection, takes this one for failed; at most once in the time to a suspicion.
+   */
+  boolean isUnheardBy(NodeId node, Gossip told, long nowMs) {
+    boolean accused =
+        told.members().stream()
+            .filter(state -> state.node().equals(self.node()))
+            .map(MemberState::status)
+            .anyMatch(status -> status == MemberStatus.SUSPECT || status == MemberStatus.DEAD);
+    Clocks clock = clock(node, nowMs);
+    if (!accused || nowMs - clock.renewedConnectionMs < SUSPECT_AFTER_MS) {
+      return false;
+    }
+    clock.renewedConnectionMs = nowMs;
+    return true;
+  }
+
   /** Takes over a state told by the node itself; another node at its address is gone. */
   void meet(MemberState origin, long nowMs) {
     merge(origin, nowMs);
@@ -270,6 +288,7 @@
   private static final class Clocks {
     private long lastAnswerMs;
     private long statusSinceMs;
+    private long renewedConnectionMs = Long.MIN_VALUE / 2;
 
     private Clocks(long nowMs) {
       lastAnswerMs = nowMs;
--- a/core/src/main/java/dev/bambootray/core/membership/Membership.java
+++ b/core/src/main/java/dev/bambootray/core/membership/Membership.java
@@ -1,5 +1,6 @@
 package dev.bambootray.core.membership;
 
+import static dev.bambootray.core.membership.MembershipTimes.EXCHANGE_ROUNDS;
 import static dev.bambootray.core.membership.MembershipTimes.OWN_PAUSE_MS;
 import static dev.bambootray.core.membership.MembershipTimes.PROBE_INTERVAL_MS;
 import static dev.bambootray.core.membership.MembershipTimes.REJOIN_INTERVAL_MS;
@@ -23,7 +24,7 @@
  */
 public final class Membership {
   /** Unanswered probes that are remembered; older ones are forgotten. */
-  private static final int MAX_PENDING = 64;
+  private static final int MAX_PENDING = 256;
 
   private final MemberTable table;
   private final GossipBuffer gossip = new GossipBuffer();
@@ -38,12 +39,15 @@
   private long nextTableReadMs;
   private long lastUrgentMs;
   private boolean urgent;
+  private boolean exchangesWanted;
   private boolean ownRowWritten;
   private int rejoinTurn;
+  private int exchangeTurn;
 
   private Membership(MemberState self, UniformRandomProvider random) {
     this.table = new MemberTable(self);
     this.random = random;
+    this.rejoinTurn = random.nextInt(1 << 16);
   }
 
   /**
@@ -100,6 +104,8 @@
       measured.loads().forEach(gossip::offerLoad);
     } else if (event instanceof MembershipEvent.ConfigurationVersionChanged changed) {
       configurationVersion = Math.max(configurationVersion, changed.version());
+    } else if (event instanceof MembershipEvent.ExchangesWanted exchanges) {
+      exchangesWanted = exchanges.wanted();
     } else if (event instanceof MembershipEvent.LeaveRequested) {
       leave(effects);
     } else if (event instanceof MembershipEvent.LeaveCompleted) {
@@ -150,6 +156,23 @@
       probe(target, false, nowMs, effects);
     }
     probed = now;
+    if (exchangesWanted) {
+      askOthers(nowMs, effects);
+    }
+  }
+
+  /** Asks members beyond the ring successors in turn, half of all within three rounds. */
+  private void askOthers(long nowMs, List<MembershipEffect> effects) {
+    List<MemberState> others =
+        table.present().stream()
+            .filter(member -> !member.node().equals(self().node()))
+            .filter(member -> !probed.contains(member.node()))
+            .toList();
+    int half = table.size() / 2;
+    int count = (half + EXCHANGE_ROUNDS - 1) / EXCHANGE_ROUNDS;
+    for (int i = 0; i < Math.min(count, others.size()); i++) {
+      probe(others.get(exchangeTurn++ % others.size()), false, nowMs, effects);
+    }
   }
 
   private void probeOneAbsent(long nowMs, List<MembershipEffect> effects) {
@@ -172,10 +195,13 @@
     learn(probe.sender(), probe.gossip(), nowMs, effects);
     effects.add(
         new MembershipEffect.VersionHeard(probe.sender(), probe.gossip().configurationVersion()));
+    boolean unheard = table.isUnheardBy(probe.sender(), probe.gossip(), nowMs);
     Gossip reply = gossipFor(probe.sender(), true);
     effects.add(
         new MembershipEffect.SendProbeAck(
-            probe.origin(), new PeerMessage.ProbeAck(self().node(), probe.sequence(), reply)));
+            probe.origin(),
+            new PeerMessage.ProbeAck(self().node(), probe.sequence(), reply),
+            unheard));
   }
 
   private void receiveAck(PeerMessage.ProbeAck ack, long nowMs, List<MembershipEffect> effects) {
@@ -216,6 +242,12 @@
       gossip.memberRemoved(gone);
       effects.add(new MembershipEffect.MemberRemoved(gone));
     }
+    if (table.present().size() == 1) {
+      // A node that knows nobody yet must not wait for its turn to probe the table's nodes.
+      for (int i = 0; i < ProbeRing.SUCCESSORS; i++) {
+        probeOneAbsent(nowMs, effects);
+      }
+    }
   }
 
   private void readVms(
--- a/core/src/main/java/dev/bambootray/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/bambootray/core/membership/MembershipEffect.java
@@ -22,8 +22,11 @@
    *
    * @param target the probing node
    * @param ack the answer
+   * @param freshConnection whether to drop the present connection first, because the probing node
+   *     hears nothing from this one
    */
-  record SendProbeAck(MemberState target, PeerMessage.ProbeAck ack) implements MembershipEffect {}
+  record SendProbeAck(MemberState target, PeerMessage.ProbeAck ack, boolean freshConnection)
+      implements MembershipEffect {}
 
   /**
    * A node joined, or its state changed; it counts as a member until {@link MemberRemoved}, also
--- a/core/src/main/java/dev/bambootray/core/membership/MembershipEvent.java
+++ b/core/src/main/java/dev/bambootray/core/membership/MembershipEvent.java
@@ -76,6 +76,14 @@
    */
   record ConfigurationVersionChanged(long version) implements MembershipEvent {}
 
+  /**
+   * Whether versions are to be exchanged with a majority of members, because the table does not
+   * answer.
+   *
+   * @param wanted whether they are
+   */
+  record ExchangesWanted(boolean wanted) implements MembershipEvent {}
+
   /** This node begins a planned stop. */
   record LeaveRequested() implements MembershipEvent {}
 
--- a/core/src/main/java/dev/bambootray/core/membership/MembershipTimes.java
+++ b/core/src/main/java/dev/bambootray/core/membership/MembershipTimes.java
@@ -16,6 +16,9 @@
    */
   static final long OWN_PAUSE_MS = 300;
 
+  /** Rounds of probes in which half of the members are asked for their version. */
+  static final int EXCHANGE_ROUNDS = 3;
+
   static final long REJOIN_INTERVAL_MS = 1_000;
   static final long TABLE_READ_INTERVAL_MS = 10_000;
 
--- a/core/src/main/java/dev/bambootray/core/ownership/LeaseTimes.java
+++ b/core/src/main/java/dev/bambootray/core/ownership/LeaseTimes.java
@@ -12,6 +12,9 @@
    */
   static final long MAX_READ_GAP_MS = 2_500;
 
+  /** A region is taken only if its row was read within this time; more than one tick. */
+  static final long FRESH_READ_MS = 200;
+
   static final long STORE_TIMEOUT_MS = 2_000;
 
   /** How much longer a node of another region waits. */
--- a/core/src/main/java/dev/bambootray/core/ownership/RegionOwnership.java
+++ b/core/src/main/java/dev/bambootray/core/ownership/RegionOwnership.java
@@ -1,6 +1,7 @@
 package dev.bambootray.core.ownership;
 
 import static dev.bambootray.core.ownership.LeaseTimes.AFTER_RELEASE_MS;
+import static dev.bambootray.core.ownership.LeaseTimes.FRESH_READ_MS;
 import static dev.bambootray.core.ownership.LeaseTimes.LEASE_MS;
 import static dev.bambootray.core.ownership.LeaseTimes.MAX_MOVE_INTERVAL_MS;
 import static dev.bambootray.core.ownership.LeaseTimes.READ_INTERVAL_MS;
@@ -149,7 +150,11 @@
       lease.takeAtMs =
           nowMs + candidates().delayMs(self.node(), self.region(), lease.region, random);
     }
-    if (nowMs >= lease.takeAtMs) {
+    if (nowMs >= lease.takeAtMs && nowMs - lease.lastReadMs > FRESH_READ_MS) {
+      // Another node may have taken the region since; reading is cheaper than a refused write.
+      lease.attempt = new Attempt("", Purpose.TAKE, lease.row, nowMs, true);
+      effects.add(new OwnershipEffect.ReadOwner(lease.region));
+    } else if (nowMs >= lease.takeAtMs) {
       lease.takeAtMs = -1;
       write(lease, Purpose.TAKE, self.node(), lease.row.epoch() + 1, nowMs, effects);
     }
--- a/core/src/main/java/dev/bambootray/core/snapshot/SnapshotCodec.java
+++ b/core/src/main/java/dev/bambootray/core/snapshot/SnapshotCodec.java
@@ -29,6 +29,7 @@
 
   static final int MAGIC = 0x42545253;
   static final int OLDEST_FORMAT = 1;
+
   private static final int MAX_NAME_BYTES = 128;
   private static final int FIXED_HEADER_BYTES = 4 + 2 + 2 + 8 + 8 + 4 + 4 + 4;
 
@@ -85,7 +86,7 @@
     if (nameBytes < 1 || nameBytes > MAX_NAME_BYTES) {
       return headerError("the region name has " + nameBytes + " bytes");
     }
-    int headerBytes = FIXED_HEADER_BYTES + nameBytes;
+    int headerBytes = headerBytes(nameBytes);
     if (bytes.length < headerBytes) {
       return headerError(
           "it ends after " + bytes.length + " bytes, expected a header of " + headerBytes);
@@ -136,6 +137,10 @@
     }
   }
 
+  static int headerBytes(int nameBytes) {
+    return FIXED_HEADER_BYTES + nameBytes;
+  }
+
   static String readText(ByteBuffer in, int length) {
     byte[] text = new byte[length];
     in.get(text);
--- a/core/src/main/java/dev/bambootray/core/store/PendingWrites.java
+++ b/core/src/main/java/dev/bambootray/core/store/PendingWrites.java
@@ -4,9 +4,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Writes that wait to be sent, in the order of their arrival. */
@@ -22,6 +24,7 @@
 
   private final Deque<Submission> urgent = new ArrayDeque<>();
   private final Deque<Submission> normal = new ArrayDeque<>();
+  private final Map<String, Integer> normalKeys = new HashMap<>();
   private long bytes;
   private long nextDropMs = Long.MAX_VALUE;
 
@@ -34,17 +37,21 @@
   }
 
   void add(Submission submission) {
-    (submission.urgent() ? urgent : normal).addLast(submission);
-    bytes += submission.bytes();
-    nextDropMs = Math.min(nextDropMs, submission.dropAfterMs());
+    // An urgent write must not overtake an earlier write of the same row.
+    boolean overtakes = submission.keys().stream().anyMatch(normalKeys::containsKey);
+    Deque<Submission> queue = submission.urgent() && !overtakes ? urgent : normal;
+    queue.addLast(submission);
+    added(queue, submission);
   }
 
-  /** Puts writes back before all others, to be sent one by one. */
-  void putBack(List<Submission> submissions) {
+  /** Puts writes back before all others, to be sent one by one if asked for. */
+  void putBack(List<Submission> submissions, boolean single) {
     for (int i = submissions.size() - 1; i >= 0; i--) {
-      Submission single = submissions.get(i).asSingle();
-      (single.urgent() ? urgent : normal).addFirst(single);
-      bytes += single.bytes();
+      Submission next = submissions.get(i);
+      Submission back = single ? next.asSingle() : next;
+      Deque<Submission> queue = back.urgent() ? urgent : normal;
+      queue.addFirst(back);
+      added(queue, back);
     }
   }
 
@@ -60,7 +67,7 @@
         Submission next = it.next();
         if (nowMs > next.dropAfterMs()) {
           it.remove();
-          bytes -= next.bytes();
+          removed(queue, next);
           overdue.add(next);
         } else {
           nextDropMs = Math.min(nextDropMs, next.dropAfterMs());
@@ -109,7 +116,7 @@
       blocked.addAll(next.keys());
       if (free && fits) {
         it.remove();
-        bytes -= next.bytes();
+        removed(queue, next);
         group.add(next);
         rows += next.writes().size();
         groupBytes += next.bytes();
@@ -120,6 +127,23 @@
     }
   }
 
+  private void added(Deque<Submission> queue, Submission submission) {
+    bytes += submission.bytes();
+    nextDropMs = Math.min(nextDropMs, submission.dropAfterMs());
+    if (queue == normal) {
+      submission.keys().forEach(key -> normalKeys.merge(key, 1, Integer::sum));
+    }
+  }
+
+  private void removed(Deque<Submission> queue, Submission submission) {
+    bytes -= submission.bytes();
+    if (queue == normal) {
+      submission
+          .keys()
+          .forEach(key -> normalKeys.computeIfPresent(key, (k, n) -> n > 1 ? n - 1 : null));
+    }
+  }
+
   /**
    * A write that waits.
    *
--- a/core/src/main/java/dev/bambootray/core/store/WriteQueue.java
+++ b/core/src/main/java/dev/bambootray/core/store/WriteQueue.java
@@ -91,11 +91,7 @@
     } else if (event instanceof WriteQueueEvent.CommitAnswered answered) {
       answered(answered, nowMs, effects);
     } else if (event instanceof WriteQueueEvent.CommitFailed failed) {
-      if (inFlight.containsKey(failed.writeToken())) {
-        trialsInFlight--;
-        backoff.failed(nowMs);
-        unsettled.addLast(failed.writeToken());
-      }
+      commitFailed(failed, nowMs);
     } else if (event instanceof WriteQueueEvent.ReadAnswered answered) {
       if (readsInFlight.remove(answered.id())) {
         trialsInFlight--;
@@ -184,11 +180,29 @@
         effects.add(new WriteQueueEffect.WriteConflicted(id, conflict.current()));
       } else {
         // The conflict of one member must not fail the others.
-        pending.putBack(group.members());
+        pending.putBack(group.members(), true);
       }
     }
   }
 
+  private void commitFailed(WriteQueueEvent.CommitFailed failed, long nowMs) {
+    Group group = inFlight.get(failed.writeToken());
+    if (group == null || unsettled.contains(failed.writeToken())) {
+      return;
+    }
+    trialsInFlight--;
+    backoff.failed(nowMs);
+    if (failed.error().maybeApplied() || group.maybeApplied()) {
+      inFlight.put(failed.writeToken(), new Group(group.members(), true));
+      unsettled.addLast(failed.writeToken());
+    } else {
+      // Nothing of it can take effect any more, so it may be grouped anew or dropped when overdue.
+      inFlight.remove(failed.writeToken());
+      group.members().forEach(member -> busyKeys.removeAll(member.keys()));
+      pending.putBack(group.members(), false);
+    }
+  }
+
   private void recovered(long nowMs) {
     if (!backoff.isAvailable()) {
       // The nodes come back at about the same time; each starts at its rate without a burst.
@@ -232,7 +246,7 @@
       return false;
     }
     String token = tokenPrefix + ":" + ++groups;
-    Group group = new Group(members);
+    Group group = new Group(members, false);
     inFlight.put(token, group);
     members.forEach(member -> busyKeys.addAll(member.keys()));
     dispatch(token, group, nowMs, effects);
@@ -264,5 +278,11 @@
 
   private record WaitingRead(long id, StoreRead read, long dropAfterMs) {}
 
-  private record Group(List<Submission> members) {}
+  /**
+   * The writes of a transaction.
+   *
+   * @param members the writes
+   * @param maybeApplied whether an answer was lost, so that it must be sent again unchanged
+   */
+  private record Group(List<Submission> members, boolean maybeApplied) {}
 }
