--- a/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
+++ b/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
@@ -23,16 +23,19 @@
   private final RowCodec codec;
   private final ConfigurationState state;
   private final Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration;
+  private final Consumer<Boolean> onExchangesWanted;
 
   ConfigurationDriver(
       NodeContext context,
       RowCodec codec,
       ConfigurationState state,
-      Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration) {
+      Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration,
+      Consumer<Boolean> onExchangesWanted) {
     this.context = context;
     this.codec = codec;
     this.state = state;
     this.onDeclaration = onDeclaration;
+    this.onExchangesWanted = onExchangesWanted;
   }
 
   ConfigurationState state() {
@@ -64,6 +67,8 @@
           changed.current()
               ? "The version is confirmed; new work is taken."
               : "The version could not be confirmed; new work is refused.");
+    } else if (effect instanceof ConfigurationEffect.ExchangesWanted wanted) {
+      onExchangesWanted.accept(wanted.wanted());
     } else if (effect instanceof ConfigurationEffect.DeclarationUnreadable unreadable) {
       report("unreadable", unreadable.version(), String.join("; ", unreadable.problems()));
     } else if (effect instanceof ConfigurationEffect.PublishFinished finished) {
--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -53,6 +53,7 @@
   private final DrainState drain = new DrainState();
   private Declaration declaration = NOTHING_DECLARED;
   private long loadsDueAtMs;
+  private String toldNotReadyReason = "the node has just started";
 
   private NodeCore(Builder builder) {
     NodeIdentity identity = Objects.requireNonNull(builder.identity, "identity");
@@ -82,7 +83,8 @@
             context,
             codec,
             ConfigurationState.create(identity.node(), identity.startedAtMs(), reader),
-            this::declarationInForce);
+            this::declarationInForce,
+            wanted -> membership.handle(new MembershipEvent.ExchangesWanted(wanted)));
     regionChoice = new RegionChoice(context, membership::loads);
     entry =
         new EntryDesk(
@@ -185,6 +187,7 @@
     desks.tick(nowMs);
     entry.tick(nowMs);
     explanations.tick(nowMs);
+    tellReadiness(nowMs);
     if (nowMs >= loadsDueAtMs) {
       loadsDueAtMs = nowMs + LOADS_EVERY_MS;
       membership.handle(new MembershipEvent.LoadsMeasured(desks.loads(nowMs)));
@@ -201,6 +204,7 @@
     context.outbox().add(new NodeEffect.UseDeclaration(declaration, inForce.text()));
     membership.handle(new MembershipEvent.ConfigurationVersionChanged(declaration.version()));
     ownership.handle(new OwnershipEvent.RegionsDeclared(declaration.regions().keySet()));
+    regionChoice.declarationChanged();
     desks.declarationChanged(context.now());
   }
 
@@ -305,6 +309,14 @@
     return ownership.owned().isEmpty() && entry.openCount() == 0;
   }
 
+  private void tellReadiness(long nowMs) {
+    String reason = notReadyReason(nowMs);
+    if (!reason.equals(toldNotReadyReason)) {
+      toldNotReadyReason = reason;
+      context.outbox().add(new NodeEffect.ReadinessChanged(reason));
+    }
+  }
+
   private String notReadyReason(long nowMs) {
     if (drain.isBegun()) {
       return "the node is being stopped";
--- a/core/src/main/java/dev/bambootray/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeEffect.java
@@ -137,6 +137,13 @@
    */
   record UseDeclaration(Declaration declaration, String text) implements NodeEffect {}
 
+  /**
+   * The node began or stopped to take new work.
+   *
+   * @param notReadyReason why it takes none, or empty if it does
+   */
+  record ReadinessChanged(String notReadyReason) implements NodeEffect {}
+
   /** The node has handed over all that it held and may end. */
   record Drained() implements NodeEffect {}
 
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -0,0 +1,246 @@
+package dev.bambootray.daemon;
+
+import dev.bambootray.adapters.http.HttpApiServer;
+import dev.bambootray.adapters.http.HttpLimits;
+import dev.bambootray.adapters.http.NodeProbes;
+import dev.bambootray.adapters.peer.PeerTraffic;
+import dev.bambootray.adapters.peer.TcpPeerNetwork;
+import dev.bambootray.adapters.platform.HttpWorkerGateway;
+import dev.bambootray.adapters.platform.LinkDelay;
+import dev.bambootray.adapters.platform.PlatformClient;
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.node.NodeCore;
+import dev.bambootray.core.node.NodeEffect;
+import dev.bambootray.core.node.NodeEvent;
+import dev.bambootray.core.node.NodeIdentity;
+import dev.bambootray.documents.DeclarationParser;
+import dev.bambootray.documents.ExitCode;
+import dev.bambootray.documents.Settings;
+import dev.bambootray.ports.PeerNetwork.PeerAddress;
+import dev.bambootray.ports.api.NodeApi;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Either;
+import java.net.BindException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.tinylog.Logger;
+
+/** One running node: the control thread, the traffic threads and everything between them. */
+public final class NodeProcess implements AutoCloseable {
+  private static final int TRAFFIC_THREADS = 2;
+  private static final long TICK_MS = 50;
+
+  private final Settings settings;
+  private final EventLoopGroup traffic;
+  private final Places places;
+  private final PlatformClient platform;
+  private final HttpWorkerGateway workers;
+  private final TcpPeerNetwork peers;
+  private final ControlLoop loop;
+  private final EffectRunner outside;
+  private final NodeService service;
+  private final EventLog events = new EventLog();
+  private final HttpApiServer http;
+  private final Future<?> ticks;
+  private final CompletableFuture<Boolean> drained = new CompletableFuture<>();
+  private volatile String notReadyReason = "the node has just started";
+
+  private NodeProcess(Settings settings, String operatorToken) {
+    this.settings = settings;
+    traffic = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
+    places = new Places(settings.region(), settings.failureDomain(), settings.linkDelay());
+    LinkDelay delay = (host, port) -> places.oneWayMicros(new PeerAddress(host, port));
+    platform =
+        PlatformClient.create(
+            traffic,
+            settings.platform().tableHost(),
+            settings.platform().tablePort(),
+            settings.platform().timeoutMs(),
+            LinkDelay.NONE);
+    workers = HttpWorkerGateway.create(traffic, delay);
+    peers =
+        TcpPeerNetwork.builder(traffic, settings.peer().host(), settings.peer().port())
+            .latency(places::oneWayMicros)
+            .traffic(new RegionTraffic(places))
+            .seed(settings.node().hashCode())
+            .build();
+    JsonRowCodec codec = JsonRowCodec.create();
+    loop =
+        ControlLoop.create(
+            coreOf(codec), System::currentTimeMillis, this::carryOut, settings.node() + "-control");
+    outside =
+        new EffectRunner(
+            platform.table(), platform.objects(), platform.vms(), workers, peers, loop::post);
+    service =
+        new NodeService(
+            settings.node(),
+            System::currentTimeMillis,
+            loop::post,
+            new TableQueries(platform.table(), codec),
+            TokenDigests.forOperator(operatorToken),
+            events);
+    http =
+        HttpApiServer.start(
+            traffic,
+            settings.http().host(),
+            settings.http().port(),
+            service,
+            new NodeProbes(() -> "", () -> notReadyReason, () -> ""),
+            HttpLimits.defaults(),
+            null);
+    loop.start();
+    peers.start(message -> loop.post(new NodeEvent.PeerMessageReceived(message)));
+    ticks =
+        traffic.scheduleAtFixedRate(
+            () -> loop.post(new NodeEvent.Tick()), 0, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings its checked settings
+   * @param operatorToken the token that operators hold
+   */
+  public static Either<StartError, NodeProcess> start(Settings settings, String operatorToken) {
+    try {
+      return Either.right(new NodeProcess(settings, operatorToken));
+    } catch (RuntimeException e) {
+      return Either.left(startError(settings, e));
+    } catch (Exception e) {
+      // Netty passes the checked exception of a failed bind on without declaring it.
+      return Either.left(startError(settings, e));
+    }
+  }
+
+  /** Returns the node's name. */
+  public NodeId node() {
+    return settings.node();
+  }
+
+  /** Returns the TCP port for callers and operators. */
+  public int httpPort() {
+    return http.port();
+  }
+
+  /** Returns what callers and operators can ask. */
+  public NodeApi api() {
+    return service;
+  }
+
+  /** Returns the bytes sent to nodes of other regions so far. */
+  public long crossRegionBytes() {
+    return places.crossRegionBytes();
+  }
+
+  /**
+   * Stops the node gracefully: it takes no new work, hands its regions over, answers the callers
+   * that wait and ends.
+   *
+   * @return completes with whether everything was handed over within the grace period
+   */
+  public CompletableFuture<Boolean> stop() {
+    loop.post(new NodeEvent.DrainRequested());
+    return drained
+        .copy()
+        .completeOnTimeout(false, settings.shutdownGraceMs(), TimeUnit.MILLISECONDS)
+        .thenCompose(
+            whole -> http.stop(settings.shutdownGraceMs()).thenApply(last -> whole && last))
+        .whenComplete((whole, failure) -> close());
+  }
+
+  /** Ends the node at once, as if its VM failed. */
+  @Override
+  public void close() {
+    ticks.cancel(false);
+    loop.close();
+    peers.close();
+    workers.close();
+    platform.close();
+    http.close();
+    var unused = traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private NodeCore coreOf(JsonRowCodec codec) {
+    long startedAtMs = System.currentTimeMillis();
+    return NodeCore.builder()
+        .identity(
+            new NodeIdentity(
+                settings.node(),
+                settings.region(),
+                settings.failureDomain(),
+                settings.peer().host(),
+                peers.port(),
+                settings.http().port(),
+                startedAtMs))
+        .codec(codec)
+        .declarationReader(DeclarationParser.create())
+        .random(RandomSource.XO_RO_SHI_RO_128_PP.create(startedAtMs ^ settings.node().hashCode()))
+        .heldLimits(settings.limits().heldRequests(), settings.limits().heldBytes())
+        .build();
+  }
+
+  private void carryOut(NodeEffect effect) {
+    if (effect instanceof NodeEffect.UseDeclaration use) {
+      places.add(use.declaration());
+    } else if (effect instanceof NodeEffect.SendPeer send) {
+      places.add(send.receiver());
+    }
+    if (service.deliver(effect) || outside.run(effect)) {
+      return;
+    }
+    if (effect instanceof NodeEffect.Report report) {
+      report(report);
+    } else if (effect instanceof NodeEffect.ReadinessChanged readiness) {
+      notReadyReason = readiness.notReadyReason();
+    } else if (effect instanceof NodeEffect.Drained) {
+      drained.complete(true);
+    }
+  }
+
+  private void report(NodeEffect.Report report) {
+    Logger.info(
+        "{} {} {}: {} [{}]",
+        report.part(),
+        report.kind(),
+        report.subject(),
+        report.detail(),
+        settings.node());
+    events.add(System.currentTimeMillis(), report.kind(), report.subject(), report.detail());
+  }
+
+  private static StartError startError(Settings settings, Exception failure) {
+    if (failure instanceof BindException) {
+      return new StartError(
+          ExitCode.PORT_IN_USE,
+          "cannot listen on "
+              + settings.http().host()
+              + " port "
+              + settings.http().port()
+              + " (http) or on "
+              + settings.peer().host()
+              + " port "
+              + settings.peer().port()
+              + " (peer): "
+              + failure.getMessage());
+    }
+    return new StartError(ExitCode.INTERNAL_ERROR, "cannot start: " + failure);
+  }
+
+  /** Counts the bytes to each region. */
+  private record RegionTraffic(Places places) implements PeerTraffic {
+    @Override
+    public void sent(PeerAddress peer, int sizeBytes) {
+      places.countSent(peer, sizeBytes);
+    }
+
+    @Override
+    public void received(NodeId peer, int sizeBytes) {}
+
+    @Override
+    public void dropped(PeerAddress peer, int sizeBytes) {}
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/Places.java
@@ -0,0 +1,78 @@
+package dev.bambootray.daemon;
+
+import dev.bambootray.core.declaration.Declaration;
+import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.membership.MemberState;
+import dev.bambootray.core.model.FailureDomainId;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.documents.LinkDelaySettings;
+import dev.bambootray.ports.PeerNetwork.PeerAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+
+/** Knows where peers and workers are; tells link delays for demos and counts bytes by region. */
+final class Places {
+  private final Place self;
+  private final @Nullable LinkDelaySettings delays;
+  private final Map<PeerAddress, Place> places = new ConcurrentHashMap<>();
+  private final Map<RegionId, LongAdder> bytesByRegion = new ConcurrentHashMap<>();
+
+  Places(RegionId region, FailureDomainId domain, @Nullable LinkDelaySettings delays) {
+    this.self = new Place(region, domain);
+    this.delays = delays;
+  }
+
+  void add(MemberState member) {
+    places.put(
+        new PeerAddress(member.host(), member.peerPort()),
+        new Place(member.region(), member.failureDomain()));
+  }
+
+  void add(Declaration declaration) {
+    for (WorkerDeclaration worker : declaration.workers().values()) {
+      places.put(
+          new PeerAddress(worker.host(), worker.port()),
+          new Place(worker.region(), worker.failureDomain()));
+    }
+  }
+
+  /** Returns the emulated one-way latency to an address in microseconds, 0 if none is set. */
+  long oneWayMicros(PeerAddress address) {
+    Place place = places.get(address);
+    if (delays == null || place == null) {
+      return 0;
+    }
+    if (!place.region().equals(self.region())) {
+      return Math.round(delays.betweenRegionsMs() * 1_000);
+    }
+    return place.domain().equals(self.domain())
+        ? 0
+        : Math.round(delays.betweenFailureDomainsMs() * 1_000);
+  }
+
+  /** Counts bytes sent to an address; addresses of unknown places are not counted. */
+  void countSent(PeerAddress address, int sizeBytes) {
+    Place place = places.get(address);
+    if (place != null) {
+      bytesByRegion.computeIfAbsent(place.region(), region -> new LongAdder()).add(sizeBytes);
+    }
+  }
+
+  /** Returns the bytes sent to other regions. */
+  long crossRegionBytes() {
+    return bytesByRegion.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(self.region()))
+        .mapToLong(entry -> entry.getValue().sum())
+        .sum();
+  }
+
+  /**
+   * Where a peer or worker is.
+   *
+   * @param region its region
+   * @param domain its failure domain
+   */
+  private record Place(RegionId region, FailureDomainId domain) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/StartError.java
@@ -0,0 +1,11 @@
+package dev.bambootray.daemon;
+
+import dev.bambootray.documents.ExitCode;
+
+/**
+ * Why a node could not start.
+ *
+ * @param exitCode exit code of the process
+ * @param message one line for the operator
+ */
+public record StartError(ExitCode exitCode, String message) {}
