Write an answer that is known at once before reading on

A caller that ends its sending side right after the request could lose the answer, because the answer was queued behind the end of the stream.

--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -146,16 +146,22 @@
         pending
             .response()
             .whenComplete(
-                (response, failure) ->
-                    added
-                        .executor()
-                        .execute(
-                            () ->
-                                finish(
-                                    added,
-                                    failure == null ? response : failed(failure),
-                                    traceparent,
-                                    queued)));
+                (response, failure) -> {
+                  ApiResponse known = failure == null ? response : failed(failure);
+                  onLoop(added, () -> finish(added, known, traceparent, queued));
+                });
+  }
+
+  /**
+   * Runs on the event loop, at once if the caller is on it. An answer that is known at once is thus
+   * written before the end of the caller's stream is read.
+   */
+  private static void onLoop(ChannelHandlerContext added, Runnable action) {
+    if (added.executor().inEventLoop()) {
+      action.run();
+    } else {
+      added.executor().execute(action);
+    }
   }
 
   private PendingResponse route(ApiRequest request) {
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/SubmitReader.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/SubmitReader.java
@@ -103,7 +103,8 @@
 
   /** Returns the parser's reason without its remarks on the source and on the parser's settings. */
   private static String reason(JsonProcessingException e) {
-    String message = e.getOriginalMessage().replaceAll(" \\(start marker.*| ?\\(.*, from `.*", "");
+    String message =
+        e.getOriginalMessage().replaceAll(" \\(start marker.*", "").replaceAll(", from `.*", ")");
     return Texts.printable(message, MAX_REASON_CHARS);
   }
 
