--- a/adapters/tls/src/main/java/dev/bambootray/adapters/tls/ReloadableTls.java
+++ b/adapters/tls/src/main/java/dev/bambootray/adapters/tls/ReloadableTls.java
@@ -56,14 +56,14 @@
   public synchronized Either<TlsError, Boolean> reload() {
     Either<TlsError, Loaded> next = read(files);
     if (next.isLeft()) {
-      Logger.error("tls: the former keys stay in use: {}", next.getLeft().message());
+      Logger.error("config: the former keys stay in use: {}", next.getLeft().message());
       return Either.left(next.getLeft());
     }
     if (Arrays.equals(next.get().digest, loaded.digest)) {
       return Either.right(false);
     }
     loaded = next.get();
-    Logger.info("tls: new keys from {} are in use", files.certificateChain().getFileName());
+    Logger.info("config: new keys from {} are in use", files.certificateChain().getFileName());
     return Either.right(true);
   }
 
