--- a/cli/src/main/java/dev/bambootray/cli/client/HttpNodeClient.java
+++ b/cli/src/main/java/dev/bambootray/cli/client/HttpNodeClient.java
@@ -68,7 +68,8 @@
     } catch (IOException e) {
       return Either.left("connection lost: " + e.getMessage());
     } catch (IllegalArgumentException e) {
-      return Either.left("not an address of a node: " + e.getMessage());
+      // The message of the exception may hold the header with the token.
+      return Either.left("not an address of a node, or a header that can't be sent");
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return Either.left("interrupted");
--- a/cli/src/main/java/dev/bambootray/cli/verb/ConnectionOptions.java
+++ b/cli/src/main/java/dev/bambootray/cli/verb/ConnectionOptions.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import javax.net.ssl.SSLContext;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine.Option;
@@ -19,6 +20,7 @@
 /** Options that say which nodes are called and with which token. */
 final class ConnectionOptions {
   private static final int MAX_TOKEN_BYTES = 4096;
+  private static final Pattern TOKEN = Pattern.compile("[!-~]+");
   private static final String DEFAULT_NODE = "127.0.0.1:8080";
 
   @Option(
@@ -115,7 +117,14 @@
             path ->
                 TextFiles.read(path, MAX_TOKEN_BYTES)
                     .mapLeft(line -> CliFailure.of(ExitCode.INVALID_SETTINGS, line)))
-        .map(String::strip);
+        .map(String::strip)
+        .filterOrElse(
+            text -> TOKEN.matcher(text).matches(),
+            text ->
+                CliFailure.of(
+                    ExitCode.INVALID_SETTINGS,
+                    file
+                        + ": found no token, expected one line of printable ASCII without spaces"));
   }
 
   private static Either<CliFailure, Path> path(String name) {
--- a/cli/src/test/java/dev/bambootray/cli/client/HttpNodeClientTest.java
+++ b/cli/src/test/java/dev/bambootray/cli/client/HttpNodeClientTest.java
@@ -86,7 +86,12 @@
         client.call("http://127.0.0.1:" + port, "", NodeCall.get("/")).getLeft());
     assertTrue(
         client.call("ht tp://x", "", NodeCall.get("/")).getLeft().startsWith("not an address"));
-    assertTrue(client.call(url(), "line\nbreak", NodeCall.get("/")).getLeft().startsWith("not an"));
+  }
+
+  @Test
+  void aTokenThatCannotBeSentIsNotShown() {
+    String error = client.call(url(), "secret\nbreak", NodeCall.get("/")).getLeft();
+    assertEquals("not an address of a node, or a header that can't be sent", error);
   }
 
   @Test
--- a/documents/src/main/java/dev/bambootray/documents/DeclarationParser.java
+++ b/documents/src/main/java/dev/bambootray/documents/DeclarationParser.java
@@ -11,6 +11,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Parses declarations from JSON with comments and reports every error at once.
@@ -21,11 +22,23 @@
   private static final String DEFAULT_FILE = "declaration";
   private static final long MAX_MS = 365L * 24 * 3_600_000;
 
-  private DeclarationParser() {}
+  private final Function<Declaration, List<String>> check;
+
+  private DeclarationParser(Function<Declaration, List<String>> check) {
+    this.check = check;
+  }
 
   /** Returns a parser. */
   public static DeclarationParser create() {
-    return new DeclarationParser();
+    return new DeclarationParser(declaration -> List.of());
+  }
+
+  /**
+   * Returns a parser that also refuses declarations for which the check returns errors, one line
+   * each. The check sees only declarations without other errors.
+   */
+  public DeclarationParser withCheck(Function<Declaration, List<String>> newCheck) {
+    return new DeclarationParser(newCheck);
   }
 
   @Override
@@ -49,7 +62,7 @@
     return declaration.isPresent() ? Either.right(declaration.get()) : Either.left(problems.list());
   }
 
-  private static Optional<Declaration> read(String text, long version, Problems problems) {
+  private Optional<Declaration> read(String text, long version, Problems problems) {
     Optional<JsonValue> root = JsonTreeReader.read(text, problems);
     if (root.isEmpty()) {
       return Optional.empty();
@@ -64,17 +77,14 @@
     var templates = TemplateSection.read(document, ids, problems);
     PolicyDeclaration policy = readPolicy(document.objectOrEmpty("policy"));
     document.finish();
-    return problems.isEmpty()
-        ? Optional.of(
-            new Declaration(
-                version,
-                regions.regions(),
-                services,
-                workers.workers(),
-                workspaces,
-                templates,
-                policy))
-        : Optional.empty();
+    if (!problems.isEmpty()) {
+      return Optional.empty();
+    }
+    Declaration declaration =
+        new Declaration(
+            version, regions.regions(), services, workers.workers(), workspaces, templates, policy);
+    check.apply(declaration).forEach(line -> problems.add(root.get().place(), line));
+    return problems.isEmpty() ? Optional.of(declaration) : Optional.empty();
   }
 
   private static PolicyDeclaration readPolicy(ObjectCursor policy) {
--- a/documents/src/main/java/dev/bambootray/documents/json/Problems.java
+++ b/documents/src/main/java/dev/bambootray/documents/json/Problems.java
@@ -21,11 +21,20 @@
     return new Problems(file);
   }
 
-  /** Adds an error. */
+  /** Adds an error of one item. */
   public void add(Place place, String path, String found, String expected) {
+    add(new Problem(file, place, path, "found " + found + ", expected " + expected));
+  }
+
+  /** Adds an error of the whole document. */
+  public void add(Place place, String message) {
+    add(new Problem(file, place, "", message));
+  }
+
+  private void add(Problem problem) {
     count++;
     if (kept.size() < MAX_KEPT) {
-      kept.add(new Problem(file, place, path, found, expected));
+      kept.add(problem);
     }
   }
 
--- a/documents/src/test/java/dev/bambootray/documents/DeclarationParserTest.java
+++ b/documents/src/test/java/dev/bambootray/documents/DeclarationParserTest.java
@@ -125,6 +125,16 @@
     assertTrue(errors(text).get(0).contains("\"r1-w2\" at address 127.0.0.1 port 7002"));
   }
 
+  @Test
+  void refusesWhatAnAddedCheckObjectsTo() {
+    DeclarationParser strict =
+        parser.withCheck(d -> d.workers().size() > 2 ? List.of("too many workers") : List.of());
+    assertEquals(
+        List.of("d.json:2:1: too many workers"),
+        strict.read("d.json", DeclarationTexts.SMALL, 1).getLeft());
+    assertTrue(strict.read("d.json", "{}", 1).isRight());
+  }
+
   @Test
   void namesThePlaceOfBrokenJson() {
     assertTrue(errors("{\n  \"regions\": [}").get(0).startsWith("d.json:2:15: found text that is"));
