Test the router under faults and requeue runs lost with their worker

Cause: tests of fates, retries, ejection and regions were missing. Writing them showed that a run asked for before its worker was adopted was never asked for again, that a failing target at light load was judged too slowly, that runs lost with a worker were bound to the retry budget although the design requeues them, and that results nobody needs stayed on the worker. Change: a fate is asked for again until the worker is lost; a failing target is tried again after 200 ms instead of 500 ms for each failure; lost and stopped repeatable runs are requeued outside the budget; the new effect ForgetRun lets a worker forget the ended run of a repeatable request.

--- a/core/src/main/java/dev/bambootray/core/routing/DeadlineAdmission.java
+++ b/core/src/main/java/dev/bambootray/core/routing/DeadlineAdmission.java
@@ -29,7 +29,7 @@
     if (isClosedTooLong(pool, nowMs)) {
       return refusal(state, pool, "no target of the service is available");
     }
-    if (pool.closedSinceMs >= 0) {
+    if (pool.capacity() == 0) {
       return null;
     }
     double ahead = pool.queue.ahead(workspace, state.weightOf(workspace));
@@ -59,7 +59,7 @@
 
   /** Returns when the queue will have drained, spread out so that callers do not return at once. */
   static long retryAfterMs(RouterState state, ServicePool pool) {
-    long drainMs = pool.expectedWaitMs(pool.queue.size());
+    long drainMs = pool.capacity() == 0 ? CLOSED_GRACE_MS : pool.expectedWaitMs(pool.queue.size());
     long baseMs = Math.max(MIN_RETRY_AFTER_MS, Math.min(MAX_RETRY_AFTER_MS, drainMs));
     return baseMs + state.random.nextLong(baseMs / 2 + 1);
   }
--- a/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
@@ -181,7 +181,7 @@
     if (target.fateInFlight == run) {
       target.fateInFlight = null;
     }
-    if (!target.joined) {
+    if (target.lost) {
       return;
     }
     health.unreachable(target, nowMs);
--- a/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
+++ b/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
@@ -13,7 +13,7 @@
   private static final double FAILING = 1_000;
 
   /** A failing target is tried again after this time for each failure, in milliseconds. */
-  private static final long RETRY_FAILING_MS = 500;
+  private static final long RETRY_FAILING_MS = 200;
 
   /** Least time between two tries of a slow target, in milliseconds. */
   private static final long EXPLORE_SLOW_MS = 2_000;
--- a/core/src/main/java/dev/bambootray/core/routing/RequestAnswers.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RequestAnswers.java
@@ -69,6 +69,7 @@
     if (error == null || wasSent(request)) {
       error = RequestError.unknown(RUN, peerOf(request), "the deadline passed during the run");
     }
+    error = withRetryTime(request, error);
     // A run that is not repeatable may be half done, so it is left to end by itself.
     refuse(request, error, request.isRepeatable(), nowMs);
   }
@@ -118,10 +119,30 @@
     }
   }
 
+  /**
+   * Runs a repeatable request again whose run was lost or stopped with its worker. This is outside
+   * the retry budget: it replaces a run instead of adding one, and a lost worker held few of them.
+   */
+  void requeueOrGiveUp(PendingRequest request, RequestError error, long nowMs) {
+    request.lastError = error;
+    if (!request.runs.isEmpty() || isWaiting(request)) {
+      return;
+    }
+    if (request.isRepeatable() && request.sends < maxAttempts(request)) {
+      enqueue(request, true);
+    } else {
+      refuse(request, withRetryTime(request, error), true, nowMs);
+    }
+  }
+
+  private static int maxAttempts(PendingRequest request) {
+    return Math.max(1, request.template().maxAttempts());
+  }
+
   /** Schedules a retry within the budget, even beside a run of unknown fate. */
   boolean tryRetry(PendingRequest request, long nowMs) {
     if (!request.isRepeatable()
-        || request.sends >= Math.max(1, request.template().maxAttempts())
+        || request.sends >= maxAttempts(request)
         || request.spec().deadlineAtMs() <= nowMs
         || !request.pool.budget.reserve(state.policy().retryBudgetShare(), nowMs)) {
       return false;
--- a/core/src/main/java/dev/bambootray/core/routing/RouterEffect.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RouterEffect.java
@@ -37,6 +37,16 @@
    */
   record CancelRun(TaskId task, WorkerId worker) implements RouterEffect {}
 
+  /**
+   * Let the worker forget a run that has ended and whose result is not needed. It is asked for only
+   * if the request is repeatable; the worker's memory of any other run proves whether it ran until
+   * the answer is durable.
+   *
+   * @param task the run
+   * @param worker where
+   */
+  record ForgetRun(TaskId task, WorkerId worker) implements RouterEffect {}
+
   /**
    * Ask for the state of a run on a fresh connection and wait for its end.
    *
--- a/core/src/main/java/dev/bambootray/core/routing/RunOutcomes.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RunOutcomes.java
@@ -21,21 +21,26 @@
 
   /** A run ended with a result after the given run time. */
   void answered(Run run, String resultJson, long runMs, long nowMs) {
+    state.removeRun(run);
     if (run.phase == Run.Phase.ENDED) {
-      state.removeRun(run);
       return;
     }
     health.succeeded(run, runMs, nowMs);
-    state.removeRun(run);
     if (run.isWanted()) {
       answers.complete(run.request, run, resultJson, nowMs);
+    } else {
+      forget(run);
     }
   }
 
   /** A run ended with an error. */
   void failed(Run run, String message, long nowMs) {
     state.removeRun(run);
-    if (run.phase == Run.Phase.ENDED || !run.isWanted()) {
+    if (run.phase == Run.Phase.ENDED) {
+      return;
+    }
+    forget(run);
+    if (!run.isWanted()) {
       return;
     }
     health.failed(run, nowMs);
@@ -46,10 +51,14 @@
   /** A run was stopped before its end; it may have had part of its effect. */
   void stopped(Run run, long nowMs) {
     state.removeRun(run);
-    if (run.phase == Run.Phase.ENDED || !run.isWanted()) {
+    if (run.phase == Run.Phase.ENDED) {
       return;
     }
-    answers.retryOrGiveUp(
+    forget(run);
+    if (!run.isWanted()) {
+      return;
+    }
+    answers.requeueOrGiveUp(
         run.request,
         RequestError.unknown(RUN, run.target.worker.value(), "the run was stopped"),
         nowMs);
@@ -93,6 +102,12 @@
     }
   }
 
+  private void forget(Run run) {
+    if (run.request.isRepeatable()) {
+      state.emit(new RouterEffect.ForgetRun(run.task, run.target.worker));
+    }
+  }
+
   /** The connection of a run failed; its fate is asked for at once. */
   void noReply(Run run, long nowMs) {
     if (run.phase == Run.Phase.ENDED) {
@@ -107,6 +122,7 @@
   /** A worker is lost, and with it all its runs. */
   void targetLost(Target target, long nowMs) {
     target.joined = false;
+    target.lost = true;
     target.fateInFlight = null;
     target.fateQueue.clear();
     target.pool.targets.remove(target);
@@ -119,7 +135,7 @@
       if (run.phase == Run.Phase.INTENT) {
         answers.redirect(run.request, target, "the worker was lost before the run", nowMs);
       } else {
-        answers.retryOrGiveUp(
+        answers.requeueOrGiveUp(
             run.request,
             RequestError.unknown(RUN, target.worker.value(), "the worker was lost during the run"),
             nowMs);
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -29,6 +29,7 @@
 
   boolean joined;
   boolean leaving;
+  boolean lost;
 
   /** It did not answer on a fresh connection; it gets nothing new until it does. */
   boolean unreachable;
--- a/core/src/test/java/dev/bambootray/core/routing/RouterFixture.java
+++ b/core/src/test/java/dev/bambootray/core/routing/RouterFixture.java
@@ -68,6 +68,23 @@
     }
   }
 
+  /** Returns a router that never hedges. */
+  static RouterFixture withoutHedges(int workers, int slots) {
+    PolicyDeclaration policy = PolicyDeclaration.defaults();
+    return new RouterFixture(
+        workers,
+        slots,
+        new PolicyDeclaration(
+            policy.completionTimeWeight(),
+            policy.fragmentationWeight(),
+            policy.shareHalfLifeMs(),
+            policy.ageingMs(),
+            policy.ejectionMaxShare(),
+            policy.retryBudgetShare(),
+            1,
+            policy.spillHysteresisMs()));
+  }
+
   static Declaration declaration(int workers, int slots, PolicyDeclaration policy) {
     Map<WorkerId, WorkerDeclaration> declared = new HashMap<>();
     for (int i = 0; i < workers; i++) {
--- /dev/null
+++ b/core/src/test/java/dev/bambootray/core/routing/RunFateTest.java
@@ -0,0 +1,244 @@
+package dev.bambootray.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.RunState;
+import dev.bambootray.core.routing.RouterEffect.RecordIntent;
+import dev.bambootray.core.routing.RouterEffect.RunOnTarget;
+import dev.bambootray.core.worker.TaskPhase;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against double runs and false statements about requests whose connection failed. */
+final class RunFateTest {
+  private final RouterFixture fixture = RouterFixture.withoutHedges(2, 8);
+
+  private RequestKey queueNotRepeatable() {
+    RequestKey key = fixture.queue("big", false, 10_000);
+    recordIntent();
+    return key;
+  }
+
+  private void recordIntent() {
+    List<RecordIntent> intents = fixture.all(RecordIntent.class);
+    fixture.send(new RouterEvent.IntentRecorded(intents.get(intents.size() - 1).task()));
+  }
+
+  private void loseReply(RequestKey key) {
+    fixture.send(new RouterEvent.RunNoReply(fixture.runOf(key).task(), "reset"));
+  }
+
+  /** Guards against a second run of a request that is not repeatable. */
+  @Nested
+  final class NotRepeatable {
+    @Test
+    void recordsItsIntentBeforeItRuns() {
+      RequestKey key = fixture.queue("big", false, 10_000);
+      assertTrue(fixture.runsOf(key).isEmpty());
+      recordIntent();
+      assertEquals(fixture.all(RecordIntent.class).get(0).task(), fixture.runOf(key).task());
+    }
+
+    @Test
+    void isRefusedAsNotRunWhenItsIntentIsRejectedAgainAndAgain() {
+      RequestKey key = fixture.queue("big", false, 10_000);
+      for (int i = 0; i < 3 && fixture.refusalOf(key) == null; i++) {
+        List<RecordIntent> intents = fixture.all(RecordIntent.class);
+        fixture.send(new RouterEvent.IntentRejected(intents.get(intents.size() - 1).task()));
+        fixture.pass(2_000);
+      }
+      assertEquals(RunState.NO, fixture.refusalOf(key).ran());
+      assertTrue(fixture.runsOf(key).isEmpty());
+    }
+
+    @Test
+    void isNotSentWhenItsTargetLeavesWhileTheIntentIsRecorded() {
+      RequestKey key = fixture.queue("big", false, 10_000);
+      RecordIntent first = fixture.all(RecordIntent.class).get(0);
+      fixture.send(new RouterEvent.TargetLeaving(first.worker()));
+      recordIntent();
+      assertTrue(fixture.runsOf(key).isEmpty());
+      recordIntent();
+      assertFalse(fixture.runOf(key).worker().equals(first.worker()));
+    }
+
+    @Test
+    void isNeverSentTwiceWhileItsFateIsUnknown() {
+      RequestKey key = queueNotRepeatable();
+      loseReply(key);
+      assertEquals(1, fixture.all(RouterEffect.QueryFate.class).size());
+      for (int i = 0; i < 6; i++) {
+        fixture.send(new RouterEvent.FateUnavailable(fixture.runOf(key).task(), "timeout"));
+        fixture.pass(2_500);
+      }
+      assertEquals(1, fixture.runsOf(key).size());
+      assertEquals(RunState.UNKNOWN, fixture.refusalOf(key).ran());
+      assertEquals(1, fixture.answersOf(key));
+    }
+
+    @Test
+    void isSentAgainOnceTheWorkerHasTwiceNotKnownTheRun() {
+      RequestKey key = queueNotRepeatable();
+      RunOnTarget first = fixture.runOf(key);
+      loseReply(key);
+      fixture.tellFate(first, TaskPhase.UNKNOWN);
+      assertEquals(1, fixture.all(RecordIntent.class).size());
+      fixture.pass(300);
+      fixture.tellFate(first, TaskPhase.UNKNOWN);
+      assertEquals(2, fixture.all(RecordIntent.class).size());
+      recordIntent();
+      assertEquals(2, fixture.runsOf(key).size());
+    }
+
+    @Test
+    void isAnsweredAsUnknownAtOnceWhenItsWorkerIsLost() {
+      RequestKey key = queueNotRepeatable();
+      fixture.send(new RouterEvent.TargetLost(fixture.runOf(key).worker()));
+      assertEquals(RunState.UNKNOWN, fixture.refusalOf(key).ran());
+    }
+
+    @Test
+    void isAnsweredWithItsResultOnceTheFateIsKnown() {
+      RequestKey key = queueNotRepeatable();
+      loseReply(key);
+      fixture.tellFate(fixture.runOf(key), TaskPhase.RUNNING);
+      fixture.pass(100);
+      fixture.tellFate(fixture.runOf(key), TaskPhase.FINISHED);
+      assertEquals("2", fixture.all(RouterEffect.CompleteRequest.class).get(0).resultJson());
+    }
+
+    @Test
+    void isNotRetriedAfterAnError() {
+      fixture.serve(100, 10);
+      RequestKey key = queueNotRepeatable();
+      fixture.fail(key);
+      assertEquals(RunState.YES, fixture.refusalOf(key).ran());
+      fixture.pass(2_000);
+      assertEquals(1, fixture.runsOf(key).size());
+    }
+  }
+
+  /** Guards against connections that go silent while the worker goes on. */
+  @Nested
+  final class SilentConnections {
+    @Test
+    void areFoundWithinTwoSecondsAndClosedWhileTheTargetStaysInUse() {
+      RequestKey key = fixture.queue();
+      List<RouterEffect> soon = fixture.pass(2_000);
+      assertEquals(1, RouterFixture.of(soon, RouterEffect.QueryFate.class).size());
+      fixture.tellFate(fixture.runOf(key), TaskPhase.FINISHED);
+      assertEquals(1, fixture.answersOf(key));
+      assertEquals(1, fixture.all(RouterEffect.CloseConnection.class).size());
+      assertEquals(16, fixture.router.loadOf(fixture.nowMs).freeSlots());
+    }
+
+    @Test
+    void areFoundSoonerOnceRunTimesAreLearned() {
+      fixture.serve(200, 10);
+      fixture.queue();
+      assertEquals(1, RouterFixture.of(fixture.pass(300), RouterEffect.QueryFate.class).size());
+    }
+
+    @Test
+    void areNotAssumedForARunThatIsStillRunning() {
+      RequestKey key = fixture.queue();
+      fixture.pass(1_500);
+      fixture.tellFate(fixture.runOf(key), TaskPhase.RUNNING);
+      assertTrue(fixture.all(RouterEffect.CloseConnection.class).isEmpty());
+      assertNull(fixture.refusalOf(key));
+      fixture.answer(key);
+      assertEquals("1", fixture.all(RouterEffect.CompleteRequest.class).get(0).resultJson());
+    }
+
+    @Test
+    void toAnUnreachableTargetStopNewWorkThereButNotOnOthersOfItsRack() {
+      fixture.serve(100, 10);
+      RequestKey key = fixture.queue();
+      RunOnTarget first = fixture.runOf(key);
+      fixture.pass(1_500);
+      fixture.send(new RouterEvent.FateUnavailable(first.task(), "timeout"));
+      fixture.pass(1_000);
+      assertEquals(2, fixture.runsOf(key).size());
+      for (int i = 0; i < 7; i++) {
+        assertFalse(fixture.runOf(fixture.queue()).worker().equals(first.worker()));
+      }
+      fixture.send(new RouterEvent.ProbeAnswered(first.worker()));
+      assertEquals(first.worker(), fixture.runOf(fixture.queue()).worker());
+    }
+
+    @Test
+    void areClosedBeforeARunThatTheWorkerDoesNotKnowIsSentAgain() {
+      RequestKey key = fixture.queue();
+      fixture.pass(1_500);
+      List<RouterEffect> wanted =
+          fixture.send(
+              new RouterEvent.FateKnown(
+                  RouterFixture.snapshot(fixture.runOf(key).task(), key, TaskPhase.UNKNOWN, null)));
+      assertTrue(wanted.get(0) instanceof RouterEffect.CloseConnection);
+      assertEquals(1, RouterFixture.of(wanted, RunOnTarget.class).size());
+    }
+
+    @Test
+    void askOneQuestionAtATimeForEachTarget() {
+      for (int i = 0; i < 16; i++) {
+        fixture.queue();
+      }
+      fixture.pass(1_500);
+      assertEquals(2, fixture.all(RouterEffect.QueryFate.class).size());
+    }
+  }
+
+  /** Guards against lost or doubled runs when the region changes its owner. */
+  @Nested
+  final class AdoptedRuns {
+    private RequestKey adopt(boolean repeatable, TaskPhase phase) {
+      QueuedRequest request = fixture.request("big", repeatable, 10_000);
+      RequestKey key = request.spec().key();
+      fixture.send(
+          new RouterEvent.RunAdopted(
+              RouterFixture.worker(0),
+              RouterFixture.snapshot(
+                  dev.bambootray.core.worker.TaskId.parse("north:6:old:1~0"), key, phase, "2"),
+              request));
+      fixture.send(new RouterEvent.RequestQueued(request));
+      return key;
+    }
+
+    @Test
+    void thatFinishedAreAnswered() {
+      RequestKey key = adopt(false, TaskPhase.FINISHED);
+      assertEquals("2", fixture.all(RouterEffect.CompleteRequest.class).get(0).resultJson());
+      assertEquals(key, fixture.all(RouterEffect.CompleteRequest.class).get(0).key());
+    }
+
+    @Test
+    void thatAreRunningHoldTheirSlotAndAreFollowed() {
+      RequestKey key = adopt(false, TaskPhase.RUNNING);
+      assertEquals(15, fixture.router.loadOf(fixture.nowMs).freeSlots());
+      assertTrue(fixture.runsOf(key).isEmpty());
+      fixture.pass(100);
+      RouterEffect.QueryFate query = fixture.all(RouterEffect.QueryFate.class).get(0);
+      fixture.send(
+          new RouterEvent.FateKnown(
+              RouterFixture.snapshot(query.task(), key, TaskPhase.FINISHED, "3")));
+      assertEquals(1, fixture.answersOf(key));
+      assertEquals(16, fixture.router.loadOf(fixture.nowMs).freeSlots());
+    }
+
+    @Test
+    void thatWereStoppedRunAgainOnlyIfRepeatable() {
+      assertEquals(1, fixture.runsOf(adopt(true, TaskPhase.STOPPED)).size());
+    }
+
+    @Test
+    void thatWereStoppedAndAreNotRepeatableAreUnknown() {
+      RequestKey key = adopt(false, TaskPhase.STOPPED);
+      assertEquals(RunState.UNKNOWN, fixture.refusalOf(key).ran());
+    }
+  }
+}
