--- a/core/src/main/java/dev/bambootray/core/configuration/ConfigurationEffect.java
+++ b/core/src/main/java/dev/bambootray/core/configuration/ConfigurationEffect.java
@@ -51,6 +51,13 @@
    */
   record DeclarationInForce(Declaration declaration, String text) implements ConfigurationEffect {}
 
+  /**
+   * Tell peers in probes that this node holds a version; until the first of these effects, tell 0.
+   *
+   * @param version the version
+   */
+  record HeldVersionChanged(long version) implements ConfigurationEffect {}
+
   /**
    * Whether this node knows recently enough that its declaration is the newest accepted one; while
    * not, it refuses new work.
--- a/core/src/main/java/dev/bambootray/core/configuration/ConfigurationState.java
+++ b/core/src/main/java/dev/bambootray/core/configuration/ConfigurationState.java
@@ -31,6 +31,7 @@
   private final VersionKnowledge knowledge;
   private PublishedDeclaration held = PublishedDeclaration.NONE;
   private @Nullable Declaration inForce;
+  private long toldVersion;
   private boolean toldCurrent;
   private boolean toldExchangesWanted;
   private long nextReadMs;
@@ -61,6 +62,14 @@
     return held.version();
   }
 
+  /**
+   * Returns the version that peers are told; it is 0 after a start until this process knows all
+   * that an earlier process on this node confirmed.
+   */
+  public long toldVersion() {
+    return toldVersion;
+  }
+
   /** Returns the declaration in force. */
   public Optional<Declaration> declaration() {
     return Optional.ofNullable(inForce);
@@ -223,6 +232,10 @@
       toldExchangesWanted = wanted;
       effects.add(new ConfigurationEffect.ExchangesWanted(wanted));
     }
+    if (knowledge.updateEstablished(held.version(), nowMs) && toldVersion < held.version()) {
+      toldVersion = held.version();
+      effects.add(new ConfigurationEffect.HeldVersionChanged(toldVersion));
+    }
     boolean current = isCurrent(nowMs);
     if (current != toldCurrent) {
       toldCurrent = current;
--- a/core/src/main/java/dev/bambootray/core/configuration/Publication.java
+++ b/core/src/main/java/dev/bambootray/core/configuration/Publication.java
@@ -21,6 +21,7 @@
   long committedMs;
   long nextSendMs;
   boolean maybeApplied;
+  boolean answerAwaited;
 
   Publication(long publishId, long baseVersion, String author, long nowMs) {
     this.publishId = publishId;
--- a/core/src/main/java/dev/bambootray/core/configuration/Publisher.java
+++ b/core/src/main/java/dev/bambootray/core/configuration/Publisher.java
@@ -105,6 +105,7 @@
     Publication publication = publications.get(failure.publishId());
     if (publication != null && publication.phase == Phase.COMMITTING) {
       publication.maybeApplied |= failure.maybeApplied();
+      publication.answerAwaited = false;
       publication.nextSendMs = nowMs + REPEAT_MS;
     }
   }
@@ -144,6 +145,7 @@
 
   private void sendCommit(Publication publication, long nowMs, List<ConfigurationEffect> effects) {
     publication.nextSendMs = nowMs + COMMIT_REPEAT_MS;
+    publication.answerAwaited = true;
     effects.add(
         new ConfigurationEffect.CommitDeclaration(
             publication.publishId, tokenPrefix + publication.publishId, publication.declaration));
@@ -152,10 +154,13 @@
   private void repeatCommit(
       Publication publication, long nowMs, List<ConfigurationEffect> effects) {
     if (nowMs - publication.startedMs >= COMMIT_DEADLINE_MS) {
-      finish(publication, new PublishOutcome.Unavailable(publication.maybeApplied), effects);
+      finish(
+          publication,
+          new PublishOutcome.Unavailable(publication.maybeApplied || publication.answerAwaited),
+          effects);
     } else if (nowMs >= publication.nextSendMs) {
       // A write without any answer may have taken effect.
-      publication.maybeApplied = true;
+      publication.maybeApplied |= publication.answerAwaited;
       sendCommit(publication, nowMs, effects);
     }
   }
--- a/core/src/main/java/dev/bambootray/core/configuration/VersionKnowledge.java
+++ b/core/src/main/java/dev/bambootray/core/configuration/VersionKnowledge.java
@@ -15,6 +15,7 @@
   private Set<NodeId> members;
   private long tableAskedAtMs = Long.MIN_VALUE / 2;
   private boolean tableAnswered;
+  private boolean established;
   private long highest;
   private NodeId highestHolder;
 
@@ -72,26 +73,38 @@
   }
 
   /**
-   * Returns whether enough members were asked recently enough to know every accepted version.
+   * Notes whether this process knows every version that an earlier process on this node confirmed.
    *
-   * <p>Only members that hold a version count: a member that restarted has forgotten what it
-   * confirmed. This node counts itself only if it holds a version.
+   * <p>It does once it holds the version of the table, or of a majority of members without itself.
+   * Until then it must count for no majority, neither its own nor that of another node: it may hold
+   * an older version than the one that its earlier process helped to accept.
    */
-  boolean isMajorityRecent(long heldVersion, long nowMs) {
-    long recent =
-        exchanges.entrySet().stream()
-            .filter(entry -> !entry.getKey().equals(self))
-            .map(Map.Entry::getValue)
-            .filter(exchange -> exchange.version() > 0)
-            .filter(exchange -> nowMs - exchange.askedAtMs() <= CURRENT_FOR_MS)
-            .count();
-    return recent + (heldVersion > 0 ? 1 : 0) >= majority();
+  boolean updateEstablished(long heldVersion, long nowMs) {
+    boolean upToDate = heldVersion >= highest && heldVersion > 0;
+    established |=
+        upToDate && (isTableRecent(nowMs, CURRENT_FOR_MS) || recentExchanges(nowMs) >= majority());
+    return established;
+  }
+
+  boolean isEstablished() {
+    return established;
   }
 
   boolean isCurrent(long heldVersion, long nowMs) {
     return heldVersion >= highest
         && heldVersion > 0
-        && (isTableRecent(nowMs, CURRENT_FOR_MS) || isMajorityRecent(heldVersion, nowMs));
+        && (isTableRecent(nowMs, CURRENT_FOR_MS)
+            || recentExchanges(nowMs) + (established ? 1 : 0) >= majority());
+  }
+
+  /** Counts the other members that were asked recently and hold an established version. */
+  private long recentExchanges(long nowMs) {
+    return exchanges.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(self))
+        .map(Map.Entry::getValue)
+        .filter(exchange -> exchange.version() > 0)
+        .filter(exchange -> nowMs - exchange.askedAtMs() <= CURRENT_FOR_MS)
+        .count();
   }
 
   private record Exchange(long version, long askedAtMs) {}
