Describe declarations, settings, verbs, words and how to contribute

Cause: each user-visible item needs a page. Change: docs/reference/declarations.md, settings.md and cli.md, docs/glossary.md, CONTRIBUTING.md and a draft of README.md; tests check that the pages have every exit code, verb, option and key, and that each example of a verb is what the transcript test runs.

--- a/cli/src/test/java/dev/bambootray/cli/FakeDeployment.java
+++ b/cli/src/test/java/dev/bambootray/cli/FakeDeployment.java
@@ -60,22 +60,28 @@
   int run(String... arguments) {
     StringWriter outText = new StringWriter();
     StringWriter errText = new StringWriter();
-    CliEnvironment environment =
-        new CliEnvironment(
-            new PrintWriter(outText),
-            new PrintWriter(errText),
-            context -> this,
-            clock(),
-            ms -> nowMs += ms,
-            () -> "key-1",
-            variables,
-            home);
-    int code = Cli.run(environment, arguments);
+    int code = Cli.run(environment(outText, errText), arguments);
     out = outText.toString();
     err = errText.toString();
     return code;
   }
 
+  picocli.CommandLine commandLine() {
+    return Cli.commandLine(environment(new StringWriter(), new StringWriter()));
+  }
+
+  private CliEnvironment environment(StringWriter outText, StringWriter errText) {
+    return new CliEnvironment(
+        new PrintWriter(outText),
+        new PrintWriter(errText),
+        context -> this,
+        clock(),
+        ms -> nowMs += ms,
+        () -> "key-1",
+        variables,
+        home);
+  }
+
   /** Returns what was called: node, method and path of each call. */
   List<String> calls() {
     return received.stream()
