Bound what hostile declarations cost

Cause: a text within the bounds could still cost much more than its size: the path of every value was built, suggestions were sought for errors that are not shown, and every guarantee counted all workers of its region. Change: paths and suggestions are made only for the 200 errors that are kept; counts are kept for each region and shape; a workspace has at most 100 guarantees; a difference within a list of objects names the item. Conclusion: the bound of 1 GiB for a text of up to 8 MiB is now a test.

--- a/documents/src/main/java/dev/bambootray/documents/CapacityCheck.java
+++ b/documents/src/main/java/dev/bambootray/documents/CapacityCheck.java
@@ -5,12 +5,10 @@
 import dev.bambootray.core.model.RegionId;
 import dev.bambootray.core.model.Shape;
 import dev.bambootray.core.model.WorkerId;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -22,10 +20,15 @@
  */
 final class CapacityCheck {
   private final Map<RegionId, List<WorkerDeclaration>> byRegion;
+  private final Map<RegionId, Long> totals = new HashMap<>();
   private final Map<RegionId, Long> guaranteed = new HashMap<>();
+  private final Map<RegionShape, Room> rooms = new HashMap<>();
 
   private CapacityCheck(Map<RegionId, List<WorkerDeclaration>> byRegion) {
     this.byRegion = byRegion;
+    byRegion.forEach(
+        (region, workers) ->
+            totals.put(region, workers.stream().mapToLong(w -> w.capacity().accelerators()).sum()));
   }
 
   /** Returns the check for the given workers. */
@@ -36,21 +39,23 @@
 
   /** Returns why the shapes can't be guaranteed in the region, or empty if they may fit. */
   Optional<String> objection(RegionId region, Shape shape, int count) {
-    List<WorkerDeclaration> workers = byRegion.getOrDefault(region, List.of());
     long asked = (long) shape.totalAccelerators() * count;
-    long total = workers.stream().mapToLong(w -> w.capacity().accelerators()).sum();
+    long total = totals.getOrDefault(region, 0L);
     if (asked > total) {
       return Optional.of(asked + " accelerators in a region of " + total + " accelerators");
     }
+    // Many workspaces guarantee the same shape; counting goes through all workers of the region.
+    Room room = rooms.computeIfAbsent(new RegionShape(region, shape), this::count);
     long members = (long) shape.members() * count;
-    long room = room(workers, shape);
-    if (members > room) {
-      return Optional.of(members + " members where " + room + " fit");
+    if (members > room.all()) {
+      return Optional.of(members + " members where " + room.all() + " fit");
     }
-    long largest = largestPart(workers, shape);
-    if (shape.members() > largest) {
+    if (shape.members() > room.largestPart()) {
       return Optional.of(
-          shape.members() + " members together where " + largest + " fit in the largest part");
+          shape.members()
+              + " members together where "
+              + room.largestPart()
+              + " fit in the largest part");
     }
     long sum = guaranteed.merge(region, asked, Long::sum);
     return sum > total
@@ -58,26 +63,26 @@
         : Optional.empty();
   }
 
-  private static long largestPart(List<WorkerDeclaration> workers, Shape shape) {
-    Adjacency adjacency = shape.adjacency();
-    if (adjacency == Adjacency.REGION) {
-      return room(workers, shape);
-    }
-    if (adjacency == Adjacency.FAILURE_DOMAIN) {
-      return largest(workers, WorkerDeclaration::failureDomain, shape);
-    }
-    return largest(workers, WorkerDeclaration::rack, shape);
-  }
+  private record RegionShape(RegionId region, Shape shape) {}
 
-  private static <K> long largest(
-      List<WorkerDeclaration> workers, Function<WorkerDeclaration, K> part, Shape shape) {
-    Collection<List<WorkerDeclaration>> parts =
-        workers.stream().collect(Collectors.groupingBy(part)).values();
-    return parts.stream().mapToLong(list -> room(list, shape)).max().orElse(0);
+  /** Members of a shape that fit into an empty region and into the largest of its parts. */
+  private record Room(long all, long largestPart) {}
+
+  private Room count(RegionShape key) {
+    Map<Object, Long> byPart = new HashMap<>();
+    for (WorkerDeclaration worker : byRegion.getOrDefault(key.region(), List.of())) {
+      byPart.merge(part(worker, key.shape().adjacency()), room(worker, key.shape()), Long::sum);
+    }
+    long all = byPart.values().stream().mapToLong(Long::longValue).sum();
+    return new Room(all, byPart.values().stream().mapToLong(Long::longValue).max().orElse(0));
   }
 
-  private static long room(List<WorkerDeclaration> workers, Shape shape) {
-    return workers.stream().mapToLong(worker -> room(worker, shape)).sum();
+  private static Object part(WorkerDeclaration worker, Adjacency adjacency) {
+    return switch (adjacency) {
+      case ADJACENT_WORKERS, RACK -> worker.rack();
+      case FAILURE_DOMAIN -> worker.failureDomain();
+      case REGION -> worker.region();
+    };
   }
 
   private static long room(WorkerDeclaration worker, Shape shape) {
--- a/documents/src/main/java/dev/bambootray/documents/DeclarationDiff.java
+++ b/documents/src/main/java/dev/bambootray/documents/DeclarationDiff.java
@@ -116,6 +116,12 @@
     if (old.equals(now)) {
       return;
     }
+    if (old.isArray() && now.isArray() && old.size() == now.size() && hasObjects(old)) {
+      for (int i = 0; i < old.size(); i++) {
+        compareFields(path + "[" + i + "]", old.get(i), now.get(i), details);
+      }
+      return;
+    }
     if (!old.isObject() || !now.isObject()) {
       details.add(path + " " + shown(old) + " -> " + shown(now));
       return;
@@ -129,6 +135,10 @@
     }
   }
 
+  private static boolean hasObjects(JsonNode array) {
+    return !array.isEmpty() && array.get(0).isObject();
+  }
+
   private static String shown(JsonNode value) {
     return value.isMissingNode() ? "none" : Names.abbreviate(value.toString());
   }
--- a/documents/src/main/java/dev/bambootray/documents/DeclaredIds.java
+++ b/documents/src/main/java/dev/bambootray/documents/DeclaredIds.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -105,8 +106,8 @@
     if (declared.contains(id)) {
       return;
     }
-    String suggestion =
-        Names.closest(id, declared).map(name -> ", for example \"" + name + "\"").orElse("");
+    Optional<String> closest = problems.isFull() ? Optional.empty() : Names.closest(id, declared);
+    String suggestion = closest.map(name -> ", for example \"" + name + "\"").orElse("");
     problems.add(
         place,
         path,
--- a/documents/src/main/java/dev/bambootray/documents/WorkspaceSection.java
+++ b/documents/src/main/java/dev/bambootray/documents/WorkspaceSection.java
@@ -21,6 +21,7 @@
   private static final int MAX_QUEUED = 1_000_000;
   private static final int MAX_ACCELERATORS = 1_000_000;
   private static final int MAX_COUNT = 10_000;
+  private static final int MAX_GUARANTEES = 100;
   private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
 
   private WorkspaceSection() {}
@@ -76,7 +77,12 @@
   private static List<Guarantee> readGuarantees(
       ObjectCursor workspace, DeclaredIds ids, CapacityCheck capacity, Problems problems) {
     List<Guarantee> guarantees = new ArrayList<>();
-    for (ObjectCursor guarantee : workspace.objects("guarantees")) {
+    List<ObjectCursor> given = workspace.objects("guarantees");
+    if (given.size() > MAX_GUARANTEES) {
+      workspace.reject("guarantees", given.size() + " guarantees", "at most " + MAX_GUARANTEES);
+      return guarantees;
+    }
+    for (ObjectCursor guarantee : given) {
       int before = problems.count();
       String region = ids.reference(guarantee, "region", "regions");
       Shape shape = ShapeReader.read(guarantee.object("shape"), 1);
--- a/documents/src/main/java/dev/bambootray/documents/json/JsonTreeReader.java
+++ b/documents/src/main/java/dev/bambootray/documents/json/JsonTreeReader.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
@@ -91,7 +92,7 @@
       problems.add(Place.START, "", "an empty text", "a JSON object");
       return Optional.empty();
     }
-    JsonValue value = readValue("");
+    JsonValue value = readValue();
     if (values > MAX_VALUES) {
       problems.add(here(), "", "more values", "at most " + MAX_VALUES + " values");
       return Optional.empty();
@@ -103,13 +104,13 @@
     return Optional.of(value);
   }
 
-  private JsonValue readValue(String path) throws IOException {
+  private JsonValue readValue() throws IOException {
     Place place = here();
     values++;
     JsonToken token = parser.currentToken();
     return switch (token) {
-      case START_OBJECT -> readObject(place, path);
-      case START_ARRAY -> readArray(place, path);
+      case START_OBJECT -> readObject(place);
+      case START_ARRAY -> readArray(place);
       case VALUE_STRING -> new JsonValue.TextValue(place, parser.getText());
       case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT ->
           new JsonValue.NumberValue(place, parser.getText());
@@ -119,19 +120,18 @@
     };
   }
 
-  private JsonValue readObject(Place place, String path) throws IOException {
+  private JsonValue readObject(Place place) throws IOException {
     Map<String, JsonValue.Member> members = new LinkedHashMap<>();
     while (values <= MAX_VALUES && parser.nextToken() == JsonToken.FIELD_NAME) {
       Place keyPlace = here();
       String key = parser.currentName();
-      String memberPath = path.isEmpty() ? key : path + "." + key;
       parser.nextToken();
-      JsonValue value = readValue(memberPath);
+      JsonValue value = readValue();
       JsonValue.Member first = members.putIfAbsent(key, new JsonValue.Member(keyPlace, value));
       if (first != null) {
         problems.add(
             keyPlace,
-            Names.abbreviate(memberPath),
+            problems.isFull() ? "" : path(parser.getParsingContext()),
             "a duplicate key",
             "one value for the key, first given on line " + first.place().line());
       }
@@ -139,14 +139,28 @@
     return new JsonValue.ObjectValue(place, members);
   }
 
-  private JsonValue readArray(Place place, String path) throws IOException {
+  private JsonValue readArray(Place place) throws IOException {
     List<JsonValue> items = new ArrayList<>();
     while (values <= MAX_VALUES && parser.nextToken() != JsonToken.END_ARRAY) {
-      items.add(readValue(path + "[" + items.size() + "]"));
+      items.add(readValue());
     }
     return new JsonValue.ArrayValue(place, items);
   }
 
+  /**
+   * Returns the path of the current member. Paths are built only for errors: names of 1,000
+   * characters, nested 32 deep, would otherwise cost 32,000 characters for each value.
+   */
+  private static String path(JsonStreamContext context) {
+    StringBuilder path = new StringBuilder();
+    for (JsonStreamContext at = context; at != null && !at.inRoot(); at = at.getParent()) {
+      String dot = path.isEmpty() || path.charAt(0) == '[' ? "" : ".";
+      String part = at.inArray() ? "[" + at.getCurrentIndex() + "]" : at.getCurrentName();
+      path.insert(0, part + dot);
+    }
+    return Names.abbreviate(path.toString());
+  }
+
   private Place here() {
     return place(parser.currentTokenLocation());
   }
--- a/documents/src/main/java/dev/bambootray/documents/json/ObjectCursor.java
+++ b/documents/src/main/java/dev/bambootray/documents/json/ObjectCursor.java
@@ -287,9 +287,12 @@
     return value(key).map(value -> of(value, pathOf(key), problems));
   }
 
-  /** Reads an optional list of objects. */
+  /** Reads an optional list of objects; other items are reported and left out. */
   public List<ObjectCursor> objects(String key) {
-    return items(key).stream().map(item -> of(item.value(), item.path(), problems)).toList();
+    return items(key).stream()
+        .map(item -> of(item.value(), item.path(), problems))
+        .filter(cursor -> !cursor.broken)
+        .toList();
   }
 
   private record Item(JsonValue value, String path) {}
@@ -321,7 +324,7 @@
                     member.place(),
                     Names.abbreviate(pathOf(key)),
                     "an unknown key",
-                    suggestion(key));
+                    problems.isFull() ? "" : suggestion(key));
               }
             });
   }
--- a/documents/src/main/java/dev/bambootray/documents/json/Problems.java
+++ b/documents/src/main/java/dev/bambootray/documents/json/Problems.java
@@ -33,7 +33,7 @@
 
   private void add(Problem problem) {
     count++;
-    if (kept.size() < MAX_KEPT) {
+    if (!isFull()) {
       kept.add(problem);
     }
   }
@@ -43,6 +43,11 @@
     return count;
   }
 
+  /** Returns whether further errors are only counted, so that their text need not be made. */
+  public boolean isFull() {
+    return kept.size() >= MAX_KEPT;
+  }
+
   /** Returns whether there is no error. */
   public boolean isEmpty() {
     return count == 0;
--- a/documents/src/test/java/dev/bambootray/documents/DeclarationParserTest.java
+++ b/documents/src/test/java/dev/bambootray/documents/DeclarationParserTest.java
@@ -152,4 +152,55 @@
     assertEquals(201, many.size());
     assertEquals("d.json: 801 more errors are not shown", many.get(200));
   }
+
+  /** Texts within the bounds that made earlier versions of the parser allocate gigabytes. */
+  @Nested
+  class HostileTexts {
+    private static final long MAX_ALLOCATED_BYTES = 1L << 30;
+
+    private long allocatedBytes(String text) {
+      var threads =
+          (com.sun.management.ThreadMXBean)
+              java.lang.management.ManagementFactory.getThreadMXBean();
+      long before = threads.getCurrentThreadAllocatedBytes();
+      assertTrue(parser.read("d.json", text, 1).isLeft());
+      return threads.getCurrentThreadAllocatedBytes() - before;
+    }
+
+    @Test
+    void withDeepLongNamesAllocateWithinTheBound() {
+      String name = "{\"" + "n".repeat(900) + "\":";
+      String text = name.repeat(30) + "[" + "0,".repeat(490_000) + "0]" + "}".repeat(30);
+      assertTrue(allocatedBytes(text) < MAX_ALLOCATED_BYTES);
+    }
+
+    @Test
+    void withUnknownKeysAllocateWithinTheBound() {
+      StringBuilder text = new StringBuilder("{\"regions\": [{");
+      for (int i = 0; i < 400_000; i++) {
+        text.append("\"failureD").append(i).append("\":0,");
+      }
+      assertTrue(allocatedBytes(text.append("\"id\":\"x\"}]}").toString()) < MAX_ALLOCATED_BYTES);
+    }
+
+    @Test
+    void withDanglingReferencesAllocateWithinTheBound() {
+      StringBuilder text = new StringBuilder("{\"templates\": [");
+      for (int i = 0; i < 100_000; i++) {
+        text.append("{\"id\":\"t").append(i).append("\",\"service\":\"t\",\"shape\":0},");
+      }
+      assertTrue(allocatedBytes(text.append("0]}").toString()) < MAX_ALLOCATED_BYTES);
+    }
+  }
+
+  @Test
+  void namesTheFullPathOfADuplicateKey() {
+    assertEquals(
+        List.of(
+            "d.json:1:48: regions[0].linkLatencyMs.b: found a duplicate key, expected one value"
+                + " for the key, first given on line 1"),
+        errors("{\"regions\":[{\"id\":\"a\",\"linkLatencyMs\":{\"b\":1,  \"b\":2}}]}").stream()
+            .filter(line -> line.contains("duplicate"))
+            .toList());
+  }
 }
--- a/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
+++ b/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
@@ -4,6 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.bambootray.core.declaration.Declaration;
 import dev.bambootray.core.declaration.ParameterDeclaration;
 import dev.bambootray.core.declaration.PolicyDeclaration;
@@ -23,6 +28,11 @@
 import dev.bambootray.core.model.WorkerId;
 import dev.bambootray.core.model.WorkspaceId;
 import dev.bambootray.documents.json.JsonText;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -36,6 +46,12 @@
 /** Guards against texts that throw, and against a writer and a parser that disagree. */
 final class DeclarationProperties {
   private static final DeclarationParser PARSER = DeclarationParser.create();
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+
+  private static final String SETTINGS = Settings.defaultText();
+  private static final String MIX = example("requests.json");
+  private static final Declaration EXAMPLE = PARSER.read(example("declaration.json"), 1).get();
 
   @Property(tries = 300, seed = "11")
   void aWrittenDeclarationParsesToTheSameValue(@ForAll("declarations") Declaration declaration) {
@@ -68,6 +84,50 @@
     check(text.toString());
   }
 
+  @Property(tries = 2_000, seed = "16")
+  void valuesOfTheWrongKindGiveErrorsAndNeverThrow(@ForAll long seed) throws IOException {
+    Random random = new Random(seed);
+    check(replaceOne(DeclarationTexts.SMALL, random));
+    Settings.parse("s", replaceOne(SETTINGS, random));
+    RequestMix.read("m", replaceOne(MIX, random), EXAMPLE);
+  }
+
+  private static String example(String file) {
+    try {
+      return Files.readString(Path.of("..", "examples", "brodwaith", file));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Replaces one value of the text, at any depth, with a value of another kind or range. */
+  private static String replaceOne(String text, Random random) throws IOException {
+    JsonNode root = MAPPER.readTree(text);
+    List<String> others =
+        List.of(
+            "0", "-1", "1e999", "\"\"", "\"x\"", "null", "true", "[]", "{}", "[0]", "[[]]", "1.5");
+    JsonNode other = MAPPER.readTree(others.get(random.nextInt(others.size())));
+    JsonNode at = root;
+    while (true) {
+      List<JsonNode> inner = new ArrayList<>();
+      at.forEach(inner::add);
+      int index = random.nextInt(inner.size());
+      boolean descend = inner.get(index).size() > 0 && random.nextInt(4) > 0;
+      if (descend) {
+        at = inner.get(index);
+      } else {
+        if (at instanceof ArrayNode array) {
+          array.set(index, other);
+        } else {
+          List<String> names = new ArrayList<>();
+          at.fieldNames().forEachRemaining(names::add);
+          ((ObjectNode) at).set(names.get(index), other);
+        }
+        return root.toString();
+      }
+    }
+  }
+
   @Property(tries = 1_000, seed = "14")
   void arbitraryTextsGiveErrorsAndNeverThrow(@ForAll String text) {
     check(text);
