--- a/bench/src/main/java/dev/bambootray/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/routing/RoutingBench.java
@@ -22,6 +22,10 @@
 public final class RoutingBench implements Callable<Integer> {
   private static final String ROUTER = "bambootray";
   private static final String IDEAL = "ideal single queue";
+
+  /** Targets of one region at the target size: 4,000 workers in 5 regions. */
+  private static final int LARGE_POOL = 800;
+
   private static final long DRAIN_US = 30_000_000;
 
   @Option(names = "--quick", description = "Replay 20 s instead of 120 s for each seed.")
@@ -36,11 +40,23 @@
       description = "Number of seeds, from 1 (default: ${DEFAULT-VALUE}).")
   private int seeds;
 
+  @Option(
+      names = "--cost",
+      description = "Measure only the time and allocation of the router for each event.")
+  private boolean cost;
+
   /** Creates the benchmark with its default options. */
   public RoutingBench() {}
 
   @Override
   public Integer call() {
+    if (cost) {
+      RouterCost.print(System.out, Topology.TARGETS, 0);
+      RouterCost.print(System.out, Topology.TARGETS, 1_000);
+      RouterCost.print(System.out, LARGE_POOL, 0);
+      RouterCost.print(System.out, LARGE_POOL, 1_000);
+      return 0;
+    }
     return run(System.out);
   }
 
