Do not report as not run what an earlier owner may have run

Ruled out: a late command of the first owner, as workers fence it. Change: a request that was found in the table at a takeover and may be repeated is answered "unknown" instead; so is one without a record that its entry node sent to more than one owner. A test kills owner and workers.

--- a/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -127,9 +127,11 @@
   /** Brings the answer of the owner to the callers; a late or repeated answer finds nobody. */
   void answered(Answer answer) {
     OpenEntry entry = open.get(answer.key());
-    if (entry != null) {
-      close(entry, entry.view().withAnswer(answer));
+    if (entry == null) {
+      return;
     }
+    boolean mayHaveRunElsewhere = entry.sentToSeveralOwners && !entry.isDurable();
+    close(entry, entry.view().withAnswer(mayHaveRunElsewhere ? answer.withoutCertainty() : answer));
   }
 
   /** Sends every open request of a region to its new owner. */
@@ -278,18 +280,7 @@
     entry.resendAtMs =
         nowMs + Math.min(MAX_RESEND_MS, FIRST_RESEND_MS << Math.min(entry.resends, 6));
     entry.resends++;
-    boolean sent =
-        context
-            .routes()
-            .toOwner(
-                entry.region,
-                epoch ->
-                    new PeerMessage.SubmitRequest(
-                        context.identity().node(),
-                        entry.region,
-                        epoch,
-                        entry.spec,
-                        Math.max(0, entry.recordVersion)));
+    boolean sent = context.routes().toOwner(entry.region, epoch -> submission(entry, epoch));
     if (!sent) {
       entry.resends = 0;
     }
@@ -335,6 +326,17 @@
             });
   }
 
+  private PeerMessage submission(OpenEntry entry, long epoch) {
+    entry.sentToSeveralOwners |= entry.firstEpoch != 0 && entry.firstEpoch != epoch;
+    entry.firstEpoch = epoch;
+    return new PeerMessage.SubmitRequest(
+        context.identity().node(),
+        entry.region,
+        epoch,
+        entry.spec,
+        Math.max(0, entry.recordVersion));
+  }
+
   private void sendCancel(OpenEntry entry) {
     context
         .routes()
--- a/core/src/main/java/dev/bambootray/core/node/OpenEntry.java
+++ b/core/src/main/java/dev/bambootray/core/node/OpenEntry.java
@@ -20,6 +20,13 @@
   long resendAtMs = Long.MAX_VALUE;
   int resends;
   boolean settling;
+
+  /** Epoch of the owner that got the request without a record first, or 0. */
+  long firstEpoch;
+
+  /** Whether a request without a record was sent to more than one owner. */
+  boolean sentToSeveralOwners;
+
   final List<Ticket> tickets = new ArrayList<>();
 
   OpenEntry(RequestSpec spec, RegionId region) {
--- a/core/src/main/java/dev/bambootray/core/node/RegionDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/RegionDesk.java
@@ -109,7 +109,7 @@
     } else if (takeover.isCompleted()) {
       RequestRecord content = RequestRecord.accepted(message.spec(), ownership.region());
       awaited.computeIfAbsent(message.spec().key(), key -> new HashSet<>()).add(message.sender());
-      serve(content, message.recordVersion(), nowMs);
+      serve(content, message.recordVersion(), false, nowMs);
     } else {
       takeover.hold(message);
     }
@@ -129,13 +129,13 @@
   }
 
   /** Serves an open record that was found in the table. */
-  void serveRecord(RequestRecord content, long version, long nowMs) {
+  void serveRecord(RequestRecord content, long version, boolean fromEarlierOwner, long nowMs) {
     if (finished.find(content.spec().key()) == null) {
-      serve(content, version, nowMs);
+      serve(content, version, fromEarlierOwner, nowMs);
     }
   }
 
-  private void serve(RequestRecord content, long version, long nowMs) {
+  private void serve(RequestRecord content, long version, boolean fromEarlierOwner, long nowMs) {
     RequestKey key = content.spec().key();
     TemplateDeclaration template =
         context.declaration().get().templates().get(content.spec().template());
@@ -143,6 +143,8 @@
         template == null
             ? ServedRequest.undeclared(content, version)
             : new ServedRequest(content, version, template);
+    // The record of a request that must not be repeated tells whether it was dispatched.
+    request.mayHaveRunBefore = fromEarlierOwner && content.spec().repeatable();
     Set<NodeId> entries = awaited.remove(key);
     if (entries != null) {
       request.entries.addAll(entries);
@@ -258,7 +260,7 @@
   void finish(RequestKey key, Answer answer) {
     ServedRequest request = served.get(key);
     if (request != null) {
-      answers.write(request, answer);
+      answers.write(request, request.mayHaveRunBefore ? answer.withoutCertainty() : answer);
     }
   }
 
--- a/core/src/main/java/dev/bambootray/core/node/ServedRequest.java
+++ b/core/src/main/java/dev/bambootray/core/node/ServedRequest.java
@@ -24,6 +24,9 @@
   /** Every task that was sent to a worker; acknowledged once the answer is durable. */
   final Map<TaskId, WorkerId> tasks = new LinkedHashMap<>();
 
+  /** Whether an earlier owner may have run it without a trace that this owner can see. */
+  boolean mayHaveRunBefore;
+
   boolean isFinishing;
 
   ServedRequest(RequestRecord content, long recordVersion, TemplateDeclaration template) {
--- a/core/src/main/java/dev/bambootray/core/node/Takeover.java
+++ b/core/src/main/java/dev/bambootray/core/node/Takeover.java
@@ -173,7 +173,7 @@
     scanEnded = true;
     scanAtMs = context.now() + RESCAN_MS;
     if (completed) {
-      serveScanned(context.now());
+      serveScanned(false, context.now());
     } else {
       tick(context.now());
     }
@@ -188,21 +188,21 @@
             "took-over",
             ownership.region(),
             "Epoch " + ownership.epoch() + ", " + scanned.size() + " open requests.");
-    serveScanned(nowMs);
+    serveScanned(true, nowMs);
     List<PeerMessage.SubmitRequest> messages = List.copyOf(heldMessages);
     heldMessages.clear();
     messages.forEach(message -> desk.submit(message, nowMs));
     desk.schedule(new SchedulerEvent.AdoptionCompleted(), nowMs);
   }
 
-  private void serveScanned(long nowMs) {
+  private void serveScanned(boolean fromEarlierOwner, long nowMs) {
     List<FoundRecord> records = scanned;
     scanned = new ArrayList<>();
     for (FoundRecord found : records) {
       RequestKey key = found.content().spec().key();
       ServedRequest known = desk.find(key);
       if (known == null) {
-        desk.serveRecord(found.content(), found.version(), nowMs);
+        desk.serveRecord(found.content(), found.version(), fromEarlierOwner, nowMs);
       } else if (!known.isDurable()) {
         known.recordVersion = found.version();
       }
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.rng.simple.RandomSource;
 import org.tinylog.Logger;
 
@@ -46,6 +47,7 @@
   private final EventLog events = new EventLog();
   private final HttpApiServer http;
   private final Future<?> ticks;
+  private final AtomicBoolean closed = new AtomicBoolean();
   private final CompletableFuture<Boolean> drained = new CompletableFuture<>();
   private volatile String notReadyReason = "the node has just started";
 
@@ -155,6 +157,9 @@
   /** Ends the node at once, as if its VM failed. */
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     ticks.cancel(false);
     loop.close();
     peers.close();
--- a/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
@@ -17,6 +17,7 @@
 import dev.bambootray.core.node.NodeEffect;
 import dev.bambootray.core.worker.WorkerCommand;
 import dev.bambootray.daemon.rig.Declarations;
+import dev.bambootray.daemon.rig.FakeWorker;
 import dev.bambootray.daemon.rig.NodeRig;
 import io.vavr.control.Either;
 import java.util.List;
@@ -179,6 +180,20 @@
     }
   }
 
+  /** Guards against "not run" for a request that an earlier owner ran on a worker that died. */
+  @Test
+  void requestThatAnEarlierOwnerMayHaveRunIsNotReportedAsNotRun() {
+    NodeId owner = rig.ownerOf("r1");
+    RequestSpec spec = spec(rig, "z", REQUEST, true, 50_000);
+    long ticket = rig.submit(nodeThatDoesNotOwn("r1"), spec, 100_000);
+    rig.run(1_000);
+    assertEquals(1, rig.startsOf(spec).size());
+    rig.workers().forEach(FakeWorker::die);
+    rig.kill(owner);
+    rig.run(80_000);
+    assertEquals(RunState.UNKNOWN, onlyReply(ticket).get().answer().ran());
+  }
+
   @Test
   void ownerPausedPastItsLeaseCannotRunAnythingAfterItsSuccessor() {
     NodeId owner = rig.ownerOf("r1");
--- a/demo/src/main/java/dev/bambootray/demo/DemoTotals.java
+++ b/demo/src/main/java/dev/bambootray/demo/DemoTotals.java
@@ -17,8 +17,8 @@
     ObjectNode total = mapper.createObjectNode();
     for (DemoResult result : results) {
       JsonNode one = mapper.valueToTree(result);
-      one.fields()
-          .forEachRemaining(
+      one.properties()
+          .forEach(
               field -> {
                 if (field.getValue().isIntegralNumber()) {
                   total.put(
@@ -39,14 +39,14 @@
     Map<String, Object> rows = new LinkedHashMap<>();
     mapper
         .valueToTree(result)
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             field -> {
               if (field.getValue().isObject()) {
                 field
                     .getValue()
-                    .fields()
-                    .forEachRemaining(
+                    .properties()
+                    .forEach(
                         inner -> rows.put(field.getKey() + " " + inner.getKey(), inner.getValue()));
               } else {
                 rows.put(field.getKey(), field.getValue().asText());
--- a/demo/src/main/java/dev/bambootray/demo/Verdict.java
+++ b/demo/src/main/java/dev/bambootray/demo/Verdict.java
@@ -4,12 +4,14 @@
 import dev.bambootray.standins.RunLedger;
 import dev.bambootray.standins.StandInWorker;
 import java.net.http.HttpClient;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 import org.jspecify.annotations.Nullable;
 
@@ -52,6 +54,7 @@
       }
     }
     RunLedger ledger = deployment.ledger();
+    nameRefusedButRan(ledger);
     return new DemoResult(
         name,
         outcomes.size(),
@@ -73,6 +76,21 @@
         deployment.crossRegionBytes());
   }
 
+  /** Names the requests that ran although their caller was told that they did not. */
+  private void nameRefusedButRan(RunLedger ledger) {
+    Set<String> ran = ledger.runs().stream().map(RunLedger.Run::key).collect(Collectors.toSet());
+    outcomes.stream()
+        .filter(outcome -> "no".equals(outcome.ran()) && ran.contains(outcome.key()))
+        .forEach(
+            outcome ->
+                System.err.println(
+                    name
+                        + ": "
+                        + outcome.key()
+                        + " ran, but its caller was told: "
+                        + outcome.error()));
+  }
+
   /** Counts durable answers that read differently through another node. */
   private long duplicateAnswers(HttpClient client, NodeProcess survivor) {
     return outcomes.stream()
@@ -101,9 +119,22 @@
         .count();
   }
 
-  private static boolean isLate(CallerOutcome outcome, @Nullable Long startMs) {
+  private boolean isLate(CallerOutcome outcome, @Nullable Long startMs) {
     long reference = startMs == null ? outcome.endMs() : startMs;
-    return reference - outcome.firstSentMs() > CLAIM_LIMIT_MS;
+    long waitedMs = reference - outcome.firstSentMs();
+    if (waitedMs <= CLAIM_LIMIT_MS) {
+      return false;
+    }
+    System.err.println(
+        name
+            + ": "
+            + outcome.key()
+            + " claimed guaranteed capacity at "
+            + Instant.ofEpochMilli(outcome.firstSentMs())
+            + " and waited "
+            + waitedMs
+            + " ms");
+    return true;
   }
 
   private static boolean differs(@Nullable String first, @Nullable String again) {
