--- a/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageArbitraries.java
+++ b/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageArbitraries.java
@@ -109,10 +109,10 @@
 
     RequestError error() {
       return new RequestError(
-          Step.values()[random.nextInt(Step.values().length)],
+          pick(Step.values()),
           id(),
           text(),
-          RunState.values()[random.nextInt(RunState.values().length)],
+          pick(RunState.values()),
           flag(),
           flag() ? number() : null);
     }
@@ -131,7 +131,7 @@
           small(),
           small(),
           number(),
-          MemberStatus.values()[random.nextInt(MemberStatus.values().length)]);
+          pick(MemberStatus.values()));
     }
 
     Gossip gossip() {
@@ -144,6 +144,10 @@
           number());
     }
 
+    <T> T pick(T[] values) {
+      return values[random.nextInt(values.length)];
+    }
+
     <T> List<T> list(java.util.function.Supplier<T> items) {
       return Stream.generate(items).limit(random.nextInt(4)).toList();
     }
--- a/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageCodecProperties.java
+++ b/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageCodecProperties.java
@@ -3,10 +3,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.core.membership.Gossip;
+import dev.bambootray.core.membership.MemberState;
+import dev.bambootray.core.membership.MemberStatus;
 import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.FailureDomainId;
+import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.RegionId;
+import dev.bambootray.core.routing.RegionLoad;
 import io.vavr.control.Either;
 import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
@@ -96,10 +105,50 @@
   @Example
   void aMessageBeyondAFrameIsNotEncoded() {
     String text = "x".repeat(MessageCodec.MAX_FRAME_BYTES);
-    var sender = dev.bambootray.core.model.NodeId.of("n1");
+    NodeId sender = NodeId.of("n1");
     assertTrue(codec.encode(new PeerMessage.ConfigurationOffer(sender, 1, text)).isLeft());
   }
 
+  /**
+   * A node sends 3 probes every 500 ms, answers as many, and receives the same; its budget is 26 KB
+   * a second for control traffic of all kinds.
+   */
+  @Example
+  void probesOfNineNodesStayWithinTheTrafficBudget() {
+    List<MemberState> members = new ArrayList<>();
+    List<RegionLoad> loads = new ArrayList<>();
+    for (int i = 0; i < 9; i++) {
+      members.add(member(i));
+    }
+    for (int i = 0; i < 3; i++) {
+      NodeId owner = NodeId.of("node-" + i);
+      loads.add(
+          new RegionLoad(region(i), owner, 41, 60, 80, 70, 80, 12, 90_000, 1_780_000_000_000L));
+    }
+    Gossip gossip = new Gossip(members, 4_600, loads);
+    NodeId sender = NodeId.of("node-0");
+    int probe = codec.encode(new PeerMessage.Probe(sender, 86_400, member(0), gossip)).get().length;
+    int ack = codec.encode(new PeerMessage.ProbeAck(sender, 86_400, gossip)).get().length;
+    int perSecond = 6 * 2 * (probe + ack + 2 * Frames.LENGTH_BYTES);
+    assertTrue(perSecond < 26_000, perSecond + " B/s");
+  }
+
+  private static RegionId region(int i) {
+    return RegionId.of(List.of("gwynedd", "powys", "morgannwg").get(i % 3));
+  }
+
+  private static MemberState member(int i) {
+    return new MemberState(
+        NodeId.of("node-" + i),
+        region(i),
+        FailureDomainId.of(region(i).value() + "-" + i % 2),
+        "10.20.30.4" + i,
+        7_400,
+        8_080,
+        1_780_000_000_000L,
+        MemberStatus.ALIVE);
+  }
+
   private static long allocatedBytes() {
     return ((com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean())
         .getThreadAllocatedBytes(Thread.currentThread().getId());
--- a/standins/src/main/java/dev/bambootray/standins/Faults.java
+++ b/standins/src/main/java/dev/bambootray/standins/Faults.java
@@ -6,8 +6,8 @@
 /** Faults that a stand-in shows on demand. Thread-safe. */
 public final class Faults {
   private final SplittableRandom random;
-  private long latencyMs;
-  private boolean away;
+  volatile long latencyMs;
+  volatile boolean away;
   private double lostAnswerShare;
   private int requestsPerSecond;
   private long windowSecond;
@@ -23,12 +23,12 @@
   }
 
   /** Delays the handling of each request by the given milliseconds. */
-  public synchronized void setLatencyMs(long value) {
+  public void setLatencyMs(long value) {
     latencyMs = value;
   }
 
   /** Closes each connection that carries a request, without any effect. */
-  public synchronized void setAway(boolean value) {
+  public void setAway(boolean value) {
     away = value;
   }
 
@@ -49,14 +49,6 @@
     requestsPerSecond = change.path("requestsPerSecond").asInt(requestsPerSecond);
   }
 
-  synchronized long latencyMs() {
-    return latencyMs;
-  }
-
-  synchronized boolean isAway() {
-    return away;
-  }
-
   synchronized boolean nextAnswerIsLost() {
     return lostAnswerShare > 0 && random.nextDouble() < lostAnswerShare;
   }
--- a/standins/src/main/java/dev/bambootray/standins/HttpCall.java
+++ b/standins/src/main/java/dev/bambootray/standins/HttpCall.java
@@ -1,39 +1,42 @@
 package dev.bambootray.standins;
 
-import static io.netty.channel.ChannelFutureListener.CLOSE_ON_FAILURE;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** One request to a stand-in and the means to answer it once. */
 final class HttpCall {
   static final ObjectMapper JSON = new ObjectMapper();
 
+  private final HttpStandIn server;
   private final Channel channel;
   private final String method;
   private final QueryStringDecoder uri;
   private final byte[] body;
-  private final Runnable onWritten;
+  private final boolean keepAlive;
   private final AtomicBoolean answered = new AtomicBoolean();
   private volatile boolean loseAnswer;
 
-  HttpCall(Channel channel, String method, String uri, byte[] body, Runnable onWritten) {
+  HttpCall(HttpStandIn server, Channel channel, FullHttpRequest request) {
+    this.server = server;
     this.channel = channel;
-    this.method = method;
-    this.uri = new QueryStringDecoder(uri);
-    this.body = body;
-    this.onWritten = onWritten;
+    method = request.method().name();
+    uri = new QueryStringDecoder(request.uri());
+    body = ByteBufUtil.getBytes(request.content());
+    keepAlive = HttpUtil.isKeepAlive(request);
   }
 
   String method() {
@@ -54,10 +57,14 @@
   }
 
   JsonNode json() {
+    return parse(new String(body, UTF_8));
+  }
+
+  static JsonNode parse(String text) {
     try {
-      return JSON.readTree(body);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+      return JSON.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException(e);
     }
   }
 
@@ -74,11 +81,11 @@
   }
 
   void answerBytes(int status, byte[] content) {
-    if (!answered.compareAndSet(false, true)) {
+    if (!answered.compareAndSet(false, true) || server.isSilent(channel)) {
       return;
     }
     if (loseAnswer) {
-      var unused = channel.close();
+      server.retire(channel);
       return;
     }
     var response =
@@ -90,16 +97,18 @@
     if (status == 429) {
       response.headers().setInt(HttpHeaderNames.RETRY_AFTER, 1);
     }
-    var unused =
-        channel
-            .writeAndFlush(response)
-            .addListener(CLOSE_ON_FAILURE)
-            .addListener(done -> onWritten.run());
+    var unused = channel.writeAndFlush(response).addListener(done -> afterWrite(done.isSuccess()));
+  }
+
+  private void afterWrite(boolean written) {
+    if (!written || !keepAlive) {
+      server.retire(channel);
+    }
   }
 
   void drop() {
     if (answered.compareAndSet(false, true)) {
-      var unused = channel.close();
+      server.retire(channel);
     }
   }
 
--- a/standins/src/main/java/dev/bambootray/standins/HttpStandIn.java
+++ b/standins/src/main/java/dev/bambootray/standins/HttpStandIn.java
@@ -1,8 +1,8 @@
 package dev.bambootray.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -79,16 +78,12 @@
     }
   }
 
-  int openConnections() {
-    return open.size();
-  }
-
-  int peakConnections() {
-    return peak.get();
-  }
-
-  int refusedConnections() {
-    return refused.get();
+  ObjectNode counters() {
+    return HttpCall.JSON
+        .createObjectNode()
+        .put("openConnections", open.size())
+        .put("peakConnections", peak.get())
+        .put("refusedConnections", refused.get());
   }
 
   /** Makes all open connections silent for good; new ones work. */
@@ -101,25 +96,16 @@
     List<HttpCall> resumed;
     synchronized (held) {
       paused = value;
-      if (value) {
-        return;
-      }
-      resumed = List.copyOf(held);
-      held.clear();
-    }
-    resumed.forEach(this::route);
-  }
-
-  void closeConnections() {
-    for (Channel channel : open) {
-      var unused = channel.close();
+      resumed = value ? List.of() : List.copyOf(held);
+      held.removeAll(resumed);
     }
+    resumed.forEach(this::hold);
   }
 
   @Override
   public void close() {
     listener.close().syncUninterruptibly();
-    closeConnections();
+    open.forEach(this::retire);
   }
 
   private void accept(Channel channel) {
@@ -138,31 +124,29 @@
         .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
   }
 
+  boolean isSilent(Channel channel) {
+    return silent.contains(channel);
+  }
+
   /** Counts the connection out before the peer can see that it is closed. */
-  private void retire(Channel channel) {
+  void retire(Channel channel) {
     open.remove(channel);
     silent.remove(channel);
     var unused = channel.close();
   }
 
   private void receive(HttpCall call, Channel channel) {
-    if (silent.contains(channel)) {
+    if (isSilent(channel)) {
       return;
     }
     if (call.path().equals("/control")) {
       route(call);
-      return;
-    }
-    if (faults.isAway()) {
+    } else if (faults.away) {
       call.drop();
-      return;
-    }
-    long latencyMs = faults.latencyMs();
-    if (latencyMs > 0) {
-      var unused = channel.eventLoop().schedule(() -> hold(call), latencyMs, TimeUnit.MILLISECONDS);
-      return;
+    } else {
+      var unused =
+          channel.eventLoop().schedule(() -> hold(call), faults.latencyMs, TimeUnit.MILLISECONDS);
     }
-    hold(call);
   }
 
   private void hold(HttpCall call) {
@@ -172,20 +156,18 @@
         return;
       }
     }
+    if (faults.isOverRate(System.currentTimeMillis())) {
+      call.answer(429, HttpCall.JSON.createObjectNode());
+      return;
+    }
+    if (faults.nextAnswerIsLost()) {
+      call.loseAnswer();
+    }
     route(call);
   }
 
   private void route(HttpCall call) {
     try {
-      if (!call.path().equals("/control")) {
-        if (faults.isOverRate(System.currentTimeMillis())) {
-          call.answer(429, HttpCall.JSON.createObjectNode());
-          return;
-        }
-        if (faults.nextAnswerIsLost()) {
-          call.loseAnswer();
-        }
-      }
       routes.accept(call);
     } catch (RuntimeException e) {
       Logger.debug("stand-in: malformed request to {}: {}", call.path(), e.toString());
@@ -196,20 +178,12 @@
   private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      Channel channel = context.channel();
-      HttpCall call =
-          new HttpCall(
-              channel,
-              request.method().name(),
-              request.uri(),
-              ByteBufUtil.getBytes(request.content()),
-              HttpUtil.isKeepAlive(request) ? () -> {} : () -> retire(channel));
-      receive(call, channel);
+      receive(new HttpCall(HttpStandIn.this, context.channel(), request), context.channel());
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      var unused = context.close();
+      retire(context.channel());
     }
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/RunLedger.java
+++ b/standins/src/main/java/dev/bambootray/standins/RunLedger.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Every run on a set of stand-in workers, so that faults of the system can be counted without
@@ -16,7 +17,7 @@
   private static final long PARTIAL_AFTER_MS = 5_000;
 
   /**
-   * One run of one task.
+   * The start of one run of one task.
    *
    * @param key workspace and idempotency key as {@code <workspace>/<key>}
    * @param attempt attempt token
@@ -28,11 +29,9 @@
    * @param accelerators number of accelerators, 0 for a service request
    * @param resumed whether it continued from a checkpoint
    * @param startMs when it started, in milliseconds since the epoch
-   * @param endMs when it ended, in milliseconds since the epoch, or -1 while it runs
-   * @param phase phase in which it ended, or {@code RUNNING}
-   * @param regionBytes bytes of parameters and result that reached or left the worker
+   * @param parameterBytes bytes of parameters that reached the region
    */
-  public record Run(
+  public record Start(
       String key,
       String attempt,
       int member,
@@ -43,9 +42,24 @@
       int accelerators,
       boolean resumed,
       long startMs,
-      long endMs,
-      String phase,
-      long regionBytes) {}
+      long parameterBytes) {}
+
+  /**
+   * The end of a run.
+   *
+   * @param endMs when it ended, in milliseconds since the epoch
+   * @param phase phase in which it ended, or {@code DIED} with its worker
+   * @param resultBytes bytes of the result that left the region
+   */
+  public record End(long endMs, String phase, long resultBytes) {}
+
+  /**
+   * One run of one task.
+   *
+   * @param start its start
+   * @param end its end, or null while it runs
+   */
+  public record Run(Start start, @Nullable End end) {}
 
   private final List<Run> runs = new ArrayList<>();
 
@@ -56,29 +70,13 @@
     return new RunLedger();
   }
 
-  synchronized int begin(Run run) {
-    runs.add(run);
+  synchronized int begin(Start start) {
+    runs.add(new Run(start, null));
     return runs.size() - 1;
   }
 
-  synchronized void end(int index, long endMs, String phase, long resultBytes) {
-    Run r = runs.get(index);
-    runs.set(
-        index,
-        new Run(
-            r.key,
-            r.attempt,
-            r.member,
-            r.members,
-            r.worker,
-            r.region,
-            r.firstAccelerator,
-            r.accelerators,
-            r.resumed,
-            r.startMs,
-            endMs,
-            phase,
-            r.regionBytes + resultBytes));
+  synchronized void end(int index, End end) {
+    runs.set(index, new Run(runs.get(index).start(), end));
   }
 
   /** Returns all runs so far in the order of their start. */
@@ -95,14 +93,15 @@
   public long doubleRuns(Predicate<String> notRepeatable) {
     Set<String> seen = new HashSet<>();
     return runs().stream()
-        .filter(run -> !run.resumed && notRepeatable.test(run.key))
-        .filter(run -> !seen.add(run.key + "~" + run.member))
+        .map(Run::start)
+        .filter(start -> !start.resumed && notRepeatable.test(start.key))
+        .filter(start -> !seen.add(start.key + "~" + start.member))
         .count();
   }
 
   /** Counts the given requests ({@code <workspace>/<key>}) that ran in spite of their refusal. */
   public long refusedButRan(Set<String> refusedKeys) {
-    return runs().stream().map(Run::key).filter(refusedKeys::contains).distinct().count();
+    return runs().stream().map(r -> r.start.key).filter(refusedKeys::contains).distinct().count();
   }
 
   /**
@@ -113,18 +112,23 @@
    */
   public long partialGangs(long nowMs) {
     Map<String, List<Run>> byAttempt = new HashMap<>();
-    runs().forEach(run -> byAttempt.computeIfAbsent(run.attempt, a -> new ArrayList<>()).add(run));
+    for (Run run : runs()) {
+      byAttempt.computeIfAbsent(run.start.attempt, attempt -> new ArrayList<>()).add(run);
+    }
     return byAttempt.values().stream().filter(members -> isPartial(members, nowMs)).count();
   }
 
   private static boolean isPartial(List<Run> started, long nowMs) {
-    long distinct = started.stream().mapToInt(Run::member).distinct().count();
-    return distinct < started.get(0).members
-        && started.stream()
-            .anyMatch(
-                run ->
-                    run.phase.equals("FINISHED")
-                        || run.phase.equals("FAILED")
-                        || (run.endMs < 0 ? nowMs : run.endMs) - run.startMs > PARTIAL_AFTER_MS);
+    long distinct = started.stream().mapToInt(run -> run.start.member).distinct().count();
+    return distinct < started.get(0).start.members
+        && started.stream().anyMatch(run -> ranToEndOrLong(run, nowMs));
+  }
+
+  private static boolean ranToEndOrLong(Run run, long nowMs) {
+    End end = run.end;
+    if (end != null && (end.phase.equals("FINISHED") || end.phase.equals("FAILED"))) {
+      return true;
+    }
+    return (end == null ? nowMs : end.endMs) - run.start.startMs > PARTIAL_AFTER_MS;
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/StandInPlatform.java
+++ b/standins/src/main/java/dev/bambootray/standins/StandInPlatform.java
@@ -90,10 +90,6 @@
       return;
     }
     byte[] content = objects.get(name);
-    if (content == null) {
-      call.answer(404, HttpCall.JSON.createObjectNode());
-      return;
-    }
-    call.answerBytes(200, content);
+    call.answerBytes(content == null ? 404 : 200, content == null ? new byte[0] : content);
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/StandInWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/StandInWorker.java
@@ -1,11 +1,12 @@
 package dev.bambootray.standins;
 
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
+import java.util.Collection;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Stands in for a worker and its agent. A task takes {@code runMs} milliseconds, fails if {@code
@@ -18,8 +19,6 @@
   /** Connections that a worker accepts at a time. */
   public static final int MAX_CONNECTIONS = 64;
 
-  static final String NOT_RETAINED = "outcome no longer retained";
-
   private static final String AGENT = "/agent/";
   private static final long SWEEP_MS = 100;
 
@@ -40,6 +39,20 @@
     public static Spec standard(String name, String region) {
       return new Spec(name, region, 8, 8, 32_000, 65_536);
     }
+
+    /** Returns whether a gang member fits beside the tasks that the worker holds. */
+    boolean fits(WorkerTask wanted, Collection<WorkerTask> tasks) {
+      int first = wanted.firstAccelerator;
+      int freeMillicores = millicores - wanted.millicores;
+      int freeMemoryMib = memoryMib - wanted.memoryMib;
+      boolean free = first >= 0 && first + wanted.accelerators <= accelerators;
+      for (WorkerTask task : tasks) {
+        free &= !task.overlaps(first, wanted.accelerators);
+        freeMillicores -= task.isLive() ? task.millicores : 0;
+        freeMemoryMib -= task.isLive() ? task.memoryMib : 0;
+      }
+      return free && freeMillicores >= 0 && freeMemoryMib >= 0;
+    }
   }
 
   private final Spec spec;
@@ -56,7 +69,7 @@
     this.spec = spec;
     agent = new WorkerAgent(spec, ledger, timers, System::currentTimeMillis);
     server = new HttpStandIn(group, seed, MAX_CONNECTIONS, this::route);
-    sweeps = timers.scheduleWithFixedDelay(agent::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    sweeps = timers.scheduleWithFixedDelay(agent::sweep, SWEEP_MS, SWEEP_MS, MILLISECONDS);
   }
 
   /**
@@ -105,11 +118,7 @@
 
   /** Returns peaks and refusals of slots and connections so far, as JSON. */
   public JsonNode counters() {
-    ObjectNode counters = agent.counters();
-    return counters
-        .put("openConnections", server.openConnections())
-        .put("peakConnections", server.peakConnections())
-        .put("refusedConnections", server.refusedConnections());
+    return agent.counters().setAll(server.counters());
   }
 
   @Override
--- a/standins/src/main/java/dev/bambootray/standins/TableState.java
+++ b/standins/src/main/java/dev/bambootray/standins/TableState.java
@@ -53,15 +53,12 @@
         failed.add(rowJson(key, row));
       }
     }
-    Outcome outcome =
-        failed.isEmpty()
-            ? new Outcome(200, HttpCall.JSON.createObjectNode().set("versions", apply(writes)))
-            : new Outcome(409, HttpCall.JSON.createObjectNode().set("current", failed));
-    if (failed.isEmpty()) {
-      commits++;
-    } else {
-      conflicts++;
-    }
+    boolean applied = failed.isEmpty();
+    commits += applied ? 1 : 0;
+    conflicts += applied ? 0 : 1;
+    ObjectNode body = HttpCall.JSON.createObjectNode();
+    body.set(applied ? "versions" : "current", applied ? apply(writes) : failed);
+    Outcome outcome = new Outcome(applied ? 200 : 409, body);
     outcomes.put(token, outcome);
     return outcome;
   }
@@ -107,11 +104,8 @@
     reply.putNull("nextAfter");
     String last = null;
     int chars = 0;
-    var from = afterKey == null ? rows.tailMap(prefix, true) : rows.tailMap(afterKey, false);
-    for (Map.Entry<String, Row> entry : from.entrySet()) {
-      if (entry.getKey().compareTo(prefix) < 0) {
-        continue;
-      }
+    boolean begin = afterKey == null || afterKey.compareTo(prefix) < 0;
+    for (var entry : rows.tailMap(begin ? prefix : afterKey, begin).entrySet()) {
       if (!entry.getKey().startsWith(prefix)) {
         break;
       }
--- a/standins/src/main/java/dev/bambootray/standins/VmList.java
+++ b/standins/src/main/java/dev/bambootray/standins/VmList.java
@@ -38,7 +38,7 @@
 
   /** Removes a VM. */
   public synchronized void remove(String name) {
-    pending.add(new Change(nowMs.getAsLong() + lagMs, name, "", true, false));
+    pending.add(new Change(nowMs.getAsLong() + lagMs, name, "", true, true));
   }
 
   synchronized ObjectNode toJson() {
--- a/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
+++ b/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
@@ -1,18 +1,20 @@
 package dev.bambootray.standins;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -29,6 +31,7 @@
   private final ScheduledExecutorService timers;
   private final LongSupplier nowMs;
   private final Map<String, WorkerTask> tasks = new LinkedHashMap<>();
+  private final Map<String, WorkerTask> forgotten = new HashMap<>();
   private final Set<String> fenced = new HashSet<>();
   private final EventLog events = new EventLog();
   private final List<Poll> polls = new ArrayList<>();
@@ -38,7 +41,6 @@
   private long leavingSinceMs = -1;
   private long latestWorkAfterLeavingMs = -1;
   private int peakSlots;
-  private int capacityRefusals;
   private boolean dead;
 
   WorkerAgent(
@@ -72,7 +74,6 @@
         .put("highestEpoch", highestEpoch)
         .put("slotsInUse", slotsInUse())
         .put("peakSlots", peakSlots)
-        .put("capacityRefusals", capacityRefusals)
         .put("latestWorkAfterLeavingMs", latestWorkAfterLeavingMs);
   }
 
@@ -86,10 +87,11 @@
     switch (command) {
       case "adopt" -> adopt(json, call);
       case "reserve", "run" -> admit(command.equals("run"), json, call);
-      case "start" -> start(json, call);
-      case "stop" -> end(json, call, "STOPPED", "stopped by command");
-      case "checkpoint" -> checkpoint(json, call);
-      case "throttle" -> throttle(json, call);
+      case "start" -> change(json, call, task -> begin(task, json));
+      case "stop" -> stop(json, call);
+      case "checkpoint" -> change(json, call, this::checkpoint);
+      case "throttle" ->
+          change(json, call, task -> task.throttlePercent = json.path("percent").asInt(100));
       case "acknowledge" -> acknowledge(json, call);
       case "query" -> query(json, call);
       case "poll" -> poll(json, call);
@@ -113,16 +115,13 @@
   private void adopt(JsonNode json, HttpCall call) {
     highestEpoch = json.get("epoch").asLong();
     owner = json.path("owner").asText();
-    List<Poll> overtaken = List.copyOf(polls);
+    polls.forEach(poll -> refuse(poll.call(), "STALE_EPOCH"));
     polls.clear();
-    overtaken.forEach(poll -> refuse(poll.call(), "STALE_EPOCH"));
     ObjectNode reply = HttpCall.JSON.createObjectNode();
     ArrayNode list = reply.putArray("tasks");
     for (WorkerTask task : tasks.values()) {
-      if (isRetained(task)) {
-        extendLease(task, ADOPTED_LEASE_MS);
-        list.add(task.snapshot(nowMs.getAsLong()));
-      }
+      extendLease(task, ADOPTED_LEASE_MS);
+      list.add(task.snapshot(nowMs.getAsLong()));
     }
     call.answer(
         200, reply.put("sequence", events.lastSequence()).put("leaving", leavingSinceMs >= 0));
@@ -130,9 +129,13 @@
 
   private void admit(boolean inSlot, JsonNode json, HttpCall call) {
     WorkerTask task = new WorkerTask(json, inSlot);
-    WorkerTask known = tasks.get(task.id);
+    WorkerTask known = known(task.id);
     if (known != null) {
-      joinOrConfirm(known, inSlot, call);
+      if (inSlot) {
+        answerAtEnd(known, call);
+      } else {
+        call.done();
+      }
       return;
     }
     if (fenced.contains(task.id)) {
@@ -144,92 +147,64 @@
       refuse(call, "LEAVING");
       return;
     }
-    if (inSlot ? slotsInUse() >= spec.slots() : !fits(task)) {
-      capacityRefusals++;
+    if (inSlot ? slotsInUse() >= spec.slots() : !spec.fits(task, tasks.values())) {
       refuse(call, "NO_CAPACITY");
       return;
     }
-    tasks.put(task.id, task);
     if (inSlot) {
-      task.waiting.add(call);
       begin(task, json);
+      tasks.put(task.id, task);
+      task.waiting.add(call);
       peakSlots = Math.max(peakSlots, slotsInUse());
       return;
     }
+    tasks.put(task.id, task);
     extendLease(task, json.path("leaseMs").asLong());
     emit(task);
     call.done();
   }
 
-  private void joinOrConfirm(WorkerTask known, boolean inSlot, HttpCall call) {
-    if (!inSlot) {
-      call.done();
-    } else if (known.isLive()) {
-      known.waiting.add(call);
+  private void answerAtEnd(WorkerTask task, HttpCall call) {
+    if (task.isLive()) {
+      task.waiting.add(call);
     } else {
-      call.answer(200, known.snapshot(nowMs.getAsLong()));
+      answerSnapshot(task, call);
     }
   }
 
-  private boolean fits(WorkerTask wanted) {
-    if (wanted.firstAccelerator < 0
-        || wanted.firstAccelerator + wanted.accelerators > spec.accelerators()) {
-      return false;
-    }
-    int millicores = wanted.millicores;
-    int memoryMib = wanted.memoryMib;
-    for (WorkerTask task : tasks.values()) {
-      if (task.overlaps(wanted.firstAccelerator, wanted.accelerators)) {
-        return false;
-      }
-      if (task.isLive()) {
-        millicores += task.millicores;
-        memoryMib += task.memoryMib;
-      }
-    }
-    return millicores <= spec.millicores() && memoryMib <= spec.memoryMib();
+  private void answerSnapshot(WorkerTask task, HttpCall call) {
+    call.answer(200, task.snapshot(nowMs.getAsLong()));
   }
 
   private int slotsInUse() {
     return (int) tasks.values().stream().filter(task -> task.inSlot && task.isRunning()).count();
   }
 
-  private @Nullable WorkerTask find(JsonNode json, HttpCall call) {
-    WorkerTask task = tasks.get(json.required("task").asText());
+  private void change(JsonNode json, HttpCall call, Consumer<WorkerTask> change) {
+    WorkerTask task = known(json.required("task").asText());
     if (task == null) {
       refuse(call, "UNKNOWN_TASK");
-    }
-    return task;
-  }
-
-  private void start(JsonNode json, HttpCall call) {
-    WorkerTask task = find(json, call);
-    if (task == null) {
       return;
     }
-    if (task.phase.equals("RESERVED")) {
-      begin(task, json);
-      emit(task);
-    }
+    change.accept(task);
     call.done();
   }
 
   private void begin(WorkerTask task, JsonNode json) {
-    String text = json.path("parameters").asText("{}");
-    JsonNode parameters;
-    try {
-      parameters = HttpCall.JSON.readTree(text);
-    } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
-      throw new IllegalArgumentException("parameters are not JSON", e);
+    if (!task.phase.equals("RESERVED")) {
+      return;
     }
+    String text = json.path("parameters").asText("{}");
+    JsonNode parameters = HttpCall.parse(text);
     String checkpoint = json.path("checkpoint").asText("");
+    long doneMs = Long.parseLong("0" + checkpoint.substring(checkpoint.indexOf('@') + 1));
     task.phase = "RUNNING";
     task.startedAtMs = nowMs.getAsLong();
     task.memoryFactor = parameters.path("memoryFactor").asDouble(1);
     task.run =
         ledger.begin(
-            new RunLedger.Run(
-                task.workspace + "/" + task.key,
+            new RunLedger.Start(
+                task.request,
                 task.attempt(),
                 task.member(),
                 task.members,
@@ -239,17 +214,17 @@
                 task.accelerators,
                 checkpoint.contains("@"),
                 task.startedAtMs,
-                -1,
-                "RUNNING",
-                text.length()));
-    long doneMs = Long.parseLong("0" + checkpoint.substring(checkpoint.indexOf('@') + 1));
+                text.getBytes(UTF_8).length));
     long runMs = Math.max(0, parameters.path("runMs").asLong(0) - doneMs);
     long maxRunMs = json.path("maxRunMs").asLong(Long.MAX_VALUE);
     task.timer =
         timers.schedule(
             () -> complete(task, parameters, runMs > maxRunMs),
             Math.min(runMs, maxRunMs),
-            TimeUnit.MILLISECONDS);
+            MILLISECONDS);
+    if (!task.inSlot) {
+      emit(task);
+    }
   }
 
   private synchronized void complete(WorkerTask task, JsonNode parameters, boolean overtime) {
@@ -261,11 +236,7 @@
     } else if (failEveryTask || parameters.path("fail").asBoolean(false)) {
       finish(task, "FAILED", "task failed on " + spec.name());
     } else {
-      ObjectNode result = HttpCall.JSON.createObjectNode();
-      result.put("request", task.workspace + "/" + task.key).put("worker", spec.name());
-      result.put("member", task.member());
-      result.put("text", "x".repeat(parameters.path("resultBytes").asInt(0)));
-      finish(task, "FINISHED", result.toString());
+      finish(task, "FINISHED", task.result(spec.name(), parameters.path("resultBytes").asInt(0)));
     }
   }
 
@@ -274,12 +245,11 @@
     task.phase = phase;
     task.detail = detail;
     task.endedAtMs = nowMs.getAsLong();
-    task.leaseUntilMs = WorkerTask.NO_LEASE;
     if (task.timer != null) {
       task.timer.cancel(false);
     }
     if (ran) {
-      ledger.end(task.run, task.endedAtMs, phase, detail.getBytes(UTF_8).length);
+      ledger.end(task.run, new RunLedger.End(task.endedAtMs, phase, detail.getBytes(UTF_8).length));
     }
     if (dead) {
       return;
@@ -297,41 +267,33 @@
 
   private void release(WorkerTask task) {
     task.phase = "UNKNOWN";
-    task.leaseUntilMs = WorkerTask.NO_LEASE;
     fenced.add(task.id);
     tasks.remove(task.id);
     emit(task);
   }
 
-  private void end(JsonNode json, HttpCall call, String phase, String detail) {
+  private void stop(JsonNode json, HttpCall call) {
     String id = json.required("task").asText();
-    WorkerTask task = tasks.get(id);
+    WorkerTask task = known(id);
     if (task == null) {
       fenced.add(id);
-    } else if (task.phase.equals("RESERVED")) {
-      release(task);
-    } else if (task.isRunning()) {
-      finish(task, phase, detail);
+    } else {
+      end(task, "STOPPED", "stopped by command");
     }
     call.done();
   }
 
-  private void checkpoint(JsonNode json, HttpCall call) {
-    WorkerTask task = find(json, call);
-    if (task == null) {
-      return;
-    }
+  private void checkpoint(WorkerTask task) {
     long ranMs = Math.max(0, nowMs.getAsLong() - task.startedAtMs);
-    end(json, call, "CHECKPOINTED", "checkpoint/" + task.id + "@" + ranMs);
+    end(task, "CHECKPOINTED", "checkpoint/" + task.id + "@" + ranMs);
   }
 
-  private void throttle(JsonNode json, HttpCall call) {
-    WorkerTask task = find(json, call);
-    if (task == null) {
-      return;
+  private void end(WorkerTask task, String phase, String detail) {
+    if (task.phase.equals("RESERVED")) {
+      release(task);
+    } else if (task.isRunning()) {
+      finish(task, phase, detail);
     }
-    task.throttlePercent = json.path("percent").asInt(100);
-    call.done();
   }
 
   private void acknowledge(JsonNode json, HttpCall call) {
@@ -345,35 +307,34 @@
   }
 
   /** Drops the outcome but not the fact that the task ran, so that it never runs again. */
-  private static void forgetOutcome(WorkerTask task) {
+  private void forgetOutcome(WorkerTask task) {
     task.phase = "STOPPED";
-    task.detail = StandInWorker.NOT_RETAINED;
+    task.detail = "outcome no longer retained";
+    tasks.remove(task.id);
+    forgotten.put(task.id, task);
   }
 
-  private static boolean isRetained(WorkerTask task) {
-    return !StandInWorker.NOT_RETAINED.equals(task.detail);
+  private @Nullable WorkerTask known(String id) {
+    WorkerTask task = tasks.get(id);
+    return task == null ? forgotten.get(id) : task;
   }
 
   private void query(JsonNode json, HttpCall call) {
     String id = json.required("task").asText();
-    WorkerTask task = tasks.get(id);
+    WorkerTask task = known(id);
     if (task == null) {
       fenced.add(id);
       call.answer(200, HttpCall.JSON.createObjectNode().put("task", id).put("phase", "UNKNOWN"));
       return;
     }
+    answerAtEnd(task, call);
     long waitMs = json.path("waitMs").asLong(0);
-    if (!task.isLive() || waitMs <= 0) {
-      call.answer(200, task.snapshot(nowMs.getAsLong()));
-      return;
-    }
-    task.waiting.add(call);
-    var unused = timers.schedule(() -> endQuery(task, call), waitMs, TimeUnit.MILLISECONDS);
+    var unused = timers.schedule(() -> endQuery(task, call), waitMs, MILLISECONDS);
   }
 
   private synchronized void endQuery(WorkerTask task, HttpCall call) {
     if (task.waiting.remove(call)) {
-      call.answer(200, task.snapshot(nowMs.getAsLong()));
+      answerSnapshot(task, call);
     }
   }
 
@@ -385,9 +346,8 @@
       answerPoll(poll);
       return;
     }
-    var unused =
-        timers.schedule(
-            () -> answerPoll(poll), json.path("waitMs").asLong(), TimeUnit.MILLISECONDS);
+    long waitMs = json.path("waitMs").asLong(0);
+    var unused = timers.schedule(() -> answerPoll(poll), waitMs, MILLISECONDS);
   }
 
   private synchronized void answerPoll(Poll poll) {
@@ -413,9 +373,7 @@
 
   private void extendLease(WorkerTask task, long leaseMs) {
     if (task.isLive() && !task.inSlot) {
-      long until = nowMs.getAsLong() + leaseMs;
-      task.leaseUntilMs =
-          task.leaseUntilMs == WorkerTask.NO_LEASE ? until : Math.max(task.leaseUntilMs, until);
+      task.leaseUntilMs = Math.max(task.leaseUntilMs, nowMs.getAsLong() + leaseMs);
     }
   }
 
@@ -426,12 +384,8 @@
       return;
     }
     for (WorkerTask task : List.copyOf(tasks.values())) {
-      if (task.isLive() && task.leaseUntilMs <= now) {
-        if (task.isRunning()) {
-          finish(task, "STOPPED", "lease lapsed");
-        } else {
-          release(task);
-        }
+      if (task.isLive() && !task.inSlot && task.leaseUntilMs <= now) {
+        end(task, "STOPPED", "lease lapsed");
       } else if (!task.isLive() && now - task.endedAtMs > RETAINED_MS) {
         forgetOutcome(task);
       }
@@ -439,8 +393,7 @@
   }
 
   private void refuse(HttpCall call, String reason) {
-    call.answer(
-        409,
-        HttpCall.JSON.createObjectNode().put("reason", reason).put("highestEpoch", highestEpoch));
+    ObjectNode reply = HttpCall.JSON.createObjectNode().put("reason", reason);
+    call.answer(409, reply.put("highestEpoch", highestEpoch));
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/WorkerTask.java
+++ b/standins/src/main/java/dev/bambootray/standins/WorkerTask.java
@@ -9,12 +9,12 @@
 
 /** One task of a stand-in worker; guarded by the lock of its {@link WorkerAgent}. */
 final class WorkerTask {
-  static final long NO_LEASE = Long.MAX_VALUE;
+  private static final String[] IN_SNAPSHOT =
+      "task workspace key template members firstAccelerator accelerators millicores memoryMib"
+          .split(" ", -1);
 
   final String id;
-  final String workspace;
-  final String key;
-  final String template;
+  final String request;
   final int members;
   final int firstAccelerator;
   final int accelerators;
@@ -22,13 +22,14 @@
   final int memoryMib;
   final boolean inSlot;
   final long epoch;
+  private final ObjectNode fixed;
 
   /** Calls that wait for the end: the {@code run} itself, repeats of it, and queries. */
   final List<HttpCall> waiting = new ArrayList<>();
 
   String phase = "RESERVED";
   @Nullable String detail;
-  long leaseUntilMs = NO_LEASE;
+  long leaseUntilMs;
   long startedAtMs;
   long endedAtMs;
   int throttlePercent = 100;
@@ -37,17 +38,17 @@
   @Nullable Future<?> timer;
 
   WorkerTask(JsonNode command, boolean inSlot) {
-    this.id = command.required("task").asText();
-    this.workspace = command.required("workspace").asText();
-    this.key = command.required("key").asText();
-    this.template = command.required("template").asText();
-    this.members = command.path("members").asInt(1);
-    this.firstAccelerator = command.path("firstAccelerator").asInt(0);
-    this.accelerators = command.path("accelerators").asInt(0);
-    this.millicores = command.path("millicores").asInt(0);
-    this.memoryMib = command.path("memoryMib").asInt(0);
+    id = command.required("task").asText();
+    request = command.required("workspace").asText() + "/" + command.required("key").asText();
+    members = command.path("members").asInt(1);
+    firstAccelerator = command.path("firstAccelerator").asInt(0);
+    accelerators = command.path("accelerators").asInt(0);
+    millicores = command.path("millicores").asInt(0);
+    memoryMib = command.path("memoryMib").asInt(0);
+    epoch = command.required("epoch").asLong();
     this.inSlot = inSlot;
-    this.epoch = command.required("epoch").asLong();
+    fixed = HttpCall.JSON.createObjectNode().put("members", members);
+    fixed.setAll(((ObjectNode) command).deepCopy().retain(IN_SNAPSHOT));
   }
 
   String attempt() {
@@ -66,23 +67,25 @@
     return isRunning() || phase.equals("RESERVED");
   }
 
+  /** Returns the result of a task that succeeded; it names its request, so that mix-ups show. */
+  String result(String worker, int textBytes) {
+    return HttpCall.JSON
+        .createObjectNode()
+        .put("request", request)
+        .put("worker", worker)
+        .put("member", member())
+        .put("text", "x".repeat(textBytes))
+        .toString();
+  }
+
   boolean overlaps(int first, int count) {
     return isLive() && first < firstAccelerator + accelerators && firstAccelerator < first + count;
   }
 
   ObjectNode snapshot(long nowMs) {
     long until = isRunning() ? nowMs : endedAtMs;
-    return HttpCall.JSON
-        .createObjectNode()
-        .put("task", id)
-        .put("workspace", workspace)
-        .put("key", key)
-        .put("template", template)
-        .put("members", members)
-        .put("firstAccelerator", firstAccelerator)
-        .put("accelerators", accelerators)
-        .put("millicores", millicores)
-        .put("memoryMib", memoryMib)
+    return fixed
+        .deepCopy()
         .put("phase", phase)
         .put("detail", detail)
         .put("ranForMs", run < 0 ? 0 : Math.max(0, until - startedAtMs));
