Make the text of expectations only for errors

Cause: every number that was read built the phrase of its range with a regular expression, whether or not it was wrong. Change: phrases are made when an error is reported.

--- a/documents/src/main/java/dev/bambootray/documents/RegionSection.java
+++ b/documents/src/main/java/dev/bambootray/documents/RegionSection.java
@@ -67,7 +67,7 @@
         region.reject("linkLatencyMs", "a link of the region to itself", "other regions");
       }
       double latencyMs =
-          links.numberOf(link.getValue().value(), path, " of milliseconds", 0, MAX_LATENCY_MS);
+          links.numberOf(link.getValue().value(), "linkLatencyMs", path, 0, MAX_LATENCY_MS);
       if (isDeclarable(other)) {
         result.put(RegionId.of(other), latencyMs);
       }
--- a/documents/src/main/java/dev/bambootray/documents/json/ObjectCursor.java
+++ b/documents/src/main/java/dev/bambootray/documents/json/ObjectCursor.java
@@ -168,23 +168,19 @@
 
   /** Reads a required whole number. */
   public long whole(String key, long min, long max) {
-    String expected = expectedWhole(key, min, max);
-    return requiredValue(key, expected)
-        .map(value -> wholeOf(value, key, min, max, expected))
-        .orElse(min);
+    Optional<JsonValue> value = value(key);
+    if (value.isEmpty() && !broken) {
+      problems.add(object.place(), pathOf(key), "nothing", expectedWhole(key, min, max));
+    }
+    return value.map(given -> wholeOf(given, key, min, max)).orElse(min);
   }
 
   /** Reads an optional whole number. */
   public long whole(String key, long min, long max, long orElse) {
-    String expected = expectedWhole(key, min, max);
-    return value(key).map(value -> wholeOf(value, key, min, max, expected)).orElse(orElse);
-  }
-
-  private static String expectedWhole(String key, long min, long max) {
-    return "a whole number" + Names.unitPhrase(key) + " from " + min + " to " + max;
+    return value(key).map(value -> wholeOf(value, key, min, max)).orElse(orElse);
   }
 
-  private long wholeOf(JsonValue value, String key, long min, long max, String expected) {
+  private long wholeOf(JsonValue value, String key, long min, long max) {
     if (value instanceof JsonValue.NumberValue number) {
       try {
         long parsed = Long.parseLong(number.text());
@@ -195,10 +191,14 @@
         // A fraction, an exponent or a number beyond 64 bits is reported below.
       }
     }
-    problems.add(value.place(), pathOf(key), value.describe(), expected);
+    problems.add(value.place(), pathOf(key), value.describe(), expectedWhole(key, min, max));
     return min;
   }
 
+  private static String expectedWhole(String key, long min, long max) {
+    return "a whole number" + Names.unitPhrase(key) + " from " + min + " to " + max;
+  }
+
   /** Reads a required TCP port. */
   public int port(String key) {
     return (int) whole(key, 1, 65_535);
@@ -210,12 +210,11 @@
     if (value.isEmpty()) {
       return orElse;
     }
-    return numberOf(value.get(), pathOf(key), Names.unitPhrase(key), min, max);
+    return numberOf(value.get(), key, pathOf(key), min, max);
   }
 
-  /** Reads a number that is the value of a member of another object. */
-  public double numberOf(
-      JsonValue value, String valuePath, String unitPhrase, double min, double max) {
+  /** Reads a number whose unit is the suffix of the given name. */
+  public double numberOf(JsonValue value, String name, String valuePath, double min, double max) {
     if (value instanceof JsonValue.NumberValue number) {
       double parsed = Double.parseDouble(number.text());
       if (parsed >= min && parsed <= max) {
@@ -226,7 +225,12 @@
         value.place(),
         valuePath,
         value.describe(),
-        "a number" + unitPhrase + " from " + Names.plain(min) + " to " + Names.plain(max));
+        "a number"
+            + Names.unitPhrase(name)
+            + " from "
+            + Names.plain(min)
+            + " to "
+            + Names.plain(max));
     return min;
   }
 
