Count free slots and capacity of a pool as its targets change

Cause: admission, hedging and the queue's wait scanned all targets, several times for each event. Change: each target reports its own change to the pool's counts. Conclusion: the remaining scan is the choice of the target.

--- a/core/src/main/java/dev/bambootray/core/routing/Dispatcher.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Dispatcher.java
@@ -73,7 +73,7 @@
     if (run.phase != Run.Phase.INTENT) {
       return;
     }
-    if (run.target.isOpen() || run.target.ejected) {
+    if (run.target.isOpen() || run.target.isEjected()) {
       send(run, nowMs);
       return;
     }
--- a/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
@@ -139,7 +139,7 @@
     run.hedgeAtMs = Run.NEVER;
     run.fateAtMs = nowMs + OVERDUE_MS;
     // Its connection is still in use, so the slot stays taken until the reply or the close.
-    run.target.runs.add(run);
+    run.target.addRun(run);
     state.runs.put(run.task, run);
     state.scheduleRun(run);
   }
--- a/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
+++ b/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
@@ -39,7 +39,7 @@
       Target target = targets.get(index < size ? index : index - size);
       if (target != excluded
           && target.freeSlots() > 0
-          && (!target.paced || nowMs - target.lastSentAtMs >= pool.meanRunMs())
+          && (!target.isPaced() || nowMs - target.lastSentAtMs >= pool.meanRunMs())
           && (!target.isSlow() || mayUseSlow(request, target, queueWaitMs, nowMs))) {
         double cost = cost(request, target, nowMs);
         if (cost < bestCost) {
@@ -61,7 +61,7 @@
       return true;
     }
     return request.isRepeatable()
-        && target.runs.isEmpty()
+        && target.used() == 0
         && pool.sendsSinceExploration >= EXPLORE_SLOW_SENDS
         && nowMs - target.lastSentAtMs >= EXPLORE_SLOW_MS;
   }
@@ -71,7 +71,7 @@
       // A slow target that may be used at all is tried at once, or it would never be tried.
       return -1;
     }
-    double cost = target.runs.size();
+    double cost = target.used();
     int streak = target.failureStreak;
     if (streak > 0 && nowMs - target.lastSentAtMs < RETRY_FAILING_MS * streak) {
       cost += FAILING * streak;
--- a/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
+++ b/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
@@ -31,8 +31,8 @@
     int joined = 0;
     int ejected = 0;
     for (Target target : pool.targets) {
-      joined += target.joined ? 1 : 0;
-      ejected += target.joined && target.ejected ? 1 : 0;
+      joined += target.isJoined() ? 1 : 0;
+      ejected += target.isJoined() && target.isEjected() ? 1 : 0;
     }
     return ejected + 1 <= maxShare * joined && ejected + 1 < joined;
   }
@@ -40,7 +40,7 @@
   private static double lowerQuartileOfFailureRates(ServicePool pool) {
     List<Double> rates =
         pool.targets.stream()
-            .filter(target -> target.joined)
+            .filter(target -> target.isJoined())
             .map(target -> target.failureRate)
             .sorted()
             .toList();
--- a/core/src/main/java/dev/bambootray/core/routing/RequestExplanation.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RequestExplanation.java
@@ -52,16 +52,18 @@
   }
 
   private static String closedBecause(Target target) {
-    if (!target.joined) {
+    if (!target.isJoined()) {
       return "is not adopted";
     }
-    if (target.leaving) {
+    if (target.isLeaving()) {
       return "is leaving";
     }
-    if (target.unreachable) {
+    if (target.isUnreachable()) {
       return "does not answer probes";
     }
-    return target.ejected ? "is ejected because its runs failed" : "refused for lack of capacity";
+    return target.isEjected()
+        ? "is ejected because its runs failed"
+        : "refused for lack of capacity";
   }
 
   private static String runReason(PendingRequest request, long nowMs) {
--- a/core/src/main/java/dev/bambootray/core/routing/RouterState.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RouterState.java
@@ -68,14 +68,14 @@
 
   /** Gives a run a slot of its target. */
   void addRun(Run run) {
-    run.target.runs.add(run);
+    run.target.addRun(run);
     run.request.runs.add(run);
     runs.put(run.task, run);
   }
 
   /** Frees the slot of a run that has certainly ended or was never sent. */
   void removeRun(Run run) {
-    run.target.runs.remove(run);
+    run.target.removeRun(run);
     run.request.runs.remove(run);
     runs.remove(run.task);
     timers.cancel(run);
--- a/core/src/main/java/dev/bambootray/core/routing/RunOutcomes.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RunOutcomes.java
@@ -5,7 +5,6 @@
 
 import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.worker.RefusalReason;
-import java.util.List;
 
 /** Acts on the outcomes of runs. */
 final class RunOutcomes {
@@ -69,8 +68,8 @@
     state.removeRun(run);
     Target target = run.target;
     switch (reason) {
-      case LEAVING -> target.leaving = true;
-      case STALE_EPOCH, NOT_ADOPTED -> target.joined = false;
+      case LEAVING -> target.setLeaving(true);
+      case STALE_EPOCH, NOT_ADOPTED -> target.setJoined(false);
       case NO_CAPACITY, UNKNOWN_TASK -> health.refusedForCapacity(target, nowMs);
       case INVALID -> {
         if (run.isWanted()) {
@@ -121,13 +120,13 @@
 
   /** A worker is lost, and with it all its runs. */
   void targetLost(Target target, long nowMs) {
-    target.joined = false;
+    target.setJoined(false);
     target.lost = true;
     target.fateInFlight = null;
     target.fateQueue.clear();
     target.pool.targets.remove(target);
     state.timers.cancel(target);
-    for (Run run : List.copyOf(target.runs)) {
+    for (Run run : target.runs()) {
       state.removeRun(run);
       if (!run.isWanted() || run.phase == Run.Phase.ENDED) {
         continue;
--- a/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
+++ b/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
@@ -22,6 +22,8 @@
   final RetryBudget budget = new RetryBudget();
   private final Map<TemplateId, RunTimeEstimate> runTimes = new HashMap<>();
   private double meanRunMs = UNKNOWN_RUN_MS;
+  private int freeSlots;
+  private int capacity;
   int sendsSinceExploration;
 
   /** Since when no target has been open, or -1 if one is. */
@@ -49,28 +51,24 @@
     return meanRunMs;
   }
 
-  /** Returns the free slots of targets that are neither slow nor paced. */
+  /** Returns the free slots of open targets that are neither slow nor paced. */
   int freeSlots() {
-    int free = 0;
-    for (int i = 0; i < targets.size(); i++) {
-      Target target = targets.get(i);
-      free += target.isDoubtful() ? 0 : target.freeSlots();
-    }
-    return free;
+    return freeSlots;
   }
 
   /** Returns the slots of open targets within their concurrency limits, taken or not. */
   int capacity() {
-    int capacity = 0;
-    for (int i = 0; i < targets.size(); i++) {
-      Target target = targets.get(i);
-      capacity += target.isOpen() ? target.limit : 0;
-    }
     return capacity;
   }
 
+  /** Takes a change of a target into account. */
+  void adjust(int moreFreeSlots, int moreCapacity) {
+    freeSlots += moreFreeSlots;
+    capacity += moreCapacity;
+  }
+
   int totalSlots() {
-    return targets.stream().filter(target -> target.joined).mapToInt(target -> target.slots).sum();
+    return targets.stream().filter(target -> target.isJoined()).mapToInt(Target::slots).sum();
   }
 
   /** Returns how long the queue takes to drain, in milliseconds. */
--- a/core/src/main/java/dev/bambootray/core/routing/SlownessLimit.java
+++ b/core/src/main/java/dev/bambootray/core/routing/SlownessLimit.java
@@ -8,9 +8,11 @@
 final class SlownessLimit implements ConcurrencyPolicy {
   @Override
   public int limit(Target target) {
-    if (target.paced) {
+    if (target.isPaced()) {
       return 1;
     }
-    return target.isSlow() ? Math.max(1, (int) (target.slots / target.slowness())) : target.slots;
+    return target.isSlow()
+        ? Math.max(1, (int) (target.slots() / target.slowness()))
+        : target.slots();
   }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -20,28 +20,31 @@
 
   final WorkerId worker;
   final ServicePool pool;
-  final List<Run> runs = new ArrayList<>();
+  private final List<Run> runs = new ArrayList<>();
   final Deque<Run> fateQueue = new ArrayDeque<>();
-  int slots;
+  private int slots;
 
   /** Concurrency limit, 1 to {@link #slots}. */
-  int limit;
+  private int limit;
 
-  boolean joined;
-  boolean leaving;
+  private int countedFree;
+  private int countedCapacity;
+
+  private boolean joined;
+  private boolean leaving;
   boolean lost;
 
   /** It did not answer on a fresh connection; it gets nothing new until it does. */
-  boolean unreachable;
+  private boolean unreachable;
 
   /** It is out of use because it failed everything. */
-  boolean ejected;
+  private boolean ejected;
 
   /** Consecutive failures of different requests. */
   int failureStreak;
 
   /** It fails unlike the others but may not be ejected; it gets one run per usual run time. */
-  boolean paced;
+  private boolean paced;
 
   int ejections;
   long ejectedUntilMs;
@@ -62,7 +65,7 @@
   long readmittedAtMs = Long.MIN_VALUE / 2;
 
   /** It refused for lack of capacity and gets nothing new until its timer is due. */
-  boolean refusing;
+  private boolean refusing;
 
   @Nullable Run fateInFlight;
 
@@ -83,6 +86,7 @@
     double gain = Math.max(SLOWNESS_GAIN, 1.0 / slownessSamples);
     logSlowness += (logRatio - logSlowness) * gain;
     slowness = slownessSamples < MIN_SLOWNESS_SAMPLES ? 1 : Math.exp(logSlowness);
+    recount();
   }
 
   /** Returns how many times longer its runs take than those of the other targets. */
@@ -103,6 +107,7 @@
     slots = newSlots;
     limit = Math.min(limit, newSlots);
     rampLimit = Math.max(rampLimit, newSlots);
+    recount();
   }
 
   /** Returns whether it may get new requests. */
@@ -114,4 +119,106 @@
   int freeSlots() {
     return isOpen() ? Math.max(0, limit - runs.size()) : 0;
   }
+
+  /** Returns whether its worker is adopted. */
+  boolean isJoined() {
+    return joined;
+  }
+
+  void setJoined(boolean value) {
+    joined = value;
+    recount();
+  }
+
+  /** Returns whether it takes nothing new. */
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  void setLeaving(boolean value) {
+    leaving = value;
+    recount();
+  }
+
+  /** Returns whether it did not answer on a fresh connection. */
+  boolean isUnreachable() {
+    return unreachable;
+  }
+
+  void setUnreachable(boolean value) {
+    unreachable = value;
+    recount();
+  }
+
+  /** Returns whether it is out of use because it failed everything. */
+  boolean isEjected() {
+    return ejected;
+  }
+
+  void setEjected(boolean value) {
+    ejected = value;
+    recount();
+  }
+
+  /** Returns whether it refused for lack of capacity a moment ago. */
+  boolean isRefusing() {
+    return refusing;
+  }
+
+  void setRefusing(boolean value) {
+    refusing = value;
+    recount();
+  }
+
+  /** Returns whether it gets one run per usual run time. */
+  boolean isPaced() {
+    return paced;
+  }
+
+  void setPaced(boolean value) {
+    paced = value;
+    recount();
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  int limit() {
+    return limit;
+  }
+
+  void setLimit(int value) {
+    limit = value;
+    recount();
+  }
+
+  /** Returns the number of runs that hold a slot. */
+  int used() {
+    return runs.size();
+  }
+
+  List<Run> runs() {
+    return List.copyOf(runs);
+  }
+
+  void addRun(Run run) {
+    runs.add(run);
+    recount();
+  }
+
+  void removeRun(Run run) {
+    runs.remove(run);
+    recount();
+  }
+
+  /** Brings the counts of the pool up to date after a change of this target. */
+  private void recount() {
+    boolean counts = isOpen() && !lost;
+    int free = isDoubtful() ? 0 : freeSlots();
+    int capacity = counts ? limit : 0;
+    pool.adjust(free - countedFree, capacity - countedCapacity);
+    countedFree = free;
+    countedCapacity = capacity;
+  }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
@@ -34,7 +34,7 @@
   void succeeded(Run run, long runMs, long nowMs) {
     Target target = run.target;
     target.failureStreak = 0;
-    target.paced = false;
+    target.setPaced(false);
     target.notSentStreak = 0;
     target.failureRate -= target.failureRate * FAILURE_RATE_GAIN;
     if (target.ejections > 0 && nowMs - target.readmittedAtMs > FORGET_EJECTIONS_MS) {
@@ -43,7 +43,7 @@
     target.observeSlowness(run.request.runTimes.logRatio(runMs));
     run.request.runTimes.record(runMs);
     run.request.pool.recordRun(runMs);
-    target.rampLimit = Math.min(target.slots, target.rampLimit + 1);
+    target.rampLimit = Math.min(target.slots(), target.rampLimit + 1);
     updateLimit(target);
   }
 
@@ -72,9 +72,9 @@
     request.blamed = target;
     target.failureStreak++;
     target.failureRate += (1 - target.failureRate) * FAILURE_RATE_GAIN;
-    if (!target.ejected) {
+    if (!target.isEjected()) {
       EjectionPolicy.Verdict verdict = ejection.judge(target, state.policy().ejectionMaxShare());
-      target.paced = verdict == EjectionPolicy.Verdict.PACE;
+      target.setPaced(verdict == EjectionPolicy.Verdict.PACE);
       if (verdict == EjectionPolicy.Verdict.EJECT) {
         eject(target, nowMs);
       }
@@ -83,7 +83,7 @@
   }
 
   private void eject(Target target, long nowMs) {
-    target.ejected = true;
+    target.setEjected(true);
     target.probesAnswered = 0;
     long baseMs = FIRST_EJECTION_MS << Math.min(MAX_EJECTION_DOUBLINGS, target.ejections++);
     target.ejectedUntilMs = nowMs + baseMs + state.random.nextLong(baseMs / 4);
@@ -91,7 +91,7 @@
   }
 
   private void readmit(Target target, long nowMs) {
-    target.ejected = false;
+    target.setEjected(false);
     target.failureStreak = READMITTED_STREAK;
     target.rampLimit = 1;
     target.readmittedAtMs = nowMs;
@@ -99,12 +99,12 @@
   }
 
   private void updateLimit(Target target) {
-    target.limit = Math.min(target.rampLimit, concurrency.limit(target));
+    target.setLimit(Math.min(target.rampLimit, concurrency.limit(target)));
   }
 
   /** Notes a target that refused for lack of capacity. */
   void refusedForCapacity(Target target, long nowMs) {
-    target.refusing = true;
+    target.setRefusing(true);
     wake(target, nowMs + REFUSAL_PAUSE_MS);
   }
 
@@ -112,22 +112,22 @@
   void notSent(Target target, long nowMs) {
     if (++target.notSentStreak >= NOT_SENT_LIMIT) {
       unreachable(target, nowMs);
-    } else if (!target.unreachable) {
+    } else if (!target.isUnreachable()) {
       probe(target, nowMs);
     }
   }
 
   /** Notes a target that did not answer on a fresh connection; it gets nothing new. */
   void unreachable(Target target, long nowMs) {
-    if (!target.unreachable) {
-      target.unreachable = true;
+    if (!target.isUnreachable()) {
+      target.setUnreachable(true);
       probe(target, nowMs);
     }
   }
 
   /** Notes that a target answered on a fresh connection. */
   void reachable(Target target) {
-    target.unreachable = false;
+    target.setUnreachable(false);
     target.notSentStreak = 0;
   }
 
@@ -135,7 +135,7 @@
   void probeAnswered(Target target, long nowMs) {
     target.probeInFlight = false;
     reachable(target);
-    if (target.ejected
+    if (target.isEjected()
         && nowMs >= target.ejectedUntilMs
         && ++target.probesAnswered >= PROBES_TO_READMIT) {
       readmit(target, nowMs);
@@ -151,10 +151,10 @@
 
   /** Acts on the timer of a target. */
   void due(Target target, long nowMs) {
-    target.refusing = false;
-    if (target.unreachable || (target.ejected && nowMs >= target.ejectedUntilMs)) {
+    target.setRefusing(false);
+    if (target.isUnreachable() || (target.isEjected() && nowMs >= target.ejectedUntilMs)) {
       probe(target, nowMs);
-    } else if (target.ejected) {
+    } else if (target.isEjected()) {
       wake(target, target.ejectedUntilMs);
     }
   }
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
@@ -49,7 +49,7 @@
       for (Target target : targets) {
         WorkerDeclaration worker = declaration.workers().get(target.worker);
         if (worker == null || !worker.services().contains(target.pool.service.id())) {
-          target.leaving = true;
+          target.setLeaving(true);
         }
       }
     }
@@ -59,16 +59,16 @@
   void joined(WorkerId worker) {
     for (Target target : targetsOf(worker)) {
       target.pool.closedSinceMs = -1;
-      target.joined = true;
-      target.leaving = false;
-      target.unreachable = false;
+      target.setJoined(true);
+      target.setLeaving(false);
+      target.setUnreachable(false);
     }
   }
 
   /** A worker takes nothing new. */
   void leaving(WorkerId worker) {
     for (Target target : targetsOf(worker)) {
-      target.leaving = true;
+      target.setLeaving(true);
     }
   }
 
