Take the words of the deployments out of the tests

Cause: the words of a deployment belong in examples; three tests named them. Change: the tests go through the directories of examples, and the mix that is refused refers to the small declaration of the tests, which moves two columns. Conclusion: a further example is checked without a change to the tests.

--- a/cli/src/test/java/dev/bambootray/cli/StandInNode.java
+++ b/cli/src/test/java/dev/bambootray/cli/StandInNode.java
@@ -187,7 +187,7 @@
   private static void answer(ObjectNode view, String ran, JsonNode error) {
     ObjectNode answer = view.put("state", "answered").putObject("answer").put("ran", ran);
     if (error == null) {
-      answer.putObject("result").put("stitches", 1200);
+      answer.putObject("result").put("pages", 3);
     } else {
       answer.set("error", error);
     }
--- a/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
+++ b/documents/src/test/java/dev/bambootray/documents/DeclarationProperties.java
@@ -31,7 +31,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -94,7 +93,7 @@
 
   private static String example(String file) {
     try {
-      return Files.readString(Path.of("..", "examples", "brodwaith", file));
+      return Files.readString(ExamplesTest.deployments().get(0).resolve(file));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/documents/src/test/java/dev/bambootray/documents/ExamplesTest.java
+++ b/documents/src/test/java/dev/bambootray/documents/ExamplesTest.java
@@ -13,24 +13,29 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against examples that no longer parse, or that the demonstration can't run. */
 final class ExamplesTest {
-  private static String text(String deployment, String file) throws IOException {
-    return Files.readString(Path.of("..", "examples", deployment, file));
+  /** Returns the directories of the deployments. */
+  static List<Path> deployments() throws IOException {
+    try (Stream<Path> directories = Files.list(Path.of("..", "examples"))) {
+      return directories.filter(Files::isDirectory).sorted().toList();
+    }
   }
 
-  private static Declaration declaration(String deployment) throws IOException {
-    return DeclarationParser.create().read(text(deployment, "declaration.json"), 1).get();
+  private static Declaration declaration(Path deployment) throws IOException {
+    String text = Files.readString(deployment.resolve("declaration.json"));
+    return DeclarationParser.create().read(text, 1).get();
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"brodwaith", "tsagaan-tulga"})
-  void declareTheDeploymentsOfTheDesignPage(String deployment) throws IOException {
+  @MethodSource("deployments")
+  void declareTheDeploymentsOfTheDesignPage(Path deployment) throws IOException {
     Declaration declaration = declaration(deployment);
     assertEquals(3, declaration.regions().size());
     assertEquals(4, declaration.workspaces().size());
@@ -53,16 +58,19 @@
     assertTrue(
         declaration.templates().values().stream()
             .anyMatch(t -> !t.repeatable() && t.isServiceRequest()));
-    Settings settings = Settings.parse("s", text(deployment, "settings.json")).get();
+    Settings settings =
+        Settings.parse("s", Files.readString(deployment.resolve("settings.json"))).get();
     assertTrue(declaration.regions().containsKey(settings.region()));
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"brodwaith", "tsagaan-tulga"})
-  void drawRequestsThatFitTheirTemplates(String deployment) throws IOException {
+  @MethodSource("deployments")
+  void drawRequestsThatFitTheirTemplates(Path deployment) throws IOException {
     Declaration declaration = declaration(deployment);
     RequestMix mix =
-        RequestMix.read("requests.json", text(deployment, "requests.json"), declaration).get();
+        RequestMix.read(
+                "requests.json", Files.readString(deployment.resolve("requests.json")), declaration)
+            .get();
     var random = RandomSource.XO_SHI_RO_256_PP.create(21);
     Set<RequestKind> drawn = new HashSet<>();
     for (int i = 0; i < 5_000; i++) {
@@ -77,14 +85,15 @@
   }
 
   @Test
-  void mixesThatDoNotFitTheDeclarationAreRefused() throws IOException {
+  void mixesThatDoNotFitTheDeclarationAreRefused() {
+    Declaration small = DeclarationParser.create().read(DeclarationTexts.SMALL, 1).get();
     String text =
         """
         {"kinds": [
-          {"workspace": "none", "template": "proof", "deadlineMs": 1,
+          {"workspace": "none", "template": "render", "deadlineMs": 1,
            "parameters": {"runMs": {"from": 5, "to": 90000}}},
-          {"workspace": "ysbytai", "template": "proofs", "deadlineMs": 1},
-          {"workspace": "ysbytai", "template": "proof", "deadline": 1,
+          {"workspace": "team", "template": "draw", "deadlineMs": 1},
+          {"workspace": "team", "template": "render", "deadline": 1,
            "parameters": {"runMs": {"from": 5, "to": 4}}}
         ]}
         """;
@@ -95,13 +104,13 @@
             "m.json:3:18: kinds[0].parameters: found {\"runMs\":90000}, expected parameters of the"
                 + " template: parameters:1:10: runMs: found 90000, expected a whole number from 1"
                 + " to 60000",
-            "m.json:4:40: kinds[1].template: found \"proofs\", expected a template of the"
+            "m.json:4:37: kinds[1].template: found \"draw\", expected a template of the"
                 + " declaration",
             "m.json:5:3: kinds[2].deadlineMs: found nothing, expected a whole number of"
                 + " milliseconds from 1 to 2592000000",
-            "m.json:5:49: kinds[2].deadline: found an unknown key, expected \"deadlineMs\" (a"
+            "m.json:5:47: kinds[2].deadline: found an unknown key, expected \"deadlineMs\" (a"
                 + " number of milliseconds)",
             "m.json:6:46: kinds[2].parameters.runMs.to: found 4, expected at least from, 5"),
-        RequestMix.read("m.json", text, declaration("brodwaith")).getLeft());
+        RequestMix.read("m.json", text, small).getLeft());
   }
 }
