Keep targets with free slots by their number of runs

Cause: the choice of a target scanned all targets for each run. Change: ReadyTargets holds sound targets in one list for each number of runs; only failing and slow targets are looked at one by one. A failing target that is due for another try now wins ties. Conclusion: the cost of a decision hardly depends on the number of targets.

--- a/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
+++ b/core/src/main/java/dev/bambootray/core/routing/LeastLoadedTarget.java
@@ -12,6 +12,8 @@
   private static final double FAILED_BEFORE = 1_000_000;
   private static final double FAILING = 1_000;
 
+  private static final double DUE_ADVANTAGE = 0.5;
+
   /** A failing target is tried again after this time for each failure, in milliseconds. */
   private static final long RETRY_FAILING_MS = 200;
 
@@ -25,22 +27,12 @@
   public @Nullable Target choose(
       RouterState state, PendingRequest request, @Nullable Target excluded, long nowMs) {
     ServicePool pool = request.pool;
-    List<Target> targets = pool.targets;
-    int size = targets.size();
-    if (size == 0) {
-      return null;
-    }
-    int offset = state.random.nextInt(size);
-    double queueWaitMs = pool.queueWaitMs();
-    Target best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (int i = 0; i < size; i++) {
-      int index = i + offset;
-      Target target = targets.get(index < size ? index : index - size);
-      if (target != excluded
-          && target.freeSlots() > 0
-          && (!target.isPaced() || nowMs - target.lastSentAtMs >= pool.meanRunMs())
-          && (!target.isSlow() || mayUseSlow(request, target, queueWaitMs, nowMs))) {
+    Target best = pool.ready.leastLoaded(request, excluded, state.random);
+    double bestCost = best == null ? Double.MAX_VALUE : best.used();
+    List<Target> suspects = pool.ready.suspects();
+    for (int i = 0; i < suspects.size(); i++) {
+      Target target = suspects.get(i);
+      if (target != excluded && mayUse(request, target, nowMs)) {
         double cost = cost(request, target, nowMs);
         if (cost < bestCost) {
           best = target;
@@ -48,12 +40,23 @@
         }
       }
     }
-    if (best != null && best.isSlow()) {
+    if (best == null) {
+      return pool.ready.any(excluded);
+    }
+    if (best.isSlow()) {
       pool.sendsSinceExploration = 0;
     }
     return best;
   }
 
+  private static boolean mayUse(PendingRequest request, Target target, long nowMs) {
+    ServicePool pool = request.pool;
+    if (target.isPaced() && nowMs - target.lastSentAtMs < pool.meanRunMs()) {
+      return false;
+    }
+    return !target.isSlow() || mayUseSlow(request, target, pool.queueWaitMs(), nowMs);
+  }
+
   private static boolean mayUseSlow(
       PendingRequest request, Target target, double queueWaitMs, long nowMs) {
     ServicePool pool = request.pool;
@@ -71,9 +74,10 @@
       // A slow target that may be used at all is tried at once, or it would never be tried.
       return -1;
     }
-    double cost = target.used();
-    int streak = target.failureStreak;
-    if (streak > 0 && nowMs - target.lastSentAtMs < RETRY_FAILING_MS * streak) {
+    int streak = target.failureStreak();
+    // A failing target that is due wins ties, or it would never be tried at low load.
+    double cost = target.used() - DUE_ADVANTAGE;
+    if (nowMs - target.lastSentAtMs < RETRY_FAILING_MS * streak) {
       cost += FAILING * streak;
     }
     if (request.hasFailedOn(target)) {
--- a/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
+++ b/core/src/main/java/dev/bambootray/core/routing/OutlierEjection.java
@@ -17,11 +17,11 @@
 
   @Override
   public Verdict judge(Target target, double maxShare) {
-    if (target.failureStreak < MIN_STREAK) {
+    if (target.failureStreak() < MIN_STREAK) {
       return Verdict.KEEP;
     }
     double usual = lowerQuartileOfFailureRates(target.pool);
-    if (usual >= ALL_FAIL || Math.pow(usual, target.failureStreak) >= CHANCE) {
+    if (usual >= ALL_FAIL || Math.pow(usual, target.failureStreak()) >= CHANCE) {
       return Verdict.KEEP;
     }
     return withinShare(target.pool, maxShare) ? Verdict.EJECT : Verdict.PACE;
--- a/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
+++ b/core/src/main/java/dev/bambootray/core/routing/ServicePool.java
@@ -19,6 +19,7 @@
   ServiceDeclaration service;
   final FairQueue queue = new FairQueue();
   final List<Target> targets = new ArrayList<>();
+  final ReadyTargets ready = new ReadyTargets();
   final RetryBudget budget = new RetryBudget();
   private final Map<TemplateId, RunTimeEstimate> runTimes = new HashMap<>();
   private double meanRunMs = UNKNOWN_RUN_MS;
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -27,6 +27,10 @@
   /** Concurrency limit, 1 to {@link #slots}. */
   private int limit;
 
+  /** The list of {@link ReadyTargets} that it is in, or null. */
+  @Nullable List<Target> readyList;
+
+  int readyIndex;
   private int countedFree;
   private int countedCapacity;
 
@@ -41,7 +45,7 @@
   private boolean ejected;
 
   /** Consecutive failures of different requests. */
-  int failureStreak;
+  private int failureStreak;
 
   /** It fails unlike the others but may not be ejected; it gets one run per usual run time. */
   private boolean paced;
@@ -180,6 +184,15 @@
     recount();
   }
 
+  int failureStreak() {
+    return failureStreak;
+  }
+
+  void setFailureStreak(int value) {
+    failureStreak = value;
+    recount();
+  }
+
   int slots() {
     return slots;
   }
@@ -220,5 +233,6 @@
     pool.adjust(free - countedFree, capacity - countedCapacity);
     countedFree = free;
     countedCapacity = capacity;
+    pool.ready.update(this);
   }
 }
--- a/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
@@ -33,7 +33,7 @@
   /** Notes a run that answered. */
   void succeeded(Run run, long runMs, long nowMs) {
     Target target = run.target;
-    target.failureStreak = 0;
+    target.setFailureStreak(0);
     target.setPaced(false);
     target.notSentStreak = 0;
     target.failureRate -= target.failureRate * FAILURE_RATE_GAIN;
@@ -66,11 +66,11 @@
     request.addFailedOn(target);
     Target blamed = request.blamed;
     if (blamed != null) {
-      blamed.failureStreak = Math.max(0, blamed.failureStreak - 1);
+      blamed.setFailureStreak(Math.max(0, blamed.failureStreak() - 1));
       return;
     }
     request.blamed = target;
-    target.failureStreak++;
+    target.setFailureStreak(target.failureStreak() + 1);
     target.failureRate += (1 - target.failureRate) * FAILURE_RATE_GAIN;
     if (!target.isEjected()) {
       EjectionPolicy.Verdict verdict = ejection.judge(target, state.policy().ejectionMaxShare());
@@ -92,7 +92,7 @@
 
   private void readmit(Target target, long nowMs) {
     target.setEjected(false);
-    target.failureStreak = READMITTED_STREAK;
+    target.setFailureStreak(READMITTED_STREAK);
     target.rampLimit = 1;
     target.readmittedAtMs = nowMs;
     updateLimit(target);
