Write request records through the grouping queue of the node

Cause: each record was written by its own transaction with its own retries, and the write queue was not used. Change: records go through the queue, which groups them, keeps the order of a row and repeats a lost answer until it is settled; a request that may be repeated goes on without its record after 1 s. The settlement of overdue requests has its own class.

--- a/core/src/main/java/dev/bambootray/core/ledger/LedgerRows.java
+++ b/core/src/main/java/dev/bambootray/core/ledger/LedgerRows.java
@@ -4,11 +4,10 @@
 import dev.bambootray.core.model.RequestKey;
 import dev.bambootray.core.model.WorkspaceId;
 import dev.bambootray.core.store.RowWrite;
-import dev.bambootray.core.store.TableTransaction;
 import java.util.List;
 
 /**
- * Builds the transactions of request records.
+ * Builds the writes of request records; those of one call take effect together.
  *
  * <p>While a request is open, its record stands in two rows that are always written together and so
  * have equal versions: {@code request/<workspace>/<key>}, and {@code open/<region>/<workspace>/
@@ -24,7 +23,7 @@
     this.codec = codec;
   }
 
-  /** Returns a builder of transactions that writes records by the given codec. */
+  /** Returns a builder that writes records by the given codec. */
   public static LedgerRows create(RecordCodec codec) {
     return new LedgerRows(codec);
   }
@@ -44,34 +43,29 @@
     return OPEN_PREFIX + region.value() + "/";
   }
 
-  /** Returns the transaction that records a new request; it conflicts if the key is taken. */
-  public TableTransaction accept(RequestRecord accepted, String writeToken) {
-    return writeBoth(accepted, 0, writeToken);
+  /** Returns the writes that record a new request; they conflict if the key is taken. */
+  public List<RowWrite> accept(RequestRecord accepted) {
+    return writeBoth(accepted, 0);
   }
 
-  /** Returns the transaction that records an attempt. */
-  public TableTransaction intent(RequestRecord intent, long expectedVersion, String writeToken) {
-    return writeBoth(intent, expectedVersion, writeToken);
+  /** Returns the writes that record an attempt. */
+  public List<RowWrite> intent(RequestRecord intent, long expectedVersion) {
+    return writeBoth(intent, expectedVersion);
   }
 
-  /** Returns the transaction that records the final answer and closes the request. */
-  public TableTransaction answer(RequestRecord answered, long expectedVersion, String writeToken) {
+  /** Returns the writes that record the final answer and close the request. */
+  public List<RowWrite> answer(RequestRecord answered, long expectedVersion) {
     RequestKey key = answered.spec().key();
-    return new TableTransaction(
-        writeToken,
-        List.of(
-            new RowWrite(requestRow(key), codec.encode(answered), expectedVersion),
-            new RowWrite(openRow(answered), null, expectedVersion)));
+    return List.of(
+        new RowWrite(requestRow(key), codec.encode(answered), expectedVersion),
+        new RowWrite(openRow(answered), null, expectedVersion));
   }
 
-  private TableTransaction writeBoth(
-      RequestRecord content, long expectedVersion, String writeToken) {
+  private List<RowWrite> writeBoth(RequestRecord content, long expectedVersion) {
     String json = codec.encode(content);
-    return new TableTransaction(
-        writeToken,
-        List.of(
-            new RowWrite(requestRow(content.spec().key()), json, expectedVersion),
-            new RowWrite(openRow(content), json, expectedVersion)));
+    return List.of(
+        new RowWrite(requestRow(content.spec().key()), json, expectedVersion),
+        new RowWrite(openRow(content), json, expectedVersion));
   }
 
   private static String openRow(RequestRecord content) {
--- a/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
+++ b/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
@@ -77,8 +77,8 @@
     RequestRecord answered = served.content.withAnswer(answer);
     context
         .store()
-        .commit(
-            context.rows().answer(answered, served.recordVersion, context.tokens().next()),
+        .write(
+            context.rows().answer(answered, served.recordVersion),
             Long.MAX_VALUE,
             outcome -> committed(served, answer, alreadySent, outcome));
   }
--- a/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -11,7 +11,6 @@
 import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.model.RequestKey;
 import dev.bambootray.core.model.RequestSpec;
-import dev.bambootray.core.model.RunState;
 import dev.bambootray.core.model.Step;
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.StoreError;
@@ -37,15 +36,20 @@
   private static final long CANCEL_WAIT_MS = 5_000;
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** How long a request that may be repeated waits for its record. */
+  private static final long RECORD_WAIT_MS = 1_000;
+
   private final NodeContext context;
   private final HeldRequests held;
   private final Function<RequestSpec, RegionId> chooser;
   private final Map<RequestKey, OpenEntry> open = new HashMap<>();
+  private final OverdueSettlement settlement;
 
   EntryDesk(NodeContext context, HeldRequests held, Function<RequestSpec, RegionId> chooser) {
     this.context = context;
     this.held = held;
     this.chooser = chooser;
+    settlement = new OverdueSettlement(context, open::get, this::close, this::fail);
   }
 
   int openCount() {
@@ -144,9 +148,12 @@
 
   void tick(long nowMs) {
     for (OpenEntry entry : new ArrayList<>(open.values())) {
+      if (isTooLongWithoutRecord(entry, nowMs)) {
+        forwardWithoutRecord(entry, true, nowMs);
+      }
       replyToDueTickets(entry, nowMs);
       if (nowMs > entry.spec.deadlineAtMs() + SETTLE_GRACE_MS) {
-        settle(entry);
+        settlement.settle(entry);
       } else if (entry.isForwarded() && nowMs >= entry.resendAtMs) {
         resend(entry, nowMs);
       }
@@ -154,19 +161,16 @@
   }
 
   private void accept(OpenEntry entry, long nowMs) {
-    boolean mayGoWithoutRecord = entry.spec.repeatable();
-    if (mayGoWithoutRecord && !context.store().isAvailable()) {
+    if (entry.spec.repeatable() && !context.store().isAvailable()) {
       forwardWithoutRecord(entry, false, nowMs);
       return;
     }
-    long giveUpAtMs = mayGoWithoutRecord ? nowMs : entry.spec.deadlineAtMs();
+    entry.recordAskedAtMs = nowMs;
     context
         .store()
-        .commit(
-            context
-                .rows()
-                .accept(RequestRecord.accepted(entry.spec, entry.region), context.tokens().next()),
-            giveUpAtMs,
+        .write(
+            context.rows().accept(RequestRecord.accepted(entry.spec, entry.region)),
+            entry.spec.deadlineAtMs(),
             outcome -> acceptEnded(entry, outcome, context.now()));
   }
 
@@ -217,6 +221,13 @@
     forward(entry, nowMs);
   }
 
+  /** Returns whether a request that may be repeated should no longer wait for its record. */
+  private boolean isTooLongWithoutRecord(OpenEntry entry, long nowMs) {
+    return !entry.isForwarded()
+        && entry.spec.repeatable()
+        && (!context.store().isAvailable() || nowMs - entry.recordAskedAtMs > RECORD_WAIT_MS);
+  }
+
   private void accepted(OpenEntry entry, long nowMs) {
     entry.tickets.removeIf(
         ticket -> {
@@ -367,69 +378,6 @@
         });
   }
 
-  /**
-   * Settles a request whose owner did not answer in time: by the answer in its record, or by
-   * recording one, which the owner's later answer cannot replace.
-   */
-  private void settle(OpenEntry entry) {
-    if (entry.settling || entry.recordVersion == OpenEntry.VERSION_PENDING) {
-      return;
-    }
-    if (!entry.isDurable()) {
-      fail(
-          entry,
-          RequestError.unknown(
-              Step.ANSWER, entry.region.value(), "no answer arrived before the deadline"));
-      return;
-    }
-    entry.settling = true;
-    context
-        .store()
-        .read(LedgerRows.requestRow(entry.spec.key()), outcome -> settleByRow(entry, outcome));
-  }
-
-  private void settleByRow(OpenEntry entry, Either<StoreError, StoredRow> outcome) {
-    entry.settling = false;
-    if (outcome.isLeft() || open.get(entry.spec.key()) != entry) {
-      return;
-    }
-    Either<String, RequestRecord> decoded = context.codec().decode(outcome.get().value());
-    if (decoded.isLeft()) {
-      fail(entry, RequestError.unknown(Step.RECORD, "table", decoded.getLeft()));
-      return;
-    }
-    RequestRecord found = decoded.get();
-    if (found.state() == RecordState.ANSWERED) {
-      close(entry, found);
-      return;
-    }
-    boolean certainlyNotRun = found.state() == RecordState.ACCEPTED && !found.spec().repeatable();
-    RequestRecord expired =
-        found.withAnswer(Answer.failure(entry.spec.key(), expiry(entry, certainlyNotRun)));
-    entry.settling = true;
-    context
-        .store()
-        .commit(
-            context.rows().answer(expired, outcome.get().version(), context.tokens().next()),
-            entry.spec.deadlineAtMs(),
-            ended -> {
-              entry.settling = false;
-              if (ended.isRight() && ended.get() instanceof CommitResult.Committed) {
-                close(entry, expired);
-              }
-            });
-  }
-
-  private static RequestError expiry(OpenEntry entry, boolean certainlyNotRun) {
-    return new RequestError(
-        Step.ANSWER,
-        entry.region.value(),
-        "the owner of the region did not answer before the deadline",
-        certainlyNotRun ? RunState.NO : RunState.UNKNOWN,
-        certainlyNotRun,
-        certainlyNotRun ? RETRY_AFTER_MS : null);
-  }
-
   private void fail(OpenEntry entry, RequestError error) {
     remove(entry);
     entry.tickets.forEach(ticket -> context.outbox().refuse(ticket.number(), error));
--- a/core/src/main/java/dev/bambootray/core/node/IntentWriter.java
+++ b/core/src/main/java/dev/bambootray/core/node/IntentWriter.java
@@ -40,8 +40,8 @@
     RequestRecord intent = request.content.withIntent(attempt, ownership.epoch(), workers);
     context
         .store()
-        .commit(
-            context.rows().intent(intent, request.recordVersion, context.tokens().next()),
+        .write(
+            context.rows().intent(intent, request.recordVersion),
             request.content.spec().deadlineAtMs(),
             outcome -> {
               if (outcome.isRight() && outcome.get() instanceof CommitResult.Committed committed) {
--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -23,6 +23,7 @@
 import dev.bambootray.core.ownership.OwnershipEvent;
 import dev.bambootray.core.ownership.RegionOwnership;
 import dev.bambootray.core.routing.RegionLoad;
+import dev.bambootray.core.store.WriteQueue;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -62,17 +63,18 @@
     DeclarationReader reader = Objects.requireNonNull(builder.reader, "declarationReader");
     NodeTime time = new NodeTime();
     Outbox outbox = new Outbox();
+    TokenSource tokens = new TokenSource(identity);
     RegionRoutes routes = new RegionRoutes(identity.node(), outbox, this::findMember);
     context =
         new NodeContext(
             identity,
             time,
             outbox,
-            new StoreCalls(outbox, time, random),
+            new StoreCalls(outbox, time, WriteQueue.create(tokens.next(), random)),
             routes,
             LedgerRows.create(codec),
             codec,
-            new TokenSource(identity),
+            tokens,
             random,
             () -> declaration);
     MemberState self = memberOf(identity);
@@ -180,7 +182,7 @@
   }
 
   private void tick(long nowMs) {
-    context.store().tick(nowMs);
+    context.store().tick();
     membership.handle(new MembershipEvent.Tick());
     configuration.handle(new ConfigurationEvent.Tick());
     ownership.handle(new OwnershipEvent.Tick());
@@ -211,6 +213,13 @@
   @Override
   public void membersChanged() {
     ownership.handle(new OwnershipEvent.MembersChanged(membership.members()));
+    context
+        .store()
+        .nodesChanged(
+            (int)
+                membership.members().stream()
+                    .filter(member -> member.status() != MemberStatus.DEAD)
+                    .count());
     configuration.handle(
         new ConfigurationEvent.MembersChanged(
             membership.members().stream().map(MemberState::node).collect(Collectors.toSet())));
--- a/core/src/main/java/dev/bambootray/core/node/OpenEntry.java
+++ b/core/src/main/java/dev/bambootray/core/node/OpenEntry.java
@@ -17,6 +17,7 @@
   RequestSpec spec;
   RegionId region;
   long recordVersion = VERSION_PENDING;
+  long recordAskedAtMs;
   long resendAtMs = Long.MAX_VALUE;
   int resends;
   boolean settling;
--- a/core/src/main/java/dev/bambootray/core/node/StoreCalls.java
+++ b/core/src/main/java/dev/bambootray/core/node/StoreCalls.java
@@ -2,49 +2,56 @@
 
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.RowPage;
+import dev.bambootray.core.store.RowWrite;
 import dev.bambootray.core.store.StoreError;
 import dev.bambootray.core.store.StoredRow;
 import dev.bambootray.core.store.TableTransaction;
+import dev.bambootray.core.store.WriteQueue;
+import dev.bambootray.core.store.WriteQueueEffect;
+import dev.bambootray.core.store.WriteQueueEvent;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
-import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Calls to the table that are repeated until they are settled or given up.
- *
- * <p>A transaction is always repeated under its write token, so a lost answer does no harm.
+ * Calls to the table. Writes of request records go through the node's queue, which groups them and
+ * repeats them until they are settled; other parts repeat their own calls.
  */
 final class StoreCalls {
-  private static final long FIRST_BACKOFF_MS = 100;
-  private static final long MAX_BACKOFF_MS = 5_000;
-
   private final Outbox outbox;
-  private final UniformRandomProvider random;
-  private final List<Retry> retries = new ArrayList<>();
   private final NodeTime time;
-  private boolean available = true;
+  private final WriteQueue queue;
+  private final Map<Long, Consumer<Either<StoreError, CommitResult>>> waiting = new HashMap<>();
+  private boolean answersCalls = true;
+  private long lastId;
 
-  StoreCalls(Outbox outbox, NodeTime time, UniformRandomProvider random) {
+  StoreCalls(Outbox outbox, NodeTime time, WriteQueue queue) {
     this.outbox = outbox;
     this.time = time;
-    this.random = random;
+    this.queue = queue;
   }
 
-  /** Returns whether the table answered its last call. */
+  /** Returns whether the table answers calls and writes. */
   boolean isAvailable() {
-    return available;
+    return answersCalls && queue.isAvailable();
   }
 
-  /** Sends a transaction until it is settled; gives up with the last error at the given time. */
-  void commit(
-      TableTransaction transaction,
-      long giveUpAtMs,
+  /**
+   * Writes rows together. The outcome is an error only if they were never sent; once sent, they are
+   * repeated until the table answers.
+   *
+   * @param dropAfterMs when rows that were not sent yet are given up
+   */
+  void write(
+      List<RowWrite> rows,
+      long dropAfterMs,
       Consumer<Either<StoreError, CommitResult>> continuation) {
-    attempt(new Retry(transaction, giveUpAtMs, continuation, 0, 0, false));
+    long id = ++lastId;
+    waiting.put(id, continuation);
+    tell(new WriteQueueEvent.WriteSubmitted(id, rows, true, dropAfterMs));
   }
 
   /** Sends a transaction once, for parts that repeat their writes themselves. */
@@ -65,67 +72,48 @@
     outbox.scanRows(prefix, afterKey, limit, outcome -> continuation.accept(observe(outcome)));
   }
 
-  void tick(long nowMs) {
-    List<Retry> due = new ArrayList<>();
-    for (Iterator<Retry> i = retries.iterator(); i.hasNext(); ) {
-      Retry retry = i.next();
-      if (retry.sendAtMs <= nowMs) {
-        i.remove();
-        due.add(retry);
-      }
-    }
-    due.forEach(this::attempt);
+  void tick() {
+    tell(new WriteQueueEvent.Tick());
+  }
+
+  /** Divides the rate of writes among the nodes. */
+  void nodesChanged(int nodes) {
+    tell(new WriteQueueEvent.NodesChanged(nodes));
   }
 
-  private void attempt(Retry retry) {
-    outbox.commit(retry.transaction, outcome -> ended(retry, observe(outcome)));
+  private void tell(WriteQueueEvent event) {
+    queue.handle(event, time.nowMs()).forEach(this::apply);
   }
 
-  private void ended(Retry retry, Either<StoreError, CommitResult> outcome) {
-    if (outcome.isRight()) {
-      retry.continuation.accept(outcome);
-      return;
+  private void apply(WriteQueueEffect effect) {
+    if (effect instanceof WriteQueueEffect.SendTransaction send) {
+      String token = send.transaction().writeToken();
+      outbox.commit(
+          send.transaction(),
+          outcome ->
+              tell(
+                  outcome.fold(
+                      error -> new WriteQueueEvent.CommitFailed(token, error),
+                      result -> new WriteQueueEvent.CommitAnswered(token, result))));
+    } else if (effect instanceof WriteQueueEffect.WriteCommitted committed) {
+      settle(committed.id(), Either.right(new CommitResult.Committed(committed.versions())));
+    } else if (effect instanceof WriteQueueEffect.WriteConflicted conflicted) {
+      settle(conflicted.id(), Either.right(new CommitResult.Conflict(conflicted.current())));
+    } else if (effect instanceof WriteQueueEffect.OperationRejected rejected) {
+      settle(
+          rejected.id(), Either.left(new StoreError("table", rejected.reason(), false)));
     }
-    StoreError error = outcome.getLeft();
-    boolean maybeApplied = retry.maybeApplied || error.maybeApplied();
-    if (time.nowMs() >= retry.giveUpAtMs) {
-      retry.continuation.accept(
-          Either.left(new StoreError(error.peer(), error.message(), maybeApplied)));
-      return;
+  }
+
+  private void settle(long id, Either<StoreError, CommitResult> outcome) {
+    Consumer<Either<StoreError, CommitResult>> continuation = waiting.remove(id);
+    if (continuation != null) {
+      continuation.accept(outcome);
     }
-    long ceiling = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(retry.attempts, 10));
-    // Full jitter keeps the nodes from sending together when the store returns.
-    long sendAtMs = Math.min(time.nowMs() + 1 + random.nextLong(ceiling), retry.giveUpAtMs);
-    retries.add(
-        new Retry(
-            retry.transaction,
-            retry.giveUpAtMs,
-            retry.continuation,
-            retry.attempts + 1,
-            sendAtMs,
-            maybeApplied));
   }
 
   private <T> Either<StoreError, T> observe(Either<StoreError, T> outcome) {
-    available = outcome.isRight();
+    answersCalls = outcome.isRight();
     return outcome;
   }
-
-  /**
-   * A transaction that waits to be sent again.
-   *
-   * @param transaction the transaction
-   * @param giveUpAtMs when to give up
-   * @param continuation what follows
-   * @param attempts failed attempts so far
-   * @param sendAtMs when to send it again
-   * @param maybeApplied whether one of the attempts may have taken effect
-   */
-  private record Retry(
-      TableTransaction transaction,
-      long giveUpAtMs,
-      Consumer<Either<StoreError, CommitResult>> continuation,
-      int attempts,
-      long sendAtMs,
-      boolean maybeApplied) {}
 }
