Make the test of the graceful stop independent of the kernel's backlog

aGracefulStopFinishesTheRequestInProgress failed in 1 of 3 builds under load: the kernel completed the handshake of a connection after the listener was closed and reset it later, so connecting did not fail.

--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
@@ -3,7 +3,6 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Answer;
@@ -215,7 +214,7 @@
         CompletableFuture<Boolean> stopped = fixture.server.stop(3_600_000);
         assertEquals(-1, idle.getInputStream().read());
         assertFalse(stopped.isDone());
-        assertThrows(IOException.class, () -> fixture.connect().close());
+        assertFalse(isServed());
         api.pendingRead("a").complete(Either.right(RecordingApi.view("a", null)));
         assertTrue(ServerFixture.readBody(busy.getInputStream()).contains("\"durable\""));
         assertEquals(-1, busy.getInputStream().read());
@@ -223,6 +222,19 @@
       }
     }
 
+    /**
+     * Returns whether a new connection gets any byte of an answer. The kernel may still complete
+     * the handshake of a connection that nobody accepts any more, and resets it later.
+     */
+    private boolean isServed() {
+      try (Socket late = fixture.connect()) {
+        late.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+        return late.getInputStream().read() >= 0;
+      } catch (IOException e) {
+        return false;
+      }
+    }
+
     @Test
     void aFaultOfTheNodeIsAnsweredWithoutItsMessage() throws Exception {
       api.pendingRead("a").completeExceptionally(new IllegalStateException("secret"));
