Compare leased slot shares and rendezvous subsets in the routing replay

Cause: the choice of one owner per region needs figures against its alternatives. Change: the replay has a policy with slots leased to nodes by demand and one with a rendezvous subset of ten targets for each node.

--- a/bench/src/main/java/dev/bambootray/bench/routing/BaselineReplay.java
+++ b/bench/src/main/java/dev/bambootray/bench/routing/BaselineReplay.java
@@ -43,7 +43,7 @@
       queues.add(new ArrayDeque<>());
     }
     for (int i = 0; i < Topology.NODES; i++) {
-      views[i] = new BaselinePolicy.NodeView();
+      views[i] = new BaselinePolicy.NodeView(i);
     }
   }
 
--- a/bench/src/main/java/dev/bambootray/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/routing/RoutingBench.java
@@ -21,6 +21,7 @@
     mixinStandardHelpOptions = true)
 public final class RoutingBench implements Callable<Integer> {
   private static final String ROUTER = "bambootray";
+  private static final String LEASED_SHARES = "leased slot shares";
   private static final String IDEAL = "ideal single queue";
 
   /** Targets of one region at the target size: 4,000 workers in 5 regions. */
@@ -95,6 +96,7 @@
       tallies.put(
           policy.title(), BaselineReplay.run(policy, topology, arrivals, endUs, fork(seed)));
     }
+    tallies.put(LEASED_SHARES, LeasedSharesReplay.run(topology, arrivals, endUs));
     Tally router =
         RouterReplay.run(topology, arrivals, endUs, PolicyDeclaration.defaults(), fork(seed));
     tallies.put(ROUTER, router);
