--- a/core/src/main/java/dev/bambootray/core/scheduling/BestFitPlacement.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/BestFitPlacement.java
@@ -34,6 +34,14 @@
     };
   }
 
+  @Override
+  public List<Spot> placeWithin(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    return shape.members() > 1 && shape.adjacency() == Adjacency.ADJACENT_WORKERS
+        ? inWindow(workers, shape, view, allowed)
+        : take(workers, shape, view, allowed);
+  }
+
   private static @Nullable WorkerSlot single(
       Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed) {
     SpotIndex index = pool.index(view);
--- a/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
@@ -57,6 +57,9 @@
       WorkerSlot worker = spot.worker();
       long mask = Runs.mask(spot.first(), shape().acceleratorsPerMember());
       worker.cellMask = sign > 0 ? worker.cellMask | mask : worker.cellMask & ~mask;
+      if (shape().members() > 1) {
+        worker.wideCellSize = sign > 0 ? shape().totalAccelerators() : 0;
+      }
       worker.cellMillicores += sign * shape().millicoresPerMember();
       worker.cellMemoryMib += sign * shape().memoryMibPerMember();
     }
--- a/core/src/main/java/dev/bambootray/core/scheduling/CellFit.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/CellFit.java
@@ -14,11 +14,13 @@
    * Returns the spots of a shape within a bound cell, or an empty list.
    *
    * @param cell the cell
+   * @param cellSpots where the cell lies or would lie
    * @param shape the shape of the job
    * @param blocked accelerators of a worker that may not be used
    */
-  static List<Spot> spots(Cell cell, Shape shape, ToLongFunction<WorkerSlot> blocked) {
-    List<Spot> parts = new ArrayList<>(cell.spots);
+  static List<Spot> spots(
+      Cell cell, List<Spot> cellSpots, Shape shape, ToLongFunction<WorkerSlot> blocked) {
+    List<Spot> parts = new ArrayList<>(cellSpots);
     parts.sort(Comparator.comparingInt((Spot s) -> s.worker().index).thenComparingInt(Spot::first));
     List<Spot> spots = new ArrayList<>(shape.members());
     for (Spot part : parts) {
--- a/core/src/main/java/dev/bambootray/core/scheduling/Claims.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Claims.java
@@ -22,9 +22,13 @@
 
   private final Pool pool;
   private final GangLifecycle lifecycle;
+  private final VictimPolicy victimPolicy;
+  private final LossBudget losses;
   private final Map<Job, Claim> claims = new LinkedHashMap<>();
 
-  Claims(Pool pool, GangLifecycle lifecycle) {
+  Claims(Pool pool, GangLifecycle lifecycle, VictimPolicy victimPolicy, LossBudget losses) {
+    this.victimPolicy = victimPolicy;
+    this.losses = losses;
     this.pool = pool;
     this.lifecycle = lifecycle;
   }
@@ -88,6 +92,7 @@
     pool.hold(claim.spots(), claim.job().perMember(), true);
     for (Gang victim : victims) {
       if (victim.step != Gang.Step.DRAINING) {
+        losses.lost(victimPolicy.lostWork(victim, nowMs));
         victim.job.preemptions++;
         victim.job.notBeforeMs = nowMs + backoffMs(victim.job.preemptions);
         lifecycle.end(victim, EndCause.PREEMPTED, "reclaimed for " + claim.job().key(), nowMs);
--- a/core/src/main/java/dev/bambootray/core/scheduling/DeclaredRunTimes.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/DeclaredRunTimes.java
@@ -12,6 +12,11 @@
     return job.request.template().expectedRunMs();
   }
 
+  @Override
+  public long promisableMs(Job job) {
+    return job.request.template().expectedRunMs();
+  }
+
   @Override
   public void observe(Job job, long ranMs) {}
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/FirstFitPlacement.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/FirstFitPlacement.java
@@ -18,6 +18,13 @@
     return List.of();
   }
 
+  @Override
+  public List<Spot> placeWithin(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed) {
+    List<Spot> spots = fill(workers, shape, view, allowed);
+    return spots.isEmpty() || Groups.satisfies(spots, shape) ? spots : List.of();
+  }
+
   private static List<Spot> fill(
       List<WorkerSlot> group, Shape shape, View view, Predicate<WorkerSlot> allowed) {
     List<Spot> spots = new ArrayList<>(shape.members());
--- a/core/src/main/java/dev/bambootray/core/scheduling/GangBookkeeping.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangBookkeeping.java
@@ -61,7 +61,9 @@
   @Override
   public void completed(Gang gang, long nowMs) {
     Job job = gang.job;
-    parts().estimates.observe(job, job.ranMs + nowMs - gang.runningSinceMs);
+    long ranMs = job.ranMs + nowMs - gang.runningSinceMs;
+    parts().estimates.observe(job, ranMs);
+    parts().losses.completed((double) ranMs * job.shape.totalAccelerators());
   }
 
   @Override
--- a/core/src/main/java/dev/bambootray/core/scheduling/GuaranteedPlacement.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GuaranteedPlacement.java
@@ -10,13 +10,23 @@
   /** Places of equal cells that are compared for a claim. */
   private static final int COMPARED_PLACES = 64;
 
+  private static final int COMPARED_RACKS = 16;
+
   private final Pool pool;
   private final GuaranteePlan plan;
   private final PlacementPolicy placement;
   private final VictimPolicy victimPolicy;
+  private final LossBudget losses;
+  private int nextWorker;
+  private int nextRack;
 
   GuaranteedPlacement(
-      Pool pool, GuaranteePlan plan, PlacementPolicy placement, VictimPolicy victimPolicy) {
+      Pool pool,
+      GuaranteePlan plan,
+      PlacementPolicy placement,
+      VictimPolicy victimPolicy,
+      LossBudget losses) {
+    this.losses = losses;
     this.pool = pool;
     this.plan = plan;
     this.placement = placement;
@@ -26,26 +36,53 @@
   /**
    * A place within a cell.
    *
-   * @param cell the cell
+   * @param cell the cell that the job uses up, or null if a small job borrows from its own
+   *     guarantee
    * @param spots the place
    * @param victims gangs that must stop first
+   * @param kind the right under which the job will hold the place
    */
-  record Place(Cell cell, List<Spot> spots, Set<Gang> victims) {}
+  record Place(@Nullable Cell cell, List<Spot> spots, Set<Gang> victims, GrantKind kind) {
+    /**
+     * Returns the place of a job in a cell. A small job that may be stopped borrows from its own
+     * guarantee, so that its workspace can still claim the whole cell.
+     */
+    static Place of(Cell cell, Job job, List<Spot> spots, Set<Gang> victims) {
+      return isTight(cell, job) || !job.repeatable()
+          ? new Place(cell, spots, victims, GrantKind.GUARANTEED)
+          : new Place(null, spots, victims, GrantKind.BORROWED);
+    }
+  }
+
+  /** Returns whether the job uses more than half of the cell. */
+  private static boolean isTight(Cell cell, Job job) {
+    return cell.shape().totalAccelerators() < 2 * job.shape.totalAccelerators();
+  }
 
-  /** Returns a place that is free now, moving an unused cell if that helps, or null. */
-  @Nullable Place findFree(Job job, long nowMs) {
+  /**
+   * Returns a place that is free now, moving an unused cell if that helps, or null.
+   *
+   * @param job the job
+   * @param tight whether to take only cells of which the job uses more than half, so that a small
+   *     job does not use up a large guarantee while it can run elsewhere
+   * @param nowMs the time
+   */
+  @Nullable Place findFree(Job job, boolean tight, long nowMs) {
     List<Cell> cells = candidates(job);
+    if (tight) {
+      cells.removeIf(cell -> cell.shape().totalAccelerators() >= 2 * job.shape.totalAccelerators());
+    }
     for (Cell cell : cells) {
-      List<Spot> spots = CellFit.spots(cell, job.shape, w -> w.usedMask | w.heldMask);
+      List<Spot> spots = CellFit.spots(cell, cell.spots, job.shape, w -> w.usedMask | w.heldMask);
       if (isUsable(spots, nowMs) && hasProcessors(spots, job)) {
-        return new Place(cell, spots, Set.of());
+        return Place.of(cell, job, spots, Set.of());
       }
     }
     for (Cell cell : cells) {
       if (cell.unused() && (swapToFree(cell, job, nowMs) || moveToSpare(cell, nowMs))) {
-        List<Spot> spots = CellFit.spots(cell, job.shape, w -> w.usedMask | w.heldMask);
+        List<Spot> spots = CellFit.spots(cell, cell.spots, job.shape, w -> w.usedMask | w.heldMask);
         if (isUsable(spots, nowMs) && hasProcessors(spots, job)) {
-          return new Place(cell, spots, Set.of());
+          return Place.of(cell, job, spots, Set.of());
         }
       }
     }
@@ -56,7 +93,9 @@
   private List<Cell> candidates(Job job) {
     List<Cell> cells = new ArrayList<>();
     for (Cell cell : plan.of(job.workspace())) {
-      if (cell.bound() && cell.shape().totalAccelerators() >= job.shape.totalAccelerators()) {
+      if (cell.bound()
+          && cell.shape().totalAccelerators() >= job.shape.totalAccelerators()
+          && (isTight(cell, job) || !wouldLoseWork(cell, job))) {
         cells.add(cell);
       }
     }
@@ -68,6 +107,15 @@
     return cells;
   }
 
+  /**
+   * A claim of a wide cell would stop many small jobs, so only those with checkpoints borrow it.
+   */
+  private static boolean wouldLoseWork(Cell cell, Job job) {
+    return cell.shape().members() > 1
+        && job.repeatable()
+        && !job.request.template().checkpointable();
+  }
+
   private static boolean isUsable(List<Spot> spots, long nowMs) {
     for (Spot spot : spots) {
       WorkerSlot worker = spot.worker();
@@ -87,7 +135,8 @@
   private boolean swapToFree(Cell cell, Job job, long nowMs) {
     for (Cell other : plan.unusedLike(cell.shape())) {
       if (other != cell && isWhollyFree(other) && isUsable(other.spots, nowMs)) {
-        List<Spot> spots = CellFit.spots(other, job.shape, w -> w.usedMask | w.heldMask);
+        List<Spot> spots =
+            CellFit.spots(other, other.spots, job.shape, w -> w.usedMask | w.heldMask);
         if (!spots.isEmpty() && hasProcessors(spots, job)) {
           plan.swap(cell, other);
           return true;
@@ -110,7 +159,10 @@
   private boolean moveToSpare(Cell cell, long nowMs) {
     List<Spot> spots =
         placement.place(
-            pool, cell.shape(), View.SPARE, w -> !w.probation && w.notBeforeMs <= nowMs);
+            pool,
+            cell.shape(),
+            View.SPARE,
+            w -> !w.probation && w.notBeforeMs <= nowMs && w.reservation == null);
     if (spots.isEmpty()) {
       return false;
     }
@@ -120,59 +172,102 @@
 
   /** Returns the place whose victims cost the least, or null if none may be stopped now. */
   @Nullable Place findReclaimable(Job job, long nowMs) {
-    Place best = null;
-    Cell swapWith = null;
-    double bestCost = Double.MAX_VALUE;
+    Option best = null;
     Cell movable = null;
     for (Cell cell : candidates(job)) {
       movable = movable == null && cell.unused() ? cell : movable;
-      Place place = reclaimable(cell, cell, job, nowMs);
-      double cost = place == null ? Double.MAX_VALUE : cost(place, job, nowMs);
-      if (cost < bestCost) {
-        best = place;
-        bestCost = cost;
-      }
+      best = cheaper(best, option(cell, cell.spots, null, job, nowMs));
     }
     if (movable != null) {
       List<Cell> others = plan.unusedLike(movable.shape());
       for (Cell other : others.subList(0, Math.min(COMPARED_PLACES, others.size()))) {
-        Place place = reclaimable(movable, other, job, nowMs);
-        double cost = place == null ? Double.MAX_VALUE : cost(place, job, nowMs);
-        if (cost < bestCost) {
-          best = place;
-          bestCost = cost;
-          swapWith = other;
+        best = cheaper(best, option(movable, other.spots, other, job, nowMs));
+      }
+      if (best == null || best.cost > 0) {
+        for (List<Spot> spots : elsewhere(movable)) {
+          best = cheaper(best, option(movable, spots, null, job, nowMs));
         }
       }
     }
-    if (best == null || !isDue(best, job, nowMs)) {
+    if (best == null || !isDue(best.place, job, nowMs)) {
       return null;
     }
-    if (swapWith != null && swapWith != best.cell()) {
-      plan.swap(best.cell(), swapWith);
+    if (best.swapWith != null && best.swapWith != best.cell) {
+      plan.swap(best.cell, best.swapWith);
+    } else if (!best.cellSpots.equals(best.cell.spots)) {
+      plan.move(best.cell, best.cellSpots);
+    }
+    return best.place;
+  }
+
+  private static @Nullable Option cheaper(@Nullable Option a, @Nullable Option b) {
+    if (a == null || b == null) {
+      return a == null ? b : a;
     }
-    return best;
+    return b.cost < a.cost ? b : a;
   }
 
-  private static @Nullable Place reclaimable(Cell cell, Cell at, Job job, long nowMs) {
-    List<Spot> spots = CellFit.spots(at, job.shape, w -> w.fixedMask | w.heldMask);
-    if (!isUsable(spots, nowMs)) {
+  private @Nullable Option option(
+      Cell cell, List<Spot> cellSpots, @Nullable Cell swapWith, Job job, long nowMs) {
+    List<Spot> spots = CellFit.spots(cell, cellSpots, job.shape, w -> w.fixedMask | w.heldMask);
+    Set<Gang> victims = isUsable(spots, nowMs) ? Claims.victims(spots, job) : null;
+    if (victims == null) {
       return null;
     }
-    Set<Gang> victims = Claims.victims(spots, job);
-    return victims == null ? null : new Place(cell, spots, victims);
+    Place place = Place.of(cell, job, spots, victims);
+    boolean stopsOwn =
+        victims.stream().anyMatch(victim -> victim.job.workspace().equals(job.workspace()));
+    return place.kind() == GrantKind.BORROWED && stopsOwn
+        ? null
+        : new Option(cell, cellSpots, swapWith, place, cost(place, job, nowMs));
+  }
+
+  /** Returns other places to which an unused cell could move, a bounded number of them. */
+  private List<List<Spot>> elsewhere(Cell cell) {
+    List<List<Spot>> places = new ArrayList<>();
+    if (cell.shape().members() == 1) {
+      int count = pool.workers.size();
+      for (int i = 0; i < Math.min(COMPARED_PLACES, count); i++) {
+        nextWorker = (nextWorker + 1) % count;
+        addPlace(places, cell, List.of(pool.workers.get(nextWorker)));
+      }
+    } else {
+      int count = pool.racks.size();
+      for (int i = 0; i < Math.min(COMPARED_RACKS, count); i++) {
+        nextRack = (nextRack + 1) % count;
+        addPlace(places, cell, pool.racks.get(nextRack).workers);
+      }
+    }
+    return places;
   }
 
+  private void addPlace(List<List<Spot>> places, Cell cell, List<WorkerSlot> workers) {
+    List<Spot> spots =
+        placement.placeWithin(
+            workers, cell.shape(), View.BINDABLE, worker -> worker.reservation == null);
+    if (!spots.isEmpty()) {
+      places.add(spots);
+    }
+  }
+
+  private record Option(
+      Cell cell, List<Spot> cellSpots, @Nullable Cell swapWith, Place place, double cost) {}
+
   private double cost(Place place, Job job, long nowMs) {
     return victimPolicy.cost(place.victims(), job.shape.totalAccelerators(), nowMs);
   }
 
-  /** An urgent job claims at once; others wait a while before they cost work that was done. */
+  /**
+   * An urgent job claims at once. Others first wait for a claim that costs no work, then for one
+   * that the budget for lost work allows, and at last claim at any cost.
+   */
   private boolean isDue(Place place, Job job, long nowMs) {
-    if (job.request.spec().urgent()
-        || nowMs - job.request.spec().submittedAtMs() >= Reclaim.PATIENCE_MS) {
-      return true;
-    }
-    return place.victims().stream().allMatch(v -> victimPolicy.lostWork(v, nowMs) == 0);
+    double lostMs =
+        place.victims().stream().mapToDouble(v -> victimPolicy.lostWork(v, nowMs)).sum();
+    long waitedMs = nowMs - job.request.spec().submittedAtMs();
+    return job.request.spec().urgent()
+        || lostMs == 0
+        || (waitedMs >= Reclaim.PATIENCE_MS && losses.allows(lostMs))
+        || waitedMs >= Reclaim.LAST_PATIENCE_MS;
   }
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/PlacementPolicy.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/PlacementPolicy.java
@@ -16,4 +16,16 @@
    * @return one spot for each member, or an empty list if the shape does not fit
    */
   List<Spot> place(Pool pool, Shape shape, View view, Predicate<WorkerSlot> allowed);
+
+  /**
+   * Finds a place within the given workers, which are those of one rack or a single one.
+   *
+   * @param workers the workers
+   * @param shape the shape
+   * @param view which part of each worker may be used
+   * @param allowed which workers may be used
+   * @return one spot for each member, or an empty list if the shape does not fit
+   */
+  List<Spot> placeWithin(
+      List<WorkerSlot> workers, Shape shape, View view, Predicate<WorkerSlot> allowed);
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/PlacementRound.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/PlacementRound.java
@@ -1,5 +1,6 @@
 package dev.bambootray.core.scheduling;
 
+import dev.bambootray.core.declaration.PolicyDeclaration;
 import dev.bambootray.core.model.AttemptToken;
 import dev.bambootray.core.model.Shape;
 import it.unimi.dsi.fastutil.objects.Object2LongMap;
@@ -15,6 +16,9 @@
 
 /** One pass over the queue: starts what fits, in the order of the policy. */
 final class PlacementRound {
+  /** Delay of a promised start after which another place is looked for. */
+  private static final long REPLAN_MS = 300_000;
+
   private final Pool pool;
   private final GangLifecycle lifecycle;
   private final JobQueue queue;
@@ -27,11 +31,11 @@
   private final PlacementPolicy placement;
   private final SchedulingPolicies policies;
   private final Supplier<AttemptToken> tokens;
+  private final OverduePlacement overdue;
+  private BorrowingPolicy borrowing = new BorrowingPolicy(0);
 
-  /** Shapes that did not fit in this round, with the shortest run time that was tried. */
-  private final Object2LongMap<Shape> failedFree = new Object2LongOpenHashMap<>();
-
-  private final Object2LongMap<Shape> failedSpare = new Object2LongOpenHashMap<>();
+  /** Searches that failed in this round, with the shortest run time that was tried. */
+  private final Object2LongMap<Search> failed = new Object2LongOpenHashMap<>();
 
   PlacementRound(SchedulerParts parts, SchedulingPolicies policies, Supplier<AttemptToken> tokens) {
     this.pool = parts.pool;
@@ -46,8 +50,8 @@
     this.placement = policies.placement();
     this.policies = policies;
     this.tokens = tokens;
-    failedFree.defaultReturnValue(Long.MAX_VALUE);
-    failedSpare.defaultReturnValue(Long.MAX_VALUE);
+    this.overdue = new OverduePlacement(pool, placement, policies.victims(), parts.losses);
+    failed.defaultReturnValue(Long.MAX_VALUE);
   }
 
   /**
@@ -61,13 +65,17 @@
     return !lost.isEmpty();
   }
 
+  /** Takes the weight of fragmentation that the declaration gives. */
+  void declare(PolicyDeclaration policy) {
+    borrowing = BorrowingPolicy.of(policy);
+  }
+
   /** Places what fits. */
   void run(OrderPolicy order, long ageingMs, long nowMs) {
     claims.takeReady().forEach(claim -> start(claim, nowMs));
     queue.releaseDue(nowMs);
     reservations.dropLost();
-    failedFree.clear();
-    failedSpare.clear();
+    failed.clear();
     for (Reservation reservation : reservations.all()) {
       if (!tryPlace(reservation.job(), nowMs)) {
         reclaimOverdue(reservation, nowMs);
@@ -134,23 +142,32 @@
     if (!job.waiting || job.notBeforeMs > nowMs || !withinLimit(job)) {
       return false;
     }
-    if (policies.guarantees()) {
-      GuaranteedPlacement.Place place = guaranteed.findFree(job, nowMs);
-      if (place != null) {
-        start(job, place.spots(), GrantKind.GUARANTEED, place.cell(), nowMs);
-        return true;
-      }
-    }
-    if (tryBeyond(job, View.SPARE, failedSpare, nowMs)) {
+    if (tryWithin(job, true, nowMs) || tryBeyond(job, View.SPARE, nowMs)) {
       return true;
     }
-    if (policies.guarantees() && job.request.spec().urgent() && tryClaim(job, nowMs)) {
-      return true;
+    if (job.request.spec().urgent()) {
+      return tryWithin(job, false, nowMs)
+          || tryClaim(job, nowMs)
+          || (job.repeatable() && tryBeyond(job, View.FREE, nowMs));
     }
-    if (job.repeatable() && tryBeyond(job, View.FREE, failedFree, nowMs)) {
+    if (job.repeatable() && tryBeyond(job, View.FREE, nowMs)) {
       return true;
     }
-    return policies.guarantees() && tryClaim(job, nowMs);
+    boolean patient =
+        job.repeatable()
+            && borrowing.of(job, estimates.typicalMs(job), nowMs)
+                == BorrowingPolicy.Willingness.NONE;
+    return (!patient && tryWithin(job, false, nowMs)) || tryClaim(job, nowMs);
+  }
+
+  private boolean tryWithin(Job job, boolean tight, long nowMs) {
+    GuaranteedPlacement.Place place =
+        policies.guarantees() ? guaranteed.findFree(job, tight, nowMs) : null;
+    if (place == null) {
+      return false;
+    }
+    start(job, place.spots(), place.kind(), place.cell(), nowMs);
+    return true;
   }
 
   private boolean withinLimit(Job job) {
@@ -163,22 +180,27 @@
     return held + job.shape.totalAccelerators() <= admission.limit(job.workspace());
   }
 
-  private boolean tryBeyond(Job job, View view, Object2LongMap<Shape> failed, long nowMs) {
+  private boolean tryBeyond(Job job, View view, long nowMs) {
     long runMs = Math.max(1, estimates.cautiousMs(job) - job.ranMs);
     boolean particular = !job.failedOn.isEmpty() || reservations.of(job) != null;
-    if (!particular && runMs >= failed.getLong(job.shape)) {
+    BorrowingPolicy.Willingness willing =
+        view == View.FREE ? borrowing.of(job, runMs, nowMs) : BorrowingPolicy.Willingness.ANY;
+    Search search = new Search(job.shape, view, willing);
+    if (!particular && runMs >= failed.getLong(search)) {
       return false;
     }
     Predicate<WorkerSlot> allowed = allowed(job, runMs, nowMs);
-    List<Spot> spots =
-        placement.place(
-            pool, job.shape, view, allowed.and(worker -> !job.failedOn.contains(worker.id)));
+    if (view == View.FREE) {
+      allowed = allowed.and(worker -> willing.allows(job, worker));
+    }
+    Predicate<WorkerSlot> untried = allowed.and(worker -> !job.failedOn.contains(worker.id));
+    List<Spot> spots = placement.place(pool, job.shape, view, untried);
     if (spots.isEmpty() && !job.failedOn.isEmpty()) {
       spots = placement.place(pool, job.shape, view, allowed);
     }
     if (spots.isEmpty()) {
       if (!particular) {
-        failed.put(job.shape, runMs);
+        failed.put(search, runMs);
       }
       return false;
     }
@@ -203,14 +225,12 @@
   }
 
   private boolean tryClaim(Job job, long nowMs) {
-    GuaranteedPlacement.Place place = guaranteed.findReclaimable(job, nowMs);
+    GuaranteedPlacement.Place place =
+        policies.guarantees() ? guaranteed.findReclaimable(job, nowMs) : null;
     if (place == null) {
       return false;
     }
-    begin(
-        new Claim(job, place.cell(), place.spots(), GrantKind.GUARANTEED, nowMs),
-        place.victims(),
-        nowMs);
+    begin(new Claim(job, place.cell(), place.spots(), place.kind(), nowMs), place.victims(), nowMs);
     return true;
   }
 
@@ -234,20 +254,13 @@
     if (nowMs < reservation.startMs() || waitRatio < Reclaim.OVERDUE_RATIO) {
       return;
     }
-    View view = job.repeatable() ? View.STOPPABLE : View.BINDABLE;
-    List<Spot> spots = placement.place(pool, job.shape, view, reservation.workers()::contains);
-    Set<Gang> victims = spots.isEmpty() ? null : Claims.victims(spots, job);
-    if (victims == null) {
-      return;
-    }
-    for (Gang victim : victims) {
-      boolean smaller = victim.job.shape.totalAccelerators() < job.shape.totalAccelerators();
-      boolean harmless = victim.job.request.template().checkpointable();
-      if (!smaller || (!harmless && waitRatio < Reclaim.LATE_RATIO)) {
-        return;
-      }
+    GuaranteedPlacement.Place place = overdue.find(job, waitRatio, nowMs);
+    if (place != null) {
+      begin(new Claim(job, null, place.spots(), kindBeyond(job), nowMs), place.victims(), nowMs);
+    } else if (nowMs - reservation.startMs() > REPLAN_MS) {
+      reservations.drop(job);
+      reservations.reserve(job, nowMs);
     }
-    begin(new Claim(job, null, spots, kindBeyond(job), nowMs), victims, nowMs);
   }
 
   private void start(Claim claim, long nowMs) {
@@ -261,5 +274,7 @@
     shares.add(lifecycle.begin(job, tokens.get(), spots, kind, cell, nowMs), nowMs);
   }
 
+  private record Search(Shape shape, View view, BorrowingPolicy.Willingness willing) {}
+
   private record Entry(SortedSet<Job> lane, Job job, double score) {}
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/QuantileRunTimes.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/QuantileRunTimes.java
@@ -20,6 +20,9 @@
   /** Fewer runs than this say little about a quantile. */
   private static final int ENOUGH_RUNS = 3;
 
+  /** Promises allow for a declared run time that is too short until runs are known. */
+  private static final long UNLEARNED_MARGIN = 4;
+
   private static final double TYPICAL = 0.5;
   private static final double CAUTIOUS = 0.9;
 
@@ -35,6 +38,11 @@
     return estimate(job, CAUTIOUS);
   }
 
+  @Override
+  public long promisableMs(Job job) {
+    return estimate(job, 1);
+  }
+
   private long estimate(Job job, double quantile) {
     TemplateId template = job.request.template().id();
     long declaredMs = Math.max(1, job.request.template().expectedRunMs());
@@ -42,8 +50,9 @@
     Sample own = samples.get(new Key(template, job.workspace()));
     Sample sample =
         own != null && own.count >= ENOUGH_RUNS ? own : samples.get(new Key(template, null));
+    long unlearnedMs = quantile > CAUTIOUS ? UNLEARNED_MARGIN * declaredMs : declaredMs;
     long estimateMs =
-        sample != null && sample.count >= ENOUGH_RUNS ? sample.quantile(quantile) : declaredMs;
+        sample != null && sample.count >= ENOUGH_RUNS ? sample.quantile(quantile) : unlearnedMs;
     return Math.min(estimateMs, capMs);
   }
 
--- a/core/src/main/java/dev/bambootray/core/scheduling/Reclaim.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Reclaim.java
@@ -20,5 +20,8 @@
   /** Wait after which a claim that is not urgent may cost work that was done. */
   static final long PATIENCE_MS = 30_000;
 
+  /** Wait after which a claim is served whatever it costs, so that no guarantee starves. */
+  static final long LAST_PATIENCE_MS = 900_000;
+
   private Reclaim() {}
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
@@ -70,6 +70,7 @@
     }
     parts.shares.declare(declaration);
     parts.admission.declare(declaration);
+    round.declare(declaration.policy());
     watch.poolChanged();
     return policies.order(parts.estimates, parts.shares, declaration.policy());
   }
--- a/core/src/main/java/dev/bambootray/core/scheduling/ReservationPlanner.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/ReservationPlanner.java
@@ -13,6 +13,9 @@
   /** Racks that are compared; those with the most open accelerators come first. */
   private static final int COMPARED_RACKS = 24;
 
+  /** Delay that is accepted for a place that no claim can enter. */
+  private static final long CELL_PENALTY_MS = 120_000;
+
   private final Pool pool;
   private final RunTimeEstimate estimates;
 
@@ -21,9 +24,22 @@
     this.estimates = estimates;
   }
 
-  /** Returns the earliest reservation for a job, or null if no place can ever become free. */
+  /**
+   * Returns the earliest reservation for a job, or null if no place can ever become free. A place
+   * outside guaranteed cells is preferred, because claims may enter the cells at any time.
+   */
   @Nullable Reservation plan(Job job, long nowMs) {
-    View view = job.repeatable() ? View.FREE : View.SPARE;
+    Reservation spare = plan(job, View.SPARE, nowMs);
+    if (!job.repeatable()) {
+      return spare;
+    }
+    Reservation free = plan(job, View.FREE, nowMs);
+    return spare != null && (free == null || spare.startMs() <= free.startMs() + CELL_PENALTY_MS)
+        ? spare
+        : free;
+  }
+
+  private @Nullable Reservation plan(Job job, View view, long nowMs) {
     Reservation best = null;
     for (List<WorkerSlot> group : groups(job.shape)) {
       Reservation candidate = planIn(group, job, view, nowMs);
@@ -101,7 +117,7 @@
     if (gang.step == Gang.Step.DRAINING) {
       return nowMs;
     }
-    long estimateMs = Math.max(1, estimates.cautiousMs(gang.job) - gang.job.ranMs);
+    long estimateMs = Math.max(1, estimates.promisableMs(gang.job) - gang.job.ranMs);
     if (gang.step != Gang.Step.RUNNING) {
       return nowMs + estimateMs;
     }
--- a/core/src/main/java/dev/bambootray/core/scheduling/SchedulerParts.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/SchedulerParts.java
@@ -9,6 +9,7 @@
 final class SchedulerParts {
   final Effects effects = new Effects();
   final JobQueue queue = new JobQueue();
+  final LossBudget losses = new LossBudget();
   final Pool pool;
   final GangLifecycle lifecycle;
   final GuaranteePlan plan;
@@ -31,13 +32,14 @@
     pool = Pool.of(declaration, region);
     lifecycle = new GangLifecycle(pool, effects, listener);
     plan = new GuaranteePlan(pool);
-    claims = new Claims(pool, lifecycle);
+    claims = new Claims(pool, lifecycle, policies.victims(), losses);
     estimates = policies.estimates();
     planner = new ReservationPlanner(pool, estimates);
     reservations = new Reservations(planner);
     shares = new FairShare(pool);
     admission = new Admission(pool, declaration);
-    guaranteed = new GuaranteedPlacement(pool, plan, policies.placement(), policies.victims());
+    guaranteed =
+        new GuaranteedPlacement(pool, plan, policies.placement(), policies.victims(), losses);
     health = new WorkerHealth(pool, random);
     usage = new UsageControl(lifecycle, effects);
   }
--- a/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
@@ -43,6 +43,10 @@
   int pinnedMemoryMib;
   int heldMillicores;
   int heldMemoryMib;
+
+  /** Accelerators of the largest cell that spans this and other workers; 0 for none. */
+  int wideCellSize;
+
   int cellMillicores;
   int cellMemoryMib;
   boolean joined;
