--- a/demo/src/main/java/dev/bambootray/demo/LoadRun.java
+++ b/demo/src/main/java/dev/bambootray/demo/LoadRun.java
@@ -2,6 +2,7 @@
 
 import dev.bambootray.core.declaration.Declaration;
 import dev.bambootray.core.declaration.Guarantee;
+import dev.bambootray.core.declaration.TemplateDeclaration;
 import dev.bambootray.core.declaration.WorkspaceDeclaration;
 import dev.bambootray.core.model.Shape;
 import dev.bambootray.core.model.WorkspaceId;
@@ -95,7 +96,11 @@
   }
 
   private Shape shapeOf(RequestKind kind) {
-    return declaration.templates().get(kind.template()).shape();
+    TemplateDeclaration template = declaration.templates().get(kind.template());
+    if (template == null) {
+      throw new IllegalArgumentException("the mix names the undeclared template " + kind.template());
+    }
+    return template.shape();
   }
 
   private static boolean covers(Shape guaranteed, Shape wanted) {
