Test absent components, silent idle connections and rebinding of a port

A trial without NullCheck passed all tests, so absent components now have an example of their own. messagesArriveAgainAfterTheReceiverRestarts failed once under load with a bind error: the JDK frees a port only when the selector has dropped the closed listener, so the test binds again until it is free.

--- a/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageCodecProperties.java
+++ b/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageCodecProperties.java
@@ -81,6 +81,22 @@
     }
   }
 
+  @Example
+  void absentComponentsAreRefusedUnlessTheyMayBeNull() {
+    byte[] confirm = {1, 12, (byte) 0x92, (byte) 0xa1, 'n', 5};
+    assertTrue(codec.decode(confirm).isRight());
+    byte[] nullSender = {1, 12, (byte) 0x92, (byte) 0xc0, 5};
+    assertTrue(codec.decode(nullSender).isLeft());
+    byte[] noSender = {1, 12, (byte) 0x90};
+    assertTrue(codec.decode(noSender).isLeft());
+    byte[] nullInList = {
+      1, 3, (byte) 0x94, (byte) 0xa1, 'n', (byte) 0xa1, 'r', 7, (byte) 0x91, (byte) 0xc0
+    };
+    assertTrue(codec.decode(nullInList).isLeft());
+    byte[] laterComponent = {1, 12, (byte) 0x93, (byte) 0xa1, 'n', 5, (byte) 0xa1, 'x'};
+    assertTrue(codec.decode(laterComponent).isRight());
+  }
+
   @Example
   void deeplyNestedArraysAreRefused() {
     byte[] frame = new byte[MessageCodec.MAX_FRAME_BYTES];
--- a/adapters/peer/src/test/java/dev/bambootray/adapters/peer/TcpPeerNetworkTest.java
+++ b/adapters/peer/src/test/java/dev/bambootray/adapters/peer/TcpPeerNetworkTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.adapters.tls.ReloadableTls;
@@ -15,6 +16,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -76,7 +78,7 @@
       assertEquals(confirm(1), first.take());
       receiver.close();
       BlockingQueue<PeerMessage> second = new LinkedBlockingQueue<>();
-      open(TcpPeerNetwork.builder(group, "127.0.0.1", address.port()), second);
+      open(reopened(address.port()), second);
       sendUntilReceived(sender, address, second);
     }
 
@@ -197,8 +199,26 @@
     return TcpPeerNetwork.builder(group, "127.0.0.1", 0);
   }
 
+  /**
+   * Binds a port that was just closed. The JDK frees it only when the selector has dropped the old
+   * listener, which is shortly after its close is reported.
+   */
+  private TcpPeerNetwork reopened(int port) {
+    while (true) {
+      try {
+        return TcpPeerNetwork.builder(group, "127.0.0.1", port).build();
+      } catch (Exception e) {
+        // Netty throws the checked exception undeclared, so it cannot be named in the clause.
+        assertInstanceOf(BindException.class, e);
+      }
+    }
+  }
+
   private TcpPeerNetwork open(TcpPeerNetwork.Builder builder, BlockingQueue<PeerMessage> inbox) {
-    TcpPeerNetwork network = builder.build();
+    return open(builder.build(), inbox);
+  }
+
+  private TcpPeerNetwork open(TcpPeerNetwork network, BlockingQueue<PeerMessage> inbox) {
     networks.add(network);
     network.start(inbox == null ? message -> {} : inbox::add);
     return network;
--- a/adapters/platform/src/test/java/dev/bambootray/adapters/platform/HttpWorkerGatewayTest.java
+++ b/adapters/platform/src/test/java/dev/bambootray/adapters/platform/HttpWorkerGatewayTest.java
@@ -221,6 +221,22 @@
       assertTrue(worker.counters().get("peakConnections").asInt() <= 10);
     }
 
+    @Test
+    void oneSilentConnectionCostsOneReplyAndNotOneForEachIdleConnection() {
+      adopt(1);
+      List<CompletableFuture<WorkerReply>> runs = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        runs.add(runLater("r" + i, "{\"runMs\":100}"));
+      }
+      runs.forEach(run -> taskState(run.join()));
+      worker.server().silenceOpenConnections();
+      WorkerReply reply = null;
+      while (!(reply instanceof WorkerReply.NoReply)) {
+        reply = gateway.send(declaration(), new WorkerCommand.Adopt(owner(1)), 500).join();
+      }
+      adopt(1);
+    }
+
     @Test
     void rateLimitedCommandsHaveNoEffect() {
       adopt(1);
