--- a/bench/src/main/java/dev/bambootray/bench/control/WorkerPollingBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/control/WorkerPollingBench.java
@@ -66,6 +66,12 @@
           workers,
           "codec cpu % of a core",
           100 * usage.cpuShare());
+      report.addRow(
+          "worker polling",
+          "workers per owner",
+          workers,
+          "bytes to adopt all",
+          adoption(workers, perWorker));
       if (workers == Fleet.WORKERS / 5) {
         report.measure("polling_bytes_per_second_owner_of_region", usage.bytes());
       }
@@ -76,6 +82,18 @@
     }
   }
 
+  /** Bytes of taking over a unit: each worker tells all its tasks once. */
+  private static long adoption(int workers, int tasks) {
+    List<TaskSnapshot> snapshots = new ArrayList<>();
+    for (int i = 0; i < tasks; i++) {
+      snapshots.add(snapshot(i));
+    }
+    Ownership claim = new Ownership(RegionId.of("region-1"), Fleet.node(1, 0).node(), 12);
+    int command = WireSize.json(new WorkerCommand.Adopt(claim)).length();
+    int reply = WireSize.json(new WorkerReply.Adopted(snapshots, 123_456, false)).length();
+    return (long) workers * (command + reply + HTTP_BYTES + WIRE_BYTES);
+  }
+
   private static Cost cost(int workers, int reportedTasks, double pollSeconds) {
     Ownership claim = new Ownership(RegionId.of("region-1"), Fleet.node(1, 0).node(), 12);
     WorkerCommand poll = new WorkerCommand.PollEvents(claim, 123_456, 10_000, 30_000);
