--- a/bench/src/main/java/dev/bambootray/bench/BenchMain.java
+++ b/bench/src/main/java/dev/bambootray/bench/BenchMain.java
@@ -2,6 +2,7 @@
 
 import dev.bambootray.bench.routing.RoutingBench;
 import dev.bambootray.bench.scheduling.SchedulingBench;
+import dev.bambootray.bench.control.ControlCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -10,7 +11,7 @@
     name = "bench",
     description = "Runs a benchmark and checks it against its bounds.",
     mixinStandardHelpOptions = true,
-    subcommands = {RoutingBench.class, SchedulingBench.class})
+    subcommands = {ControlCommand.class, RoutingBench.class, SchedulingBench.class})
 public final class BenchMain {
   private BenchMain() {}
 
--- a/cli/src/main/java/dev/bambootray/cli/verb/DeclarationFiles.java
+++ b/cli/src/main/java/dev/bambootray/cli/verb/DeclarationFiles.java
@@ -3,6 +3,7 @@
 import dev.bambootray.cli.CliFailure;
 import dev.bambootray.core.declaration.Declaration;
 import dev.bambootray.documents.DeclarationParser;
+import dev.bambootray.documents.GuaranteeProblems;
 import dev.bambootray.documents.ExitCode;
 import dev.bambootray.documents.TextFiles;
 import dev.bambootray.documents.json.JsonTreeReader;
@@ -12,7 +13,8 @@
 
 /** Reads declarations from files and from nodes. */
 final class DeclarationFiles {
-  private static final DeclarationParser PARSER = DeclarationParser.create();
+  private static final DeclarationParser PARSER = 
+      DeclarationParser.create().withCheck(GuaranteeProblems::of);
 
   private DeclarationFiles() {}
 
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
@@ -15,6 +15,8 @@
 import dev.bambootray.core.node.NodeEvent;
 import dev.bambootray.core.node.NodeSnapshot;
 import dev.bambootray.core.scheduling.Explanation;
+import dev.bambootray.documents.DeclarationParser;
+import dev.bambootray.documents.GuaranteeProblems;
 import dev.bambootray.documents.ParameterChecker;
 import dev.bambootray.ports.api.DeclarationText;
 import dev.bambootray.ports.api.EventPage;
@@ -39,6 +41,10 @@
  * control state and hands the rest to the control thread.
  */
 final class NodeService implements NodeApi {
+  /** Refuses what cannot be honoured; a published declaration is taken without this check. */
+  private static final DeclarationParser PUBLISH_CHECK =
+      DeclarationParser.create().withCheck(GuaranteeProblems::of);
+
   private static final long MAX_DEADLINE_MS = 30L * 24 * 60 * 60 * 1_000;
 
   private final NodeId node;
