--- a/core/src/test/java/dev/bambootray/core/membership/MembershipLoop.java
+++ b/core/src/test/java/dev/bambootray/core/membership/MembershipLoop.java
@@ -33,6 +33,7 @@
   private long sent;
   long nowMs = 1_000_000;
   final List<String> changes = new ArrayList<>();
+  final Map<NodeId, Set<NodeId>> exchanged = new TreeMap<>();
 
   MembershipLoop(long seed) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
@@ -209,6 +210,8 @@
         List<MembershipEvent.VmSighting> vms =
             nodes.keySet().stream().map(id -> new MembershipEvent.VmSighting(id, false)).toList();
         deliver(node.state.node(), node.state.host(), 10, new MembershipEvent.VmListRead(vms));
+      } else if (effect instanceof MembershipEffect.VersionExchanged exchange) {
+        exchanged.computeIfAbsent(node.state.node(), id -> new HashSet<>()).add(exchange.peer());
       } else if (effect instanceof MembershipEffect.MemberChanged changed) {
         changes.add(
             nowMs
--- a/core/src/test/java/dev/bambootray/core/membership/MembershipTest.java
+++ b/core/src/test/java/dev/bambootray/core/membership/MembershipTest.java
@@ -8,6 +8,7 @@
 import dev.bambootray.core.model.NodeId;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -194,6 +195,22 @@
     assertTrue(perNode.get(36) <= perNode.get(9) * 1.05, perNode::toString);
   }
 
+  /** Without the table a node stays current only by asking a majority within 4 s. */
+  @ParameterizedTest
+  @ValueSource(ints = {9, 26, 40})
+  void aMajorityIsAskedForItsVersionWithinTwoSecondsWhileTheTableIsAway(int nodes) {
+    MembershipLoop loop = settled(nodes, 91);
+    loop.exchanged.clear();
+    for (NodeId node : List.copyOf(loop.running())) {
+      loop.post(node.value(), new MembershipEvent.ExchangesWanted(true));
+    }
+    loop.run(2_000);
+    for (NodeId node : loop.running()) {
+      int asked = loop.exchanged.getOrDefault(node, Set.of()).size();
+      assertTrue(asked + 1 >= nodes / 2 + 1, node + " asked " + asked);
+    }
+  }
+
   @Test
   void gossipIsBoundedInSize() {
     MembershipLoop loop = settled(40, 61);
