Measure and trace each hop of a node, load its keys

Cause: metrics, spans and TLS existed as adapters that no node used. Change: the node counts requests, store calls, bytes by region and the time of control events, makes a span for the entry, the forwarding and the worker hop, serves /metrics, loads the keys of both ports and reads them again every 10 s.

--- a/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageArbitraries.java
+++ b/adapters/peer/src/test/java/dev/bambootray/adapters/peer/MessageArbitraries.java
@@ -28,7 +28,8 @@
 final class MessageArbitraries {
   private static final List<Function<Source, PeerMessage>> TYPES =
       List.of(
-          s -> new PeerMessage.SubmitRequest(s.node(), s.region(), s.number(), s.spec(), s.number()),
+          s ->
+              new PeerMessage.SubmitRequest(s.node(), s.region(), s.number(), s.spec(), s.number()),
           s -> new PeerMessage.AwaitRequest(s.node(), s.region(), s.number(), s.key()),
           s -> new PeerMessage.OwnerMismatch(s.node(), s.region(), s.number(), s.list(s::key)),
           s -> new PeerMessage.RequestAnswered(s.node(), s.answer()),
--- a/bench/src/main/java/dev/bambootray/bench/BenchMain.java
+++ b/bench/src/main/java/dev/bambootray/bench/BenchMain.java
@@ -1,8 +1,8 @@
 package dev.bambootray.bench;
 
+import dev.bambootray.bench.control.ControlCommand;
 import dev.bambootray.bench.routing.RoutingBench;
 import dev.bambootray.bench.scheduling.SchedulingBench;
-import dev.bambootray.bench.control.ControlCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
--- a/cli/src/main/java/dev/bambootray/cli/verb/DeclarationFiles.java
+++ b/cli/src/main/java/dev/bambootray/cli/verb/DeclarationFiles.java
@@ -3,8 +3,8 @@
 import dev.bambootray.cli.CliFailure;
 import dev.bambootray.core.declaration.Declaration;
 import dev.bambootray.documents.DeclarationParser;
-import dev.bambootray.documents.GuaranteeProblems;
 import dev.bambootray.documents.ExitCode;
+import dev.bambootray.documents.GuaranteeProblems;
 import dev.bambootray.documents.TextFiles;
 import dev.bambootray.documents.json.JsonTreeReader;
 import io.vavr.control.Either;
@@ -13,7 +13,7 @@
 
 /** Reads declarations from files and from nodes. */
 final class DeclarationFiles {
-  private static final DeclarationParser PARSER = 
+  private static final DeclarationParser PARSER =
       DeclarationParser.create().withCheck(GuaranteeProblems::of);
 
   private DeclarationFiles() {}
--- a/core/src/main/java/dev/bambootray/core/model/RequestSpec.java
+++ b/core/src/main/java/dev/bambootray/core/model/RequestSpec.java
@@ -20,4 +20,18 @@
     boolean repeatable,
     boolean urgent,
     long submittedAtMs,
-    String traceparent) {}
+    String traceparent) {
+
+  /** Returns this request as caused by another span. */
+  public RequestSpec withTraceparent(String newTraceparent) {
+    return new RequestSpec(
+        key,
+        template,
+        parametersJson,
+        deadlineAtMs,
+        repeatable,
+        urgent,
+        submittedAtMs,
+        newTraceparent);
+  }
+}
--- a/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -25,15 +26,21 @@
   private final NodeCore core;
   private final LongSupplier clock;
   private final Consumer<NodeEffect> effects;
+  private final LongConsumer durations;
   private final Disruptor<Slot> disruptor;
   private final Queue<NodeEvent> ownEvents = new ArrayDeque<>();
   private volatile @Nullable Thread controlThread;
 
   private ControlLoop(
-      NodeCore core, LongSupplier clock, Consumer<NodeEffect> effects, String threadName) {
+      NodeCore core,
+      LongSupplier clock,
+      Consumer<NodeEffect> effects,
+      LongConsumer durations,
+      String threadName) {
     this.core = core;
     this.clock = clock;
     this.effects = effects;
+    this.durations = durations;
     ThreadFactory threads =
         task -> {
           Thread thread = new Thread(task, threadName);
@@ -48,10 +55,22 @@
     disruptor.handleEventsWith(handler);
   }
 
-  /** Creates a loop that is not running yet. */
+  /**
+   * Creates a loop that is not running yet.
+   *
+   * @param core decides
+   * @param clock the time in milliseconds since the epoch
+   * @param effects carries effects out
+   * @param durations takes the time of each event in nanoseconds
+   * @param threadName name of the control thread
+   */
   static ControlLoop create(
-      NodeCore core, LongSupplier clock, Consumer<NodeEffect> effects, String threadName) {
-    return new ControlLoop(core, clock, effects, threadName);
+      NodeCore core,
+      LongSupplier clock,
+      Consumer<NodeEffect> effects,
+      LongConsumer durations,
+      String threadName) {
+    return new ControlLoop(core, clock, effects, durations, threadName);
   }
 
   void start() {
@@ -84,6 +103,7 @@
   }
 
   private void decide(NodeEvent event) {
+    long startNanos = System.nanoTime();
     try {
       for (NodeEffect effect : core.handle(event, clock.getAsLong())) {
         effects.accept(effect);
@@ -91,6 +111,8 @@
     } catch (RuntimeException e) {
       // One bad event must not end the control thread and with it the node.
       Logger.error(e, "control: Event {} failed.", event.getClass().getSimpleName());
+    } finally {
+      durations.accept(System.nanoTime() - startNanos);
     }
   }
 
--- a/daemon/src/main/java/dev/bambootray/daemon/DaemonMain.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/DaemonMain.java
@@ -1,5 +1,6 @@
 package dev.bambootray.daemon;
 
+import dev.bambootray.adapters.telemetry.LogSetup;
 import dev.bambootray.documents.ExitCode;
 import dev.bambootray.documents.Settings;
 import io.vavr.control.Either;
@@ -10,6 +11,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Level;
 import org.tinylog.Logger;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -63,6 +65,7 @@
   }
 
   private static int run(Settings settings) throws InterruptedException {
+    LogSetup.configure(Level.valueOf(settings.log().level().name()));
     Either<StartError, NodeProcess> started =
         readToken(settings).flatMap(token -> NodeProcess.start(settings, token));
     if (started.isLeft()) {
--- a/daemon/src/main/java/dev/bambootray/daemon/EffectRunner.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/EffectRunner.java
@@ -30,6 +30,7 @@
   private final VmDirectory vms;
   private final WorkerGateway workers;
   private final PeerNetwork peers;
+  private final NodeTelemetry telemetry;
   private final Consumer<NodeEvent> post;
 
   EffectRunner(
@@ -38,12 +39,14 @@
       VmDirectory vms,
       WorkerGateway workers,
       PeerNetwork peers,
+      NodeTelemetry telemetry,
       Consumer<NodeEvent> post) {
     this.table = table;
     this.objects = objects;
     this.vms = vms;
     this.workers = workers;
     this.peers = peers;
+    this.telemetry = telemetry;
     this.post = post;
   }
 
@@ -51,20 +54,24 @@
   boolean run(NodeEffect effect) {
     if (effect instanceof NodeEffect.Commit commit) {
       store(
+          "commit",
           table.commit(commit.transaction()),
           outcome -> new NodeEvent.CommitEnded(commit.id(), outcome));
     } else if (effect instanceof NodeEffect.ReadRow read) {
-      store(table.get(read.key()), outcome -> new NodeEvent.RowRead(read.id(), outcome));
+      store("read", table.get(read.key()), outcome -> new NodeEvent.RowRead(read.id(), outcome));
     } else if (effect instanceof NodeEffect.ScanRows scan) {
       store(
+          "scan",
           table.scan(scan.prefix(), scan.afterKey(), scan.limit()),
           outcome -> new NodeEvent.RowsScanned(scan.id(), outcome));
     } else if (effect instanceof NodeEffect.PutObject put) {
       store(
+          "put",
           objects.put(put.name(), put.content().getBytes(StandardCharsets.UTF_8)),
           outcome -> new NodeEvent.ObjectPut(put.id(), outcome));
     } else if (effect instanceof NodeEffect.ListVms list) {
       store(
+          "vms",
           vms.list(),
           outcome -> new NodeEvent.VmsListed(list.id(), outcome.map(EffectRunner::leavingByName)));
     } else if (effect instanceof NodeEffect.SendWorker send) {
@@ -72,6 +79,7 @@
     } else if (effect instanceof NodeEffect.CloseWorkerConnection close) {
       workers.closeConnectionOf(close.worker(), close.task());
     } else if (effect instanceof NodeEffect.SendPeer send) {
+      telemetry.peerHop("forward", send.message());
       peers.send(addressOf(send.receiver()), send.message());
     } else if (effect instanceof NodeEffect.ResetPeer reset) {
       peers.reset(addressOf(reset.receiver()));
@@ -82,22 +90,38 @@
   }
 
   private <T> void store(
+      String name,
       CompletableFuture<Either<StoreError, T>> call,
       Function<Either<StoreError, T>, NodeEvent> toEvent) {
+    long startNanos = System.nanoTime();
     CompletableFuture<Void> unused =
         call.exceptionally(
                 failure ->
                     Either.left(
                         new StoreError("platform", String.valueOf(failure.getMessage()), true)))
-            .thenAccept(outcome -> post.accept(toEvent.apply(outcome)));
+            .thenAccept(
+                outcome -> {
+                  telemetry
+                      .metrics()
+                      .storeCalled(
+                          name,
+                          outcome.isRight() ? "answered" : "error",
+                          System.nanoTime() - startNanos);
+                  post.accept(toEvent.apply(outcome));
+                });
   }
 
   private void sendWorker(NodeEffect.SendWorker send) {
+    WorkerHop hop = telemetry.workerHop(send);
     CompletableFuture<Void> unused =
         workers
-            .send(send.worker(), send.command(), send.timeoutMs())
+            .send(send.worker(), hop.command(), send.timeoutMs())
             .exceptionally(failure -> noReply(send, failure))
-            .thenAccept(reply -> post.accept(new NodeEvent.WorkerReplied(send.id(), reply)));
+            .thenAccept(
+                reply -> {
+                  telemetry.workerReplied(hop, send.worker().id().value(), reply);
+                  post.accept(new NodeEvent.WorkerReplied(send.id(), reply));
+                });
   }
 
   private static WorkerReply noReply(NodeEffect.SendWorker send, Throwable failure) {
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -8,7 +8,10 @@
 import dev.bambootray.adapters.platform.HttpWorkerGateway;
 import dev.bambootray.adapters.platform.LinkDelay;
 import dev.bambootray.adapters.platform.PlatformClient;
+import dev.bambootray.adapters.telemetry.Redaction;
+import dev.bambootray.core.message.PeerMessage;
 import dev.bambootray.core.model.NodeId;
+import dev.bambootray.core.model.RegionId;
 import dev.bambootray.core.node.NodeCore;
 import dev.bambootray.core.node.NodeEffect;
 import dev.bambootray.core.node.NodeEvent;
@@ -35,9 +38,14 @@
   private static final int TRAFFIC_THREADS = 2;
   private static final long TICK_MS = 50;
 
+  /** How often gauges are refreshed and key files are read again. */
+  private static final long UPKEEP_MS = 10_000;
+
   private final Settings settings;
   private final EventLoopGroup traffic;
   private final Places places;
+  private final NodeKeys keys;
+  private final NodeTelemetry telemetry;
   private final PlatformClient platform;
   private final HttpWorkerGateway workers;
   private final TcpPeerNetwork peers;
@@ -47,12 +55,16 @@
   private final EventLog events = new EventLog();
   private final HttpApiServer http;
   private final Future<?> ticks;
+  private final Future<?> upkeep;
   private final AtomicBoolean closed = new AtomicBoolean();
   private final CompletableFuture<Boolean> drained = new CompletableFuture<>();
   private volatile String notReadyReason = "the node has just started";
 
-  private NodeProcess(Settings settings, String operatorToken) {
+  private NodeProcess(Settings settings, String operatorToken, NodeKeys keys) {
     this.settings = settings;
+    this.keys = keys;
+    telemetry = NodeTelemetry.create(settings, System::currentTimeMillis);
+    Redaction.register(operatorToken);
     traffic = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     places = new Places(settings.region(), settings.failureDomain(), settings.linkDelay());
     LinkDelay delay = (host, port) -> places.oneWayMicros(new PeerAddress(host, port));
@@ -67,16 +79,27 @@
     peers =
         TcpPeerNetwork.builder(traffic, settings.peer().host(), settings.peer().port())
             .latency(places::oneWayMicros)
-            .traffic(new RegionTraffic(places))
+            .traffic(new RegionTraffic(places, settings.region(), telemetry))
+            .tls(keys.peer())
             .seed(settings.node().hashCode())
             .build();
     JsonRowCodec codec = JsonRowCodec.create();
     loop =
         ControlLoop.create(
-            coreOf(codec), System::currentTimeMillis, this::carryOut, settings.node() + "-control");
+            coreOf(codec),
+            System::currentTimeMillis,
+            this::carryOut,
+            telemetry.metrics()::controlEvent,
+            settings.node() + "-control");
     outside =
         new EffectRunner(
-            platform.table(), platform.objects(), platform.vms(), workers, peers, loop::post);
+            platform.table(),
+            platform.objects(),
+            platform.vms(),
+            workers,
+            peers,
+            telemetry,
+            loop::post);
     service =
         new NodeService(
             settings.node(),
@@ -84,21 +107,24 @@
             loop::post,
             new TableQueries(platform.table(), codec),
             TokenDigests.forOperator(operatorToken),
-            events);
+            events,
+            telemetry);
     http =
         HttpApiServer.start(
             traffic,
             settings.http().host(),
             settings.http().port(),
             service,
-            new NodeProbes(() -> "", () -> notReadyReason, () -> ""),
+            new NodeProbes(() -> "", () -> notReadyReason, telemetry.metrics()::expose),
             HttpLimits.defaults(),
-            null);
+            keys.http());
     loop.start();
-    peers.start(message -> loop.post(new NodeEvent.PeerMessageReceived(message)));
+    peers.start(this::receive);
     ticks =
         traffic.scheduleAtFixedRate(
             () -> loop.post(new NodeEvent.Tick()), 0, TICK_MS, TimeUnit.MILLISECONDS);
+    upkeep =
+        traffic.scheduleWithFixedDelay(this::doUpkeep, UPKEEP_MS, UPKEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -108,8 +134,13 @@
    * @param operatorToken the token that operators hold
    */
   public static Either<StartError, NodeProcess> start(Settings settings, String operatorToken) {
+    return NodeKeys.load(settings).flatMap(keys -> start(settings, operatorToken, keys));
+  }
+
+  private static Either<StartError, NodeProcess> start(
+      Settings settings, String operatorToken, NodeKeys keys) {
     try {
-      return Either.right(new NodeProcess(settings, operatorToken));
+      return Either.right(new NodeProcess(settings, operatorToken, keys));
     } catch (RuntimeException e) {
       return Either.left(startError(settings, e));
     } catch (Exception e) {
@@ -161,11 +192,13 @@
       return;
     }
     ticks.cancel(false);
+    upkeep.cancel(false);
     loop.close();
     peers.close();
     workers.close();
     platform.close();
     http.close();
+    telemetry.close();
     var unused = traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
@@ -206,6 +239,16 @@
     }
   }
 
+  private void receive(PeerMessage message) {
+    telemetry.peerHop("own", message);
+    loop.post(new NodeEvent.PeerMessageReceived(message));
+  }
+
+  private void doUpkeep() {
+    keys.reload();
+    var unused = service.status();
+  }
+
   private void report(NodeEffect.Report report) {
     Logger.info(
         "{} {} {}: {} [{}]",
@@ -236,16 +279,26 @@
   }
 
   /** Counts the bytes to each region. */
-  private record RegionTraffic(Places places) implements PeerTraffic {
+  private record RegionTraffic(Places places, RegionId self, NodeTelemetry telemetry)
+      implements PeerTraffic {
     @Override
     public void sent(PeerAddress peer, int sizeBytes) {
       places.countSent(peer, sizeBytes);
+      RegionId region = places.regionOf(peer);
+      if (region != null) {
+        telemetry.metrics().peerBytesSent(self, region, sizeBytes);
+      }
     }
 
     @Override
     public void received(NodeId peer, int sizeBytes) {}
 
     @Override
-    public void dropped(PeerAddress peer, int sizeBytes) {}
+    public void dropped(PeerAddress peer, int sizeBytes) {
+      RegionId region = places.regionOf(peer);
+      if (region != null) {
+        telemetry.metrics().peerMessageDropped(region);
+      }
+    }
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
@@ -1,5 +1,6 @@
 package dev.bambootray.daemon;
 
+import dev.bambootray.adapters.telemetry.Hop;
 import dev.bambootray.core.configuration.PublishOutcome;
 import dev.bambootray.core.configuration.PublishedDeclaration;
 import dev.bambootray.core.declaration.Declaration;
@@ -53,6 +54,7 @@
   private final TableQueries queries;
   private final TokenDigests tokens;
   private final EventLog events;
+  private final NodeTelemetry telemetry;
   private final AtomicLong numbers = new AtomicLong();
   private final Tickets<Either<RequestError, RequestView>> requests = new Tickets<>(numbers);
   private final Tickets<Either<RequestError, Explanation>> explanations = new Tickets<>(numbers);
@@ -66,18 +68,21 @@
       Consumer<NodeEvent> post,
       TableQueries queries,
       TokenDigests tokens,
-      EventLog events) {
+      EventLog events,
+      NodeTelemetry telemetry) {
     this.node = node;
     this.clock = clock;
     this.post = post;
     this.queries = queries;
     this.tokens = tokens;
     this.events = events;
+    this.telemetry = telemetry;
   }
 
   /** Passes an answer of the control thread to its caller; returns false for other effects. */
   boolean deliver(NodeEffect effect) {
     if (effect instanceof NodeEffect.ReplyToCaller reply) {
+      telemetry.replied(reply, isGang(reply));
       requests.complete(
           reply.ticket(), reply.outcome().map(found -> viewOf(found, reply.durable())));
     } else if (effect instanceof NodeEffect.ReplyExplanation reply) {
@@ -85,6 +90,7 @@
     } else if (effect instanceof NodeEffect.ReplyPublish reply) {
       publishes.complete(reply.ticket(), resultOf(reply.outcome()));
     } else if (effect instanceof NodeEffect.ReplyStatus reply) {
+      telemetry.show(reply.snapshot());
       snapshots.complete(reply.ticket(), reply.snapshot());
     } else if (effect instanceof NodeEffect.UseDeclaration use) {
       declaration = use.declaration();
@@ -108,8 +114,13 @@
       future.complete(Either.left(spec.getLeft()));
       return future;
     }
-    post.accept(new NodeEvent.CallerSubmitted(requests.open(future), spec.get(), command.waitMs()));
-    return future;
+    Hop hop = telemetry.enter(spec.get());
+    post.accept(
+        new NodeEvent.CallerSubmitted(
+            requests.open(future),
+            spec.get().withTraceparent(hop.traceparent()),
+            command.waitMs()));
+    return future.whenComplete((outcome, failure) -> hop.end());
   }
 
   @Override
@@ -226,6 +237,15 @@
                     command.traceparent()));
   }
 
+  private boolean isGang(NodeEffect.ReplyToCaller reply) {
+    Declaration current = declaration;
+    if (current == null || reply.outcome().isLeft()) {
+      return false;
+    }
+    TemplateDeclaration template = current.templates().get(reply.outcome().get().spec().template());
+    return template != null && !template.isServiceRequest();
+  }
+
   private RequestError refusal(String message) {
     return RequestError.impossible(Step.ADMISSION, node.value(), message);
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/Places.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/Places.java
@@ -60,6 +60,11 @@
     }
   }
 
+  @Nullable RegionId regionOf(PeerAddress address) {
+    Place place = places.get(address);
+    return place == null ? null : place.region();
+  }
+
   /** Returns the bytes sent to other regions. */
   long crossRegionBytes() {
     return bytesByRegion.entrySet().stream()
--- a/demo/src/main/java/dev/bambootray/demo/LoadRun.java
+++ b/demo/src/main/java/dev/bambootray/demo/LoadRun.java
@@ -98,7 +98,8 @@
   private Shape shapeOf(RequestKind kind) {
     TemplateDeclaration template = declaration.templates().get(kind.template());
     if (template == null) {
-      throw new IllegalArgumentException("the mix names the undeclared template " + kind.template());
+      throw new IllegalArgumentException(
+          "the mix names the undeclared template " + kind.template());
     }
     return template.shape();
   }
