--- a/daemon/src/main/java/dev/bambootray/daemon/NodeTelemetry.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeTelemetry.java
@@ -136,12 +136,14 @@
   void show(NodeSnapshot snapshot) {
     metrics.setOpenRequests(snapshot.openRequests());
     metrics.setConfigurationVersion(snapshot.configurationVersion());
-    for (Ownership shown : shownOwnerships) {
-      if (!snapshot.owned().contains(shown)) {
-        shownOwnerships.remove(shown);
-        metrics.setOwnershipEpoch(shown.region(), 0);
-      }
-    }
+    shownOwnerships.removeIf(
+        shown -> {
+          boolean lost = !snapshot.owned().contains(shown);
+          if (lost) {
+            metrics.setOwnershipEpoch(shown.region(), 0);
+          }
+          return lost;
+        });
     for (Ownership owned : snapshot.owned()) {
       shownOwnerships.add(owned);
       metrics.setOwnershipEpoch(owned.region(), owned.epoch());
