--- a/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -141,8 +141,6 @@
       Settings settings, String operatorToken, NodeKeys keys) {
     try {
       return Either.right(new NodeProcess(settings, operatorToken, keys));
-    } catch (RuntimeException e) {
-      return Either.left(startError(settings, e));
     } catch (Exception e) {
       // Netty passes the checked exception of a failed bind on without declaring it.
       return Either.left(startError(settings, e));
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
@@ -167,6 +167,11 @@
   @Override
   public CompletableFuture<Either<RequestError, PublishResult>> publish(
       long expectedVersion, String text, String author) {
+    Either<List<String>, Declaration> checked = PUBLISH_CHECK.read(text, expectedVersion + 1);
+    if (checked.isLeft()) {
+      return CompletableFuture.completedFuture(
+          Either.right(new PublishResult.Invalid(checked.getLeft())));
+    }
     CompletableFuture<Either<RequestError, PublishResult>> future = new CompletableFuture<>();
     post.accept(new NodeEvent.PublishAsked(publishes.open(future), expectedVersion, text, author));
     return future;
