Allocate only the result of handle for its effects

Cause: starting a run allocates most; part of it was a list with spare places for each event and a captured lambda for each answer. Change: effects gather in a buffer that is used again; one effect becomes a list of one. Hash maps with open addressing were tried and not kept.

--- a/core/src/main/java/dev/bambootray/core/routing/RouterState.java
+++ b/core/src/main/java/dev/bambootray/core/routing/RouterState.java
@@ -25,7 +25,7 @@
   final Map<ServiceId, ServicePool> pools = new LinkedHashMap<>();
   final Map<WorkerId, List<Target>> targets = new HashMap<>();
   Declaration declaration;
-  private List<RouterEffect> effects = new ArrayList<>();
+  private final List<RouterEffect> effects = new ArrayList<>();
   private final String tokenPrefix;
   private long lastToken;
 
@@ -57,8 +57,10 @@
     if (effects.isEmpty()) {
       return List.of();
     }
-    List<RouterEffect> taken = effects;
-    effects = new ArrayList<>(4);
+    // Most events lead to one effect, and the buffer is used again, so only the result is
+    // allocated.
+    List<RouterEffect> taken = effects.size() == 1 ? List.of(effects.get(0)) : List.copyOf(effects);
+    effects.clear();
     return taken;
   }
 
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRouter.java
@@ -119,9 +119,10 @@
     if (event instanceof RequestQueued queued) {
       queued(queued.request(), nowMs);
     } else if (event instanceof RunAnswered answered) {
-      withRun(
-          answered.task(),
-          run -> outcomes.answered(run, answered.resultJson(), nowMs - run.sentAtMs, nowMs));
+      Run run = state.runs.get(answered.task());
+      if (run != null) {
+        outcomes.answered(run, answered.resultJson(), nowMs - run.sentAtMs, nowMs);
+      }
     } else if (event instanceof IntentRecorded recorded) {
       withRun(recorded.task(), run -> dispatcher.intentRecorded(run, nowMs));
     } else if (event instanceof IntentRejected rejected) {
