Follow runs of undeclared workers and survive lost probe outcomes

Change: such a worker gets a leaving target that only ends its runs; a run of a service that is no longer declared is answered as unknown; a probe or question is dropped after 5 s without an outcome. Conclusion: one test for each fault.

--- a/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/FateInquiry.java
@@ -63,6 +63,7 @@
       return;
     }
     run.fateAtMs = Run.NEVER;
+    target.dropLostQuestion(nowMs);
     if (target.fateInFlight != null || target.probeInFlight) {
       if (!run.fateQueued) {
         run.fateQueued = true;
@@ -77,6 +78,7 @@
   private void ask(Run run, long nowMs) {
     Target target = run.target;
     target.fateInFlight = run;
+    target.lastAskedAtMs = nowMs;
     asked.put(run.task, run);
     long waitMs =
         run.phase == Run.Phase.UNKNOWN && target.fateQueue.isEmpty() && run.unknownReplies == 0
--- a/core/src/main/java/dev/bambootray/core/routing/Target.java
+++ b/core/src/main/java/dev/bambootray/core/routing/Target.java
@@ -15,6 +15,9 @@
    */
   private static final double SLOW = 2;
 
+  /** Time after which the outcome of a probe or question is no longer expected. */
+  private static final long ASKED_LOST_MS = 5_000;
+
   private static final double SLOWNESS_GAIN = 0.1;
   private static final int MIN_SLOWNESS_SAMPLES = 8;
 
@@ -76,6 +79,9 @@
   /** A probe is under way; it shares one connection with questions for the fate of runs. */
   boolean probeInFlight;
 
+  /** When the last probe or question for a fate was sent. */
+  long lastAskedAtMs;
+
   Target(WorkerId worker, ServicePool pool, int slots) {
     this.worker = worker;
     this.pool = pool;
@@ -84,6 +90,17 @@
     this.rampLimit = slots;
   }
 
+  /**
+   * Stops waiting for a probe or question whose outcome never came, which would block all later
+   * ones.
+   */
+  void dropLostQuestion(long nowMs) {
+    if (nowMs - lastAskedAtMs > ASKED_LOST_MS) {
+      probeInFlight = false;
+      fateInFlight = null;
+    }
+  }
+
   /** Takes the logarithm of a run time relative to the usual one into account. */
   void observeSlowness(double logRatio) {
     slownessSamples++;
--- a/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetHealth.java
@@ -160,8 +160,10 @@
   }
 
   private void probe(Target target, long nowMs) {
+    target.dropLostQuestion(nowMs);
     if (target.fateInFlight == null && !target.probeInFlight) {
       target.probeInFlight = true;
+      target.lastAskedAtMs = nowMs;
       state.emit(new RouterEffect.ProbeTarget(target.worker));
     }
     wake(target, nowMs + PROBE_INTERVAL_MS);
--- a/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
+++ b/core/src/main/java/dev/bambootray/core/routing/TargetRegistry.java
@@ -1,8 +1,11 @@
 package dev.bambootray.core.routing;
 
+import static dev.bambootray.core.model.Step.RUN;
+
 import dev.bambootray.core.declaration.Declaration;
 import dev.bambootray.core.declaration.ServiceDeclaration;
 import dev.bambootray.core.declaration.WorkerDeclaration;
+import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.model.ServiceId;
 import dev.bambootray.core.model.WorkerId;
 import dev.bambootray.core.worker.TaskSnapshot;
@@ -47,8 +50,7 @@
     }
     for (List<Target> targets : state.targets.values()) {
       for (Target target : targets) {
-        WorkerDeclaration worker = declaration.workers().get(target.worker);
-        if (worker == null || !worker.services().contains(target.pool.service.id())) {
+        if (!isDeclared(target)) {
           target.setLeaving(true);
         }
       }
@@ -60,7 +62,7 @@
     for (Target target : targetsOf(worker)) {
       target.pool.closedSinceMs = -1;
       target.setJoined(true);
-      target.setLeaving(false);
+      target.setLeaving(!isDeclared(target));
       target.setUnreachable(false);
     }
   }
@@ -86,7 +88,14 @@
   void adopted(WorkerId worker, TaskSnapshot snapshot, QueuedRequest queued, long nowMs) {
     ServiceId service = queued.template().service();
     Target target = targetOf(worker, service);
-    if (target == null || state.runs.containsKey(snapshot.task())) {
+    if (state.runs.containsKey(snapshot.task())) {
+      return;
+    }
+    if (target == null) {
+      state.emit(
+          new RouterEffect.RefuseRequest(
+              queued.spec().key(),
+              RequestError.unknown(RUN, worker.value(), "the service is no longer declared")));
       return;
     }
     PendingRequest request = state.requests.get(queued.spec().key());
@@ -136,6 +145,11 @@
     state.timers.schedule(pool, nowMs + REVIEW_INTERVAL_MS);
   }
 
+  private boolean isDeclared(Target target) {
+    WorkerDeclaration worker = state.declaration.workers().get(target.worker);
+    return worker != null && worker.services().contains(target.pool.service.id());
+  }
+
   private List<Target> targetsOf(WorkerId worker) {
     List<Target> known = state.targets.get(worker);
     if (known != null) {
@@ -164,6 +178,15 @@
         return target;
       }
     }
-    return null;
+    ServicePool pool = state.pools.get(service);
+    if (pool == null) {
+      return null;
+    }
+    // The worker has left the declaration; it only ends what it still runs.
+    Target undeclared = new Target(worker, pool, pool.service.slotsPerTarget());
+    undeclared.setLeaving(true);
+    pool.targets.add(undeclared);
+    state.targets.computeIfAbsent(worker, id -> new ArrayList<>(1)).add(undeclared);
+    return undeclared;
   }
 }
--- a/core/src/test/java/dev/bambootray/core/routing/RunFateTest.java
+++ b/core/src/test/java/dev/bambootray/core/routing/RunFateTest.java
@@ -144,6 +144,22 @@
       assertEquals(1, RouterFixture.of(fixture.pass(300), RouterEffect.QueryFate.class).size());
     }
 
+    @Test
+    void areStillFoundAfterTheOutcomeOfAQuestionWasLost() {
+      RequestKey first = fixture.queue("big", true, 60_000);
+      RouterEffect.QueryFate lost =
+          RouterFixture.of(fixture.pass(1_100), RouterEffect.QueryFate.class).get(0);
+      fixture.answer(first);
+      fixture.pass(6_000);
+      for (int i = 0; i < 2; i++) {
+        fixture.queue("big", true, 60_000);
+      }
+      List<RouterEffect> later = fixture.pass(2_000);
+      assertTrue(
+          RouterFixture.of(later, RouterEffect.QueryFate.class).stream()
+              .anyMatch(query -> query.worker().equals(lost.worker())));
+    }
+
     @Test
     void areNotAssumedForARunThatIsStillRunning() {
       RequestKey key = fixture.queue();
@@ -230,6 +246,22 @@
       assertEquals(16, fixture.router.loadOf(fixture.nowMs).freeSlots());
     }
 
+    @Test
+    void onAWorkerThatHasLeftTheDeclarationAreFollowedToo() {
+      QueuedRequest request = fixture.request("big", false, 10_000);
+      RequestKey key = request.spec().key();
+      fixture.send(
+          new RouterEvent.RunAdopted(
+              dev.bambootray.core.model.WorkerId.of("removed"),
+              RouterFixture.snapshot(
+                  dev.bambootray.core.worker.TaskId.parse("north:6:old:1~0"),
+                  key,
+                  TaskPhase.FINISHED,
+                  "2"),
+              request));
+      assertEquals(1, fixture.all(RouterEffect.CompleteRequest.class).size());
+    }
+
     @Test
     void thatWereStoppedRunAgainOnlyIfRepeatable() {
       assertEquals(1, fixture.runsOf(adopt(true, TaskPhase.STOPPED)).size());
