Vary the time of the outage in the test of late renewals

The test passed with its rule switched off, because the phases of renewals and reads hid the fault. Over seven times of the outage, two fail without the rule (scratch copy) and none with it.

--- a/core/src/test/java/dev/bambootray/core/ownership/RegionOwnershipTest.java
+++ b/core/src/test/java/dev/bambootray/core/ownership/RegionOwnershipTest.java
@@ -164,9 +164,11 @@
     }
 
     /** The backoff lets an owner's first renewal come 2 s after the others read the rows again. */
-    @Test
-    void outageAfterWhichOwnersRenewLateChangesNoOwner() {
+    @ParameterizedTest
+    @ValueSource(longs = {0, 150, 300, 450, 600, 750, 900})
+    void outageAfterWhichOwnersRenewLateChangesNoOwner(long afterMs) {
       OwnershipLoop loop = settled(13);
+      loop.run(afterMs);
       int before = loop.log.size();
       List<String> owners =
           loop.claims().values().stream().map(claims -> claims.get(0).owner().value()).toList();
