Tell peers the held version and let workers forget settled runs

Cause: peers were told a version that a restarted node may not count for, and runs that the router gave up stayed in the memory of workers. Change: the effects HeldVersionChanged and ForgetRun are carried out.

--- a/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
+++ b/core/src/main/java/dev/bambootray/core/node/ConfigurationDriver.java
@@ -5,6 +5,7 @@
 import dev.bambootray.core.configuration.ConfigurationState;
 import dev.bambootray.core.configuration.CurrentVersion;
 import dev.bambootray.core.configuration.PublishedDeclaration;
+import dev.bambootray.core.membership.MembershipEvent;
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.RowWrite;
 import dev.bambootray.core.store.StoreError;
@@ -23,19 +24,19 @@
   private final RowCodec codec;
   private final ConfigurationState state;
   private final Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration;
-  private final Consumer<Boolean> onExchangesWanted;
+  private final Consumer<MembershipEvent> toMembership;
 
   ConfigurationDriver(
       NodeContext context,
       RowCodec codec,
       ConfigurationState state,
       Consumer<ConfigurationEffect.DeclarationInForce> onDeclaration,
-      Consumer<Boolean> onExchangesWanted) {
+      Consumer<MembershipEvent> toMembership) {
     this.context = context;
     this.codec = codec;
     this.state = state;
     this.onDeclaration = onDeclaration;
-    this.onExchangesWanted = onExchangesWanted;
+    this.toMembership = toMembership;
   }
 
   ConfigurationState state() {
@@ -68,7 +69,9 @@
               ? "The version is confirmed; new work is taken."
               : "The version could not be confirmed; new work is refused.");
     } else if (effect instanceof ConfigurationEffect.ExchangesWanted wanted) {
-      onExchangesWanted.accept(wanted.wanted());
+      toMembership.accept(new MembershipEvent.ExchangesWanted(wanted.wanted()));
+    } else if (effect instanceof ConfigurationEffect.HeldVersionChanged held) {
+      toMembership.accept(new MembershipEvent.ConfigurationVersionChanged(held.version()));
     } else if (effect instanceof ConfigurationEffect.DeclarationUnreadable unreadable) {
       report("unreadable", unreadable.version(), String.join("; ", unreadable.problems()));
     } else if (effect instanceof ConfigurationEffect.PublishFinished finished) {
--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -86,7 +86,7 @@
             codec,
             ConfigurationState.create(identity.node(), identity.startedAtMs(), reader),
             this::declarationInForce,
-            wanted -> membership.handle(new MembershipEvent.ExchangesWanted(wanted)));
+            this::tellMembership);
     regionChoice = new RegionChoice(context, membership::loads);
     entry =
         new EntryDesk(
@@ -204,12 +204,15 @@
   private void declarationInForce(ConfigurationEffect.DeclarationInForce inForce) {
     declaration = inForce.declaration();
     context.outbox().add(new NodeEffect.UseDeclaration(declaration, inForce.text()));
-    membership.handle(new MembershipEvent.ConfigurationVersionChanged(declaration.version()));
     ownership.handle(new OwnershipEvent.RegionsDeclared(declaration.regions().keySet()));
     regionChoice.declarationChanged();
     desks.declarationChanged(context.now());
   }
 
+  private void tellMembership(MembershipEvent event) {
+    membership.handle(event);
+  }
+
   @Override
   public void membersChanged() {
     ownership.handle(new OwnershipEvent.MembersChanged(membership.members()));
--- a/core/src/main/java/dev/bambootray/core/node/RunCommands.java
+++ b/core/src/main/java/dev/bambootray/core/node/RunCommands.java
@@ -59,6 +59,9 @@
       if (worker != null) {
         context.outbox().add(new NodeEffect.CloseWorkerConnection(worker, close.task()));
       }
+    } else if (effect instanceof RouterEffect.ForgetRun forget) {
+      repeated.send(
+          forget.worker(), new WorkerCommand.Acknowledge(ownership, List.of(forget.task())));
     } else if (effect instanceof RouterEffect.CompleteRequest complete) {
       desk.finish(complete.key(), Answer.success(complete.key(), complete.resultJson()));
     } else if (effect instanceof RouterEffect.RefuseRequest refuse) {
