--- a/bench/src/main/java/dev/bambootray/bench/scheduling/Replay.java
+++ b/bench/src/main/java/dev/bambootray/bench/scheduling/Replay.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.TreeSet;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
 
@@ -73,7 +74,7 @@
 
   /** Replays the whole trace and returns what was measured. */
   ReplayMeasures run() {
-    for (WorkerId worker : declaration.workers().keySet()) {
+    for (WorkerId worker : new TreeSet<>(declaration.workers().keySet())) {
       send(new SchedulerEvent.WorkerJoined(worker));
     }
     send(new SchedulerEvent.AdoptionCompleted());
@@ -135,7 +136,7 @@
 
   private void loseRack(boolean lost) {
     rackLost = lost;
-    for (WorkerId worker : declaration.workers().keySet()) {
+    for (WorkerId worker : new TreeSet<>(declaration.workers().keySet())) {
       if (!worker.value().startsWith(LOST_RACK)) {
         continue;
       }
--- a/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Cell.java
@@ -3,7 +3,7 @@
 import dev.bambootray.core.declaration.Guarantee;
 import dev.bambootray.core.model.Shape;
 import dev.bambootray.core.model.WorkspaceId;
-import it.unimi.dsi.fastutil.objects.ReferenceOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -18,7 +18,7 @@
   List<Spot> spots = List.of();
 
   /** Gangs that run within it. */
-  final Set<Gang> gangs = new ReferenceOpenHashSet<>(0);
+  final Set<Gang> gangs = new ReferenceLinkedOpenHashSet<>(0);
 
   /** Jobs that wait for victims to leave it. */
   int claims;
--- a/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
@@ -87,7 +87,7 @@
     gone(member);
   }
 
-  /** Releases a member that turned up after its gang began to drain. */
+  /** Releases a member that its gang no longer waits for. */
   void releaseLate(Member member, long nowMs) {
     releases.release(member, false, nowMs);
     drainIfEmpty(member.gang, nowMs);
@@ -353,10 +353,8 @@
     if ((gang.step != Gang.Step.DRAINING && !answered) || gang.drained) {
       return;
     }
-    for (Member member : gang.members) {
-      if (member.phase != Member.Phase.GONE && member.phase != Member.Phase.FINISHED) {
-        return;
-      }
+    if (gang.members.stream().anyMatch(Member::holds)) {
+      return;
     }
     gang.drained = true;
     if (gang.step == Gang.Step.RUNNING) {
--- a/core/src/main/java/dev/bambootray/core/scheduling/Member.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Member.java
@@ -55,4 +55,9 @@
   boolean mayRun() {
     return phase == Phase.STARTING || phase == Phase.RUNNING || phase == Phase.FINISHED;
   }
+
+  /** Returns whether its worker may still hold resources for it. */
+  boolean holds() {
+    return phase != Phase.GONE && phase != Phase.FINISHED;
+  }
 }
--- a/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/RegionScheduler.java
@@ -213,6 +213,11 @@
   private void declarationChanged(Declaration newDeclaration, long nowMs) {
     declaration = newDeclaration;
     parts.pool.addMissing(newDeclaration, region);
+    for (WorkerSlot worker : parts.pool.workers) {
+      if (!newDeclaration.workers().containsKey(worker.id)) {
+        changeWorker(worker, worker.joined, true);
+      }
+    }
     order = declare();
     for (Job job : List.copyOf(jobs.values())) {
       RequestError error = job.waiting ? parts.admission.impossibility(job) : null;
--- a/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/WorkerSlot.java
@@ -3,7 +3,7 @@
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.core.model.WorkerId;
-import it.unimi.dsi.fastutil.objects.ReferenceOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -62,7 +62,7 @@
   /** Reservation that later jobs must not delay, or null. */
   @Nullable Reservation reservation;
 
-  final Set<Member> members = new ReferenceOpenHashSet<>();
+  final Set<Member> members = new ReferenceLinkedOpenHashSet<>();
 
   WorkerSlot(WorkerDeclaration declaration, int index, RackGroup rack) {
     Resources capacity = declaration.capacity();
--- /dev/null
+++ b/core/src/test/java/dev/bambootray/core/scheduling/WorkerHealthTest.java
@@ -0,0 +1,97 @@
+package dev.bambootray.core.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.core.model.Adjacency;
+import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.worker.TaskId;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a broken worker that eats jobs and against poison jobs that condemn workers. */
+final class WorkerHealthTest {
+  private static final WorkerId BROKEN = PoolFixture.worker(0, 0);
+
+  private final PoolFixture fixture =
+      new PoolFixture()
+          .racks(1, 4)
+          .workspace("a")
+          .template("one", PoolFixture.shape(1, 8, Adjacency.REGION), true)
+          .template("poison", PoolFixture.shape(1, 8, Adjacency.REGION), true);
+
+  private static void failAll(ScriptedCluster cluster, WorkerId worker) {
+    for (Map.Entry<TaskId, ScriptedCluster.Held> entry : List.copyOf(cluster.held.entrySet())) {
+      if (entry.getValue().worker().equals(worker)) {
+        cluster.held.remove(entry.getKey());
+        cluster.send(new SchedulerEvent.TaskFailed(entry.getKey(), "broken"));
+      }
+    }
+  }
+
+  private static long on(ScriptedCluster cluster, WorkerId worker) {
+    return cluster.held.values().stream().filter(h -> h.worker().equals(worker)).count();
+  }
+
+  private ScriptedCluster afterThreeFailures() {
+    ScriptedCluster cluster = fixture.cluster();
+    for (int i = 0; i < 40; i++) {
+      cluster.submit(fixture.job("a", "j" + i, "one"));
+    }
+    for (int i = 0; i < 3; i++) {
+      failAll(cluster, BROKEN);
+      cluster.pass(100);
+    }
+    return cluster;
+  }
+
+  @Test
+  void aWorkerThatFailsDistinctJobsIsQuarantinedAndNoJobIsGivenUp() {
+    ScriptedCluster cluster = afterThreeFailures();
+    cluster.pass(20_000);
+    assertEquals(0, on(cluster, BROKEN));
+    assertEquals(24, cluster.scheduler.loadOf(cluster.nowMs).totalAccelerators());
+    assertTrue(cluster.effects(SchedulerEffect.JobFailed.class).isEmpty());
+  }
+
+  @Test
+  void aQuarantinedWorkerIsProbedAndReadmittedOnSuccess() {
+    ScriptedCluster cluster = afterThreeFailures();
+    cluster.pass(60_000);
+    assertEquals(1, on(cluster, BROKEN));
+    RequestKey probe =
+        cluster.held.values().stream()
+            .filter(h -> h.worker().equals(BROKEN))
+            .findFirst()
+            .orElseThrow()
+            .key();
+    cluster.finish(probe);
+    assertEquals(1, on(cluster, BROKEN));
+    assertEquals(32, cluster.scheduler.loadOf(cluster.nowMs).totalAccelerators());
+  }
+
+  @Test
+  void aFailedProbeKeepsTheWorkerAwayLonger() {
+    ScriptedCluster cluster = afterThreeFailures();
+    cluster.pass(60_000);
+    failAll(cluster, BROKEN);
+    cluster.pass(55_000);
+    assertEquals(0, on(cluster, BROKEN));
+  }
+
+  @Test
+  void poisonJobsQuarantineNoWorker() {
+    ScriptedCluster cluster = fixture.cluster();
+    for (int i = 0; i < 6; i++) {
+      cluster.submit(fixture.job("a", "p" + i, "poison"));
+    }
+    for (int round = 0; round < 30; round++) {
+      fixture.workerIds().forEach(worker -> failAll(cluster, worker));
+      cluster.pass(2_000);
+    }
+    assertEquals(6, cluster.effects(SchedulerEffect.JobFailed.class).size());
+    assertEquals(32, cluster.scheduler.loadOf(cluster.nowMs).totalAccelerators());
+  }
+}
