Add the benchmark of one node over real sockets

Cause: the cost of a hop between callers and targets was not measured. Change: bin/bench sockets compares requests through a node with direct calls in the same run, and measures memory and processor time with idle connections.

--- a/bench/src/main/java/dev/bambootray/bench/BenchMain.java
+++ b/bench/src/main/java/dev/bambootray/bench/BenchMain.java
@@ -3,6 +3,7 @@
 import dev.bambootray.bench.control.ControlCommand;
 import dev.bambootray.bench.routing.RoutingBench;
 import dev.bambootray.bench.scheduling.SchedulingBench;
+import dev.bambootray.bench.sockets.SocketBench;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -11,7 +12,12 @@
     name = "bench",
     description = "Runs a benchmark and checks it against its bounds.",
     mixinStandardHelpOptions = true,
-    subcommands = {ControlCommand.class, RoutingBench.class, SchedulingBench.class})
+    subcommands = {
+      ControlCommand.class,
+      RoutingBench.class,
+      SchedulingBench.class,
+      SocketBench.class
+    })
 public final class BenchMain {
   private BenchMain() {}
 
--- a/bench/src/main/java/dev/bambootray/bench/control/WorkerPollingBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/control/WorkerPollingBench.java
@@ -90,7 +90,8 @@
     }
     Ownership claim = new Ownership(RegionId.of("region-1"), Fleet.node(1, 0).node(), 12);
     int command = WireSize.json(new WorkerCommand.Adopt(claim)).length();
-    int reply = WireSize.json(new WorkerReply.Adopted(snapshots, 123_456, false, 3_600_000)).length();
+    int reply =
+        WireSize.json(new WorkerReply.Adopted(snapshots, 123_456, false, 3_600_000)).length();
     return (long) workers * (command + reply + HTTP_BYTES + WIRE_BYTES);
   }
 
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeService.java
@@ -120,7 +120,8 @@
             requests.open(future),
             spec.get().withTraceparent(hop.traceparent()),
             command.waitMs()));
-    return future.whenComplete((outcome, failure) -> hop.end());
+    var unused = future.whenComplete((outcome, failure) -> hop.end());
+    return future;
   }
 
   @Override
