--- a/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
@@ -15,6 +15,7 @@
 import dev.bambootray.core.worker.WorkerReply;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -166,7 +167,7 @@
     int last = CONNECTIONS[CONNECTIONS.length - 1];
     for (int wanted : CONNECTIONS) {
       while (open.size() < wanted) {
-        open.add(new Socket("127.0.0.1", rig.httpPort()));
+        open.add(new Socket(InetAddress.getLoopbackAddress(), rig.httpPort()));
       }
       TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
       double usedMib = usedMib();
--- a/bench/src/main/java/dev/bambootray/bench/sockets/SocketRig.java
+++ b/bench/src/main/java/dev/bambootray/bench/sockets/SocketRig.java
@@ -45,10 +45,10 @@
 /** One node with stand-ins for the platform and its workers, all on loopback. */
 final class SocketRig implements AutoCloseable {
   /** The caller's token, whose digest is in the declaration. */
-  static final String TOKEN = "demo-cartrefi-gofal";
+  static final String TOKEN = "bench-caller";
 
   private static final String TOKEN_SHA256 =
-      "c0c6136bf3a391e4859751a4029b21dd8123ffefe06ca0c4ddbf9421444d1b4e";
+      "c9e48c7e6545a107f4978faf40b756bf775a781d9cb2e22e2340b7d6e6df2cf8";
   private static final String OPERATOR_TOKEN = "bench-operator";
   private static final RegionId REGION = RegionId.of("r1");
   private static final FailureDomainId DOMAIN = FailureDomainId.of("r1-a");
--- a/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
+++ b/core/src/main/java/dev/bambootray/core/node/AnswerWriter.java
@@ -13,9 +13,9 @@
 /**
  * Makes the answer of a request durable and tells which answer stands.
  *
- * <p>Of several answers, the one whose conditional write took effect stands. While the table is
- * away the answer goes out before it is written, because the caller waits and the worker keeps the
- * result until it is written.
+ * <p>Of several answers, the one whose conditional write took effect stands. A result of a request
+ * that may be repeated, and any answer while the table is away, goes out before it is written,
+ * because the caller waits and the worker keeps the result until it is written.
  */
 final class AnswerWriter {
   /** Results longer than this cross regions by reference through the object store. */
@@ -66,13 +66,21 @@
       settled.accept(served, true);
       return;
     }
-    boolean sendFirst = !context.store().isAvailable();
+    boolean sendFirst = !context.store().isAvailable() || isStable(served, answer);
     if (sendFirst) {
       deliver.accept(served, answer);
     }
     commit(served, answer, sendFirst);
   }
 
+  /**
+   * Returns whether a later owner would come to the same answer: a result stays on its worker until
+   * the answer is written. Sending it first takes the write off the caller's waiting time.
+   */
+  private static boolean isStable(ServedRequest served, Answer answer) {
+    return answer.error() == null && served.content.spec().repeatable();
+  }
+
   private void commit(ServedRequest served, Answer answer, boolean alreadySent) {
     RequestRecord answered = served.content.withAnswer(answer);
     context
--- a/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -5,7 +5,6 @@
 import dev.bambootray.core.ledger.LedgerRows;
 import dev.bambootray.core.ledger.RecordState;
 import dev.bambootray.core.ledger.RequestRecord;
-import dev.bambootray.core.message.PeerMessage;
 import dev.bambootray.core.model.Answer;
 import dev.bambootray.core.model.RegionId;
 import dev.bambootray.core.model.RequestError;
@@ -18,7 +17,6 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -31,8 +29,6 @@
   /** How long the owner may be late before the entry node settles a request by its record. */
   private static final long SETTLE_GRACE_MS = 2_000;
 
-  private static final long FIRST_RESEND_MS = 1_000;
-  private static final long MAX_RESEND_MS = 60_000;
   private static final long CANCEL_WAIT_MS = 5_000;
   private static final long RETRY_AFTER_MS = 1_000;
 
@@ -44,11 +40,13 @@
   private final Function<RequestSpec, RegionId> chooser;
   private final Map<RequestKey, OpenEntry> open = new HashMap<>();
   private final OverdueSettlement settlement;
+  private final OwnerMessages messages;
 
   EntryDesk(NodeContext context, HeldRequests held, Function<RequestSpec, RegionId> chooser) {
     this.context = context;
     this.held = held;
     this.chooser = chooser;
+    messages = new OwnerMessages(context, open::get, this::close);
     settlement = new OverdueSettlement(context, open::get, this::close, this::fail);
   }
 
@@ -108,7 +106,7 @@
     OpenEntry entry = open.get(key);
     if (entry != null) {
       entry.tickets.add(new OpenEntry.Ticket(ticket, nowMs + CANCEL_WAIT_MS, false));
-      sendCancel(entry);
+      messages.cancel(entry);
       return;
     }
     readRecord(
@@ -120,7 +118,7 @@
             context.outbox().reply(ticket, found, true);
             return;
           }
-          sendCancel(
+          messages.cancel(
               awaitOpen(
                   found,
                   row.version(),
@@ -143,7 +141,7 @@
     open.values().stream()
         .filter(entry -> entry.region.equals(region) && entry.isForwarded())
         .toList()
-        .forEach(entry -> meetNewOwner(entry, nowMs));
+        .forEach(entry -> messages.meetNewOwner(entry, nowMs));
   }
 
   void tick(long nowMs) {
@@ -155,7 +153,7 @@
       if (nowMs > entry.spec.deadlineAtMs() + SETTLE_GRACE_MS) {
         settlement.settle(entry);
       } else if (entry.isForwarded() && nowMs >= entry.resendAtMs) {
-        resend(entry, nowMs);
+        messages.resend(entry, nowMs);
       }
     }
   }
@@ -218,7 +216,7 @@
       return;
     }
     entry.recordVersion = OpenEntry.VERSION_NONE;
-    forward(entry, nowMs);
+    messages.forward(entry, nowMs);
   }
 
   /** Returns whether a request that may be repeated should no longer wait for its record. */
@@ -236,7 +234,7 @@
           }
           return ticket.untilAccepted();
         });
-    forward(entry, nowMs);
+    messages.forward(entry, nowMs);
   }
 
   private void meetRecord(OpenEntry entry, CommitResult.Conflict conflict, long nowMs) {
@@ -280,84 +278,13 @@
       entry.recordVersion = version;
       held.admitAlways(entry.heldBytes());
       open.put(found.spec().key(), entry);
-      forward(entry, ticket.replyAtMs());
+      messages.forward(entry, ticket.replyAtMs());
       entry.resendAtMs = 0;
     }
     entry.tickets.add(ticket);
     return entry;
   }
 
-  private void forward(OpenEntry entry, long nowMs) {
-    entry.resendAtMs =
-        nowMs + Math.min(MAX_RESEND_MS, FIRST_RESEND_MS << Math.min(entry.resends, 6));
-    entry.resends++;
-    boolean sent = context.routes().toOwner(entry.region, epoch -> submission(entry, epoch));
-    if (!sent) {
-      entry.resends = 0;
-    }
-  }
-
-  /** A new owner has read the open records itself; only requests without one must be sent. */
-  private void meetNewOwner(OpenEntry entry, long nowMs) {
-    if (!entry.isDurable()) {
-      forward(entry, nowMs);
-      return;
-    }
-    context
-        .routes()
-        .toOwner(
-            entry.region,
-            epoch ->
-                new PeerMessage.AwaitRequest(
-                    context.identity().node(), entry.region, epoch, entry.spec.key()));
-  }
-
-  /** Sends a request again unless its record tells that it has been answered. */
-  private void resend(OpenEntry entry, long nowMs) {
-    if (!entry.isDurable()) {
-      forward(entry, nowMs);
-      return;
-    }
-    entry.resendAtMs = nowMs + MAX_RESEND_MS;
-    context
-        .store()
-        .read(
-            LedgerRows.requestRow(entry.spec.key()),
-            outcome -> {
-              Either<RequestError, FoundRecord> found =
-                  FoundRecord.of(outcome, context.codec(), entry.spec.key());
-              if (open.get(entry.spec.key()) != entry) {
-                return;
-              }
-              if (found.isRight() && found.get().content().state() == RecordState.ANSWERED) {
-                close(entry, found.get().content());
-                return;
-              }
-              forward(entry, context.now());
-            });
-  }
-
-  private PeerMessage submission(OpenEntry entry, long epoch) {
-    entry.sentToSeveralOwners |= entry.firstEpoch != 0 && entry.firstEpoch != epoch;
-    entry.firstEpoch = epoch;
-    return new PeerMessage.SubmitRequest(
-        context.identity().node(),
-        entry.region,
-        epoch,
-        entry.spec,
-        Math.max(0, entry.recordVersion));
-  }
-
-  private void sendCancel(OpenEntry entry) {
-    context
-        .routes()
-        .toOwner(
-            entry.region,
-            epoch ->
-                new PeerMessage.CancelRequests(
-                    context.identity().node(), entry.region, epoch, List.of(entry.spec.key())));
-  }
-
   private void attach(OpenEntry entry, OpenEntry.Ticket ticket) {
     if (ticket.untilAccepted() && entry.isDurable()) {
       context.outbox().reply(ticket.number(), entry.view(), true);
--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -15,7 +15,6 @@
 import dev.bambootray.core.membership.MembershipEffect;
 import dev.bambootray.core.membership.MembershipEvent;
 import dev.bambootray.core.message.PeerMessage;
-import dev.bambootray.core.model.NodeId;
 import dev.bambootray.core.model.Ownership;
 import dev.bambootray.core.model.RegionId;
 import dev.bambootray.core.model.Step;
@@ -64,7 +63,7 @@
     NodeTime time = new NodeTime();
     Outbox outbox = new Outbox();
     TokenSource tokens = new TokenSource(identity);
-    RegionRoutes routes = new RegionRoutes(identity.node(), outbox, this::findMember);
+    RegionRoutes routes = new RegionRoutes(identity.node(), outbox, id -> membership.find(id));
     context =
         new NodeContext(
             identity,
@@ -77,7 +76,7 @@
             tokens,
             random,
             () -> declaration);
-    MemberState self = memberOf(identity);
+    MemberState self = identity.toMember();
     membership = new MembershipDriver(context, codec, Membership.create(self, random), this);
     ownership = new OwnershipDriver(context, codec, RegionOwnership.create(self, random), this);
     configuration =
@@ -274,17 +273,11 @@
   }
 
   private void ownerMismatch(PeerMessage.OwnerMismatch mismatch) {
+    String detail = mismatch.sender() + " is not the owner; it knows epoch ";
     context
         .outbox()
         .report(
-            "entry:",
-            "owner-mismatch",
-            mismatch.region(),
-            "Node "
-                + mismatch.sender()
-                + " is not the owner; it knows epoch "
-                + mismatch.currentEpoch()
-                + ".");
+            "entry:", "owner-mismatch", mismatch.region(), detail + mismatch.currentEpoch() + ".");
   }
 
   private void epochRefused(RegionId region, long higherEpoch) {
@@ -354,22 +347,6 @@
         entry.openCount());
   }
 
-  private @Nullable MemberState findMember(NodeId node) {
-    return membership.find(node);
-  }
-
-  private static MemberState memberOf(NodeIdentity identity) {
-    return new MemberState(
-        identity.node(),
-        identity.region(),
-        identity.failureDomain(),
-        identity.host(),
-        identity.peerPort(),
-        identity.httpPort(),
-        identity.startedAtMs(),
-        MemberStatus.ALIVE);
-  }
-
   /** Builds a {@link NodeCore}. */
   public static final class Builder {
     private @Nullable NodeIdentity identity;
--- a/core/src/main/java/dev/bambootray/core/node/NodeIdentity.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeIdentity.java
@@ -1,5 +1,7 @@
 package dev.bambootray.core.node;
 
+import dev.bambootray.core.membership.MemberState;
+import dev.bambootray.core.membership.MemberStatus;
 import dev.bambootray.core.model.FailureDomainId;
 import dev.bambootray.core.model.NodeId;
 import dev.bambootray.core.model.RegionId;
@@ -22,4 +24,11 @@
     String host,
     int peerPort,
     int httpPort,
-    long startedAtMs) {}
+    long startedAtMs) {
+
+  /** Returns the state in which the node introduces itself to others. */
+  public MemberState toMember() {
+    return new MemberState(
+        node, region, failureDomain, host, peerPort, httpPort, startedAtMs, MemberStatus.ALIVE);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/bambootray/core/node/OwnerMessages.java
@@ -0,0 +1,103 @@
+package dev.bambootray.core.node;
+
+import dev.bambootray.core.ledger.LedgerRows;
+import dev.bambootray.core.ledger.RecordState;
+import dev.bambootray.core.ledger.RequestRecord;
+import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.RequestError;
+import dev.bambootray.core.model.RequestKey;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+
+/** Messages of an entry node to the owners of regions, repeated until the request is answered. */
+final class OwnerMessages {
+  private static final long FIRST_RESEND_MS = 1_000;
+  private static final long MAX_RESEND_MS = 60_000;
+
+  private final NodeContext context;
+  private final Function<RequestKey, @Nullable OpenEntry> open;
+  private final BiConsumer<OpenEntry, RequestRecord> close;
+
+  OwnerMessages(
+      NodeContext context,
+      Function<RequestKey, @Nullable OpenEntry> open,
+      BiConsumer<OpenEntry, RequestRecord> close) {
+    this.context = context;
+    this.open = open;
+    this.close = close;
+  }
+
+  void forward(OpenEntry entry, long nowMs) {
+    entry.resendAtMs =
+        nowMs + Math.min(MAX_RESEND_MS, FIRST_RESEND_MS << Math.min(entry.resends, 6));
+    entry.resends++;
+    boolean sent = context.routes().toOwner(entry.region, epoch -> submission(entry, epoch));
+    if (!sent) {
+      entry.resends = 0;
+    }
+  }
+
+  /** A new owner has read the open records itself; only requests without one must be sent. */
+  void meetNewOwner(OpenEntry entry, long nowMs) {
+    if (!entry.isDurable()) {
+      forward(entry, nowMs);
+      return;
+    }
+    context
+        .routes()
+        .toOwner(
+            entry.region,
+            epoch ->
+                new PeerMessage.AwaitRequest(
+                    context.identity().node(), entry.region, epoch, entry.spec.key()));
+  }
+
+  /** Sends a request again unless its record tells that it has been answered. */
+  void resend(OpenEntry entry, long nowMs) {
+    if (!entry.isDurable()) {
+      forward(entry, nowMs);
+      return;
+    }
+    entry.resendAtMs = nowMs + MAX_RESEND_MS;
+    context
+        .store()
+        .read(
+            LedgerRows.requestRow(entry.spec.key()),
+            outcome -> {
+              Either<RequestError, FoundRecord> found =
+                  FoundRecord.of(outcome, context.codec(), entry.spec.key());
+              if (open.apply(entry.spec.key()) != entry) {
+                return;
+              }
+              if (found.isRight() && found.get().content().state() == RecordState.ANSWERED) {
+                close.accept(entry, found.get().content());
+                return;
+              }
+              forward(entry, context.now());
+            });
+  }
+
+  private PeerMessage submission(OpenEntry entry, long epoch) {
+    entry.sentToSeveralOwners |= entry.firstEpoch != 0 && entry.firstEpoch != epoch;
+    entry.firstEpoch = epoch;
+    return new PeerMessage.SubmitRequest(
+        context.identity().node(),
+        entry.region,
+        epoch,
+        entry.spec,
+        Math.max(0, entry.recordVersion));
+  }
+
+  void cancel(OpenEntry entry) {
+    context
+        .routes()
+        .toOwner(
+            entry.region,
+            epoch ->
+                new PeerMessage.CancelRequests(
+                    context.identity().node(), entry.region, epoch, List.of(entry.spec.key())));
+  }
+}
--- a/core/src/main/java/dev/bambootray/core/node/RepeatedCommands.java
+++ b/core/src/main/java/dev/bambootray/core/node/RepeatedCommands.java
@@ -2,6 +2,7 @@
 
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.WorkerId;
+import dev.bambootray.core.worker.RefusalReason;
 import dev.bambootray.core.worker.WorkerCommand;
 import dev.bambootray.core.worker.WorkerReply;
 import java.util.ArrayList;
@@ -24,6 +25,14 @@
   }
 
   void send(WorkerId id, WorkerCommand command) {
+    send(id, command, () -> {});
+  }
+
+  /**
+   * Sends a command and runs the continuation once the worker has carried it out or does not know
+   * its task. A worker that is out of contact is reported as lost by its link instead.
+   */
+  void send(WorkerId id, WorkerCommand command, Runnable continuation) {
     WorkerDeclaration worker = links.reachable(id);
     if (worker == null) {
       return;
@@ -36,7 +45,9 @@
             TIMEOUT_MS,
             reply -> {
               if (reply instanceof WorkerReply.NoReply || reply instanceof WorkerReply.NotSent) {
-                pending.add(new Pending(id, command));
+                pending.add(new Pending(id, command, continuation));
+              } else if (reply instanceof WorkerReply.Done || isUnknownTask(reply)) {
+                continuation.run();
               }
             });
   }
@@ -44,7 +55,12 @@
   void tick() {
     List<Pending> due = pending;
     pending = new ArrayList<>();
-    due.forEach(command -> send(command.worker(), command.command()));
+    due.forEach(command -> send(command.worker(), command.command(), command.continuation()));
+  }
+
+  private static boolean isUnknownTask(WorkerReply reply) {
+    return reply instanceof WorkerReply.Refused refused
+        && refused.reason() == RefusalReason.UNKNOWN_TASK;
   }
 
   /**
@@ -52,6 +68,7 @@
    *
    * @param worker its receiver
    * @param command the command
+   * @param continuation what follows
    */
-  private record Pending(WorkerId worker, WorkerCommand command) {}
+  private record Pending(WorkerId worker, WorkerCommand command, Runnable continuation) {}
 }
--- a/core/src/main/java/dev/bambootray/core/node/TaskCommands.java
+++ b/core/src/main/java/dev/bambootray/core/node/TaskCommands.java
@@ -49,7 +49,11 @@
     } else if (effect instanceof SchedulerEffect.StartMember start) {
       start(start, true);
     } else if (effect instanceof SchedulerEffect.ReleaseMember release) {
-      repeated.send(release.worker(), new WorkerCommand.Stop(ownership, release.task()));
+      // A reservation that is gone issues no event, so the reply tells that it ended.
+      repeated.send(
+          release.worker(),
+          new WorkerCommand.Stop(ownership, release.task()),
+          () -> tell(new SchedulerEvent.TaskStopped(release.task())));
     } else if (effect instanceof SchedulerEffect.CheckpointTask checkpoint) {
       repeated.send(
           checkpoint.worker(), new WorkerCommand.Checkpoint(ownership, checkpoint.task()));
@@ -80,9 +84,9 @@
       case RUNNING -> tell(new SchedulerEvent.MemberStarted(task));
       case FINISHED -> tell(new SchedulerEvent.TaskFinished(task, detail));
       case FAILED -> tell(new SchedulerEvent.TaskFailed(task, detail));
-      case STOPPED -> tell(new SchedulerEvent.TaskStopped(task));
+      case STOPPED, UNKNOWN -> tell(new SchedulerEvent.TaskStopped(task));
       case CHECKPOINTED -> tell(new SchedulerEvent.TaskCheckpointed(task, detail));
-      case RESERVED, UNKNOWN -> {}
+      case RESERVED -> {}
     }
   }
 
--- a/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
@@ -272,6 +272,20 @@
     assertEquals(1, rig.startsOf(spec).size());
   }
 
+  /**
+   * Guards against accelerators that stay held by the reservations of a gang that did not start.
+   */
+  @Test
+  void reservationsOfAGangThatCouldNotStartAreReleased() {
+    rig.worker("r1-w0").setLeaving(true);
+    RequestSpec spec = spec(rig, "h", GANG, false, 300);
+    long ticket = rig.submit(first, spec, 30_000);
+    rig.run(10_000);
+    assertAnswered(ticket, spec);
+    assertEquals(2, rig.startsOf(spec).size());
+    assertEquals(0, rig.workers().stream().mapToLong(FakeWorker::heldAccelerators).sum());
+  }
+
   @Test
   void leavingWorkerGetsNothingNewLaterThanThreeSeconds() {
     rig.worker("r1-w0").setLeaving(true);
--- a/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
+++ b/standins/src/main/java/dev/bambootray/standins/WorkerAgent.java
@@ -119,18 +119,14 @@
     owner = json.path("owner").asText();
     polls.forEach(poll -> refuse(poll.call(), "STALE_EPOCH"));
     polls.clear();
-    ObjectNode reply = HttpCall.JSON.createObjectNode();
+    ObjectNode reply = HttpCall.JSON.createObjectNode().put("sequence", events.lastSequence());
+    reply.put("leaving", leavingSinceMs >= 0).put("aliveForMs", nowMs.getAsLong() - startedAtMs);
     ArrayNode list = reply.putArray("tasks");
     for (WorkerTask task : tasks.values()) {
       extendLease(task, ADOPTED_LEASE_MS);
       list.add(task.snapshot(nowMs.getAsLong()));
     }
-    call.answer(
-        200,
-        reply
-            .put("sequence", events.lastSequence())
-            .put("leaving", leavingSinceMs >= 0)
-            .put("aliveForMs", nowMs.getAsLong() - startedAtMs));
+    call.answer(200, reply);
   }
 
   private void admit(boolean inSlot, JsonNode json, HttpCall call) {
@@ -386,10 +382,7 @@
   /** Ends tasks whose lease has lapsed and outcomes that were retained long enough. */
   synchronized void sweep() {
     long now = nowMs.getAsLong();
-    if (dead) {
-      return;
-    }
-    for (WorkerTask task : List.copyOf(tasks.values())) {
+    for (WorkerTask task : dead ? List.<WorkerTask>of() : List.copyOf(tasks.values())) {
       if (task.isLive() && !task.inSlot && task.leaseUntilMs <= now) {
         end(task, "STOPPED", "lease lapsed");
       } else if (!task.isLive() && now - task.endedAtMs > RETAINED_MS) {
