--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -63,7 +63,7 @@
     NodeTime time = new NodeTime();
     Outbox outbox = new Outbox();
     TokenSource tokens = new TokenSource(identity);
-    RegionRoutes routes = new RegionRoutes(identity.node(), outbox, id -> membership.find(id));
+    RegionRoutes routes = new RegionRoutes(identity.node(), outbox, this::findMember);
     context =
         new NodeContext(
             identity,
@@ -193,7 +193,8 @@
       loadsDueAtMs = nowMs + LOADS_EVERY_MS;
       membership.handle(new MembershipEvent.LoadsMeasured(desks.loads(nowMs)));
     }
-    if (drain.isBegun() && !drain.isEnded() && hasHandedOver()) {
+    boolean handedOver = ownership.owned().isEmpty() && entry.openCount() == 0;
+    if (drain.isBegun() && !drain.isEnded() && handedOver) {
       drain.end();
       membership.handle(new MembershipEvent.LeaveCompleted());
       context.outbox().add(new NodeEffect.Drained());
@@ -310,10 +311,6 @@
     ownership.handle(new OwnershipEvent.ReleaseRequested());
   }
 
-  private boolean hasHandedOver() {
-    return ownership.owned().isEmpty() && entry.openCount() == 0;
-  }
-
   private void tellReadiness(long nowMs) {
     String reason = notReadyReason(nowMs);
     if (!reason.equals(toldNotReadyReason)) {
@@ -347,6 +344,10 @@
         entry.openCount());
   }
 
+  private @Nullable MemberState findMember(NodeId node) {
+    return membership.find(node);
+  }
+
   /** Builds a {@link NodeCore}. */
   public static final class Builder {
     private @Nullable NodeIdentity identity;
