--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -15,6 +15,7 @@
 import dev.bambootray.core.membership.MembershipEffect;
 import dev.bambootray.core.membership.MembershipEvent;
 import dev.bambootray.core.message.PeerMessage;
+import dev.bambootray.core.model.NodeId;
 import dev.bambootray.core.model.Ownership;
 import dev.bambootray.core.model.RegionId;
 import dev.bambootray.core.model.Step;
