Bound what a node takes during an outage by workspace and by settings

Cause: the limit of 1,000 requests applied at all times, so that a node with long jobs would refuse new ones, and the rule by workspace was not used. Change: open requests have a limit of their own; OutageAdmission decides while the table is away, with the bounds of the settings.

--- a/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
+++ b/core/src/main/java/dev/bambootray/core/node/EntryDesk.java
@@ -12,6 +12,7 @@
 import dev.bambootray.core.model.RequestSpec;
 import dev.bambootray.core.model.Step;
 import dev.bambootray.core.store.CommitResult;
+import dev.bambootray.core.store.OutageAdmission;
 import dev.bambootray.core.store.StoreError;
 import dev.bambootray.core.store.StoredRow;
 import io.vavr.control.Either;
@@ -36,15 +37,21 @@
   private static final long RECORD_WAIT_MS = 1_000;
 
   private final NodeContext context;
-  private final HeldRequests held;
+  private final OpenRequestLimit limit;
+  private final OutageAdmission outage;
   private final Function<RequestSpec, RegionId> chooser;
   private final Map<RequestKey, OpenEntry> open = new HashMap<>();
   private final OverdueSettlement settlement;
   private final OwnerMessages messages;
 
-  EntryDesk(NodeContext context, HeldRequests held, Function<RequestSpec, RegionId> chooser) {
+  EntryDesk(
+      NodeContext context,
+      OpenRequestLimit limit,
+      OutageAdmission outage,
+      Function<RequestSpec, RegionId> chooser) {
     this.context = context;
-    this.held = held;
+    this.limit = limit;
+    this.outage = outage;
     this.chooser = chooser;
     messages = new OwnerMessages(context, open::get, this::close);
     settlement = new OverdueSettlement(context, open::get, this::close, this::fail);
@@ -66,7 +73,7 @@
       return;
     }
     OpenEntry entry = new OpenEntry(event.spec(), chooser.apply(event.spec()));
-    if (!held.admit(entry.heldBytes())) {
+    if (!limit.admit()) {
       context
           .outbox()
           .refuse(
@@ -159,9 +166,22 @@
   }
 
   private void accept(OpenEntry entry, long nowMs) {
-    if (entry.spec.repeatable() && !context.store().isAvailable()) {
-      forwardWithoutRecord(entry, false, nowMs);
-      return;
+    if (!context.store().isAvailable()) {
+      OutageAdmission.Decision decision =
+          outage.admit(
+              entry.spec.key(),
+              entry.spec.repeatable(),
+              entry.heldBytes(),
+              entry.spec.deadlineAtMs(),
+              nowMs);
+      if (decision instanceof OutageAdmission.Decision.Refuse refuse) {
+        fail(entry, notRun(Step.ADMISSION, context.self(), refuse.reason(), refuse.retryAfterMs()));
+        return;
+      }
+      if (decision instanceof OutageAdmission.Decision.ServeWithoutRecord) {
+        forwardWithoutRecord(entry, false, nowMs);
+        return;
+      }
     }
     entry.recordAskedAtMs = nowMs;
     context
@@ -276,7 +296,7 @@
     if (entry == null) {
       entry = new OpenEntry(found.spec(), found.region());
       entry.recordVersion = version;
-      held.admitAlways(entry.heldBytes());
+      limit.admitAlways();
       open.put(found.spec().key(), entry);
       messages.forward(entry, ticket.replyAtMs());
       entry.resendAtMs = 0;
@@ -319,7 +339,8 @@
 
   private void remove(OpenEntry entry) {
     open.remove(entry.spec.key());
-    held.release(entry.heldBytes());
+    limit.release();
+    outage.release(entry.spec.key());
   }
 
   private void readRecord(RequestKey key, long ticket, Consumer<FoundRecord> next) {
--- a/core/src/main/java/dev/bambootray/core/node/NodeCore.java
+++ b/core/src/main/java/dev/bambootray/core/node/NodeCore.java
@@ -23,6 +23,7 @@
 import dev.bambootray.core.ownership.OwnershipEvent;
 import dev.bambootray.core.ownership.RegionOwnership;
 import dev.bambootray.core.routing.RegionLoad;
+import dev.bambootray.core.store.OutageAdmission;
 import dev.bambootray.core.store.WriteQueue;
 import java.util.List;
 import java.util.Map;
@@ -91,7 +92,8 @@
     entry =
         new EntryDesk(
             context,
-            new HeldRequests(builder.maxHeldRequests, builder.maxHeldBytes),
+            new OpenRequestLimit(builder.limits.openRequests()),
+            OutageAdmission.create(builder.limits.heldRequests(), builder.limits.heldBytes()),
             regionChoice::choose);
     desks = new RegionDesks(context, this::epochRefused);
     explanations = new Explanations(context);
@@ -355,8 +357,7 @@
     private @Nullable RowCodec codec;
     private @Nullable DeclarationReader reader;
     private @Nullable UniformRandomProvider random;
-    private int maxHeldRequests = 1_000;
-    private long maxHeldBytes = 16L * 1024 * 1024;
+    private NodeLimits limits = NodeLimits.defaults();
 
     private Builder() {}
 
@@ -384,10 +385,9 @@
       return this;
     }
 
-    /** Sets how many requests and bytes of requests the node holds for waiting callers. */
-    public Builder heldLimits(int requests, long bytes) {
-      maxHeldRequests = requests;
-      maxHeldBytes = bytes;
+    /** Sets how much the node holds. */
+    public Builder limits(NodeLimits value) {
+      limits = value;
       return this;
     }
 
--- a/core/src/main/java/dev/bambootray/core/store/OutageAdmission.java
+++ b/core/src/main/java/dev/bambootray/core/store/OutageAdmission.java
@@ -30,13 +30,28 @@
 
   private final Map<RequestKey, Held> held = new LinkedHashMap<>();
   private final Map<WorkspaceId, Usage> usage = new HashMap<>();
+  private final int maxRequests;
+  private final long maxBytes;
   private long heldBytes;
 
-  private OutageAdmission() {}
+  private OutageAdmission(int maxRequests, long maxBytes) {
+    this.maxRequests = maxRequests;
+    this.maxBytes = maxBytes;
+  }
 
-  /** Returns an admission that holds nothing. */
+  /** Returns an admission that holds nothing and allows as much as the design says. */
   public static OutageAdmission create() {
-    return new OutageAdmission();
+    return create(MAX_REQUESTS, MAX_BYTES);
+  }
+
+  /**
+   * Returns an admission that holds nothing.
+   *
+   * @param maxRequests most requests held
+   * @param maxBytes most bytes of requests held
+   */
+  public static OutageAdmission create(int maxRequests, long maxBytes) {
+    return new OutageAdmission(maxRequests, maxBytes);
   }
 
   /** Returns how many requests are held. */
@@ -67,7 +82,7 @@
     if (!repeatable && deadlineMs - nowMs < MIN_REMAINING_MS) {
       return refuse("the table does not answer and the deadline leaves no time to wait for it");
     }
-    if (held.size() >= MAX_REQUESTS || heldBytes + sizeBytes > MAX_BYTES) {
+    if (held.size() >= maxRequests || heldBytes + sizeBytes > maxBytes) {
       return refuse("the table does not answer and this node holds as many requests as it may");
     }
     if (isOverShare(key.workspace(), sizeBytes)) {
@@ -116,13 +131,13 @@
   }
 
   private boolean isOverShare(WorkspaceId workspace, long sizeBytes) {
-    if (held.size() < MAX_REQUESTS / 2 && heldBytes + sizeBytes <= MAX_BYTES / 2) {
+    if (held.size() < maxRequests / 2 && heldBytes + sizeBytes <= maxBytes / 2) {
       return false;
     }
     Usage used = usage.getOrDefault(workspace, new Usage());
     int others = usage.size() - (usage.containsKey(workspace) ? 1 : 0);
     int sharers = Math.max(2, others + 1);
-    return used.requests >= MAX_REQUESTS / sharers || used.bytes + sizeBytes > MAX_BYTES / sharers;
+    return used.requests >= maxRequests / sharers || used.bytes + sizeBytes > maxBytes / sharers;
   }
 
   private static Decision refuse(String reason) {
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -16,6 +16,7 @@
 import dev.bambootray.core.node.NodeEffect;
 import dev.bambootray.core.node.NodeEvent;
 import dev.bambootray.core.node.NodeIdentity;
+import dev.bambootray.core.node.NodeLimits;
 import dev.bambootray.documents.DeclarationParser;
 import dev.bambootray.documents.ExitCode;
 import dev.bambootray.documents.Settings;
@@ -215,7 +216,11 @@
         .codec(codec)
         .declarationReader(DeclarationParser.create())
         .random(RandomSource.XO_RO_SHI_RO_128_PP.create(startedAtMs ^ settings.node().hashCode()))
-        .heldLimits(settings.limits().heldRequests(), settings.limits().heldBytes())
+        .limits(
+            new NodeLimits(
+                settings.limits().maxOpenRequests(),
+                settings.limits().heldRequests(),
+                settings.limits().heldBytes()))
         .build();
   }
 
--- a/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/NodePathTest.java
@@ -20,6 +20,7 @@
 import dev.bambootray.daemon.rig.FakeWorker;
 import dev.bambootray.daemon.rig.NodeRig;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
@@ -239,6 +240,24 @@
     assertEquals(1, rig.startsOf(once).size());
   }
 
+  /** Guards against a node that takes more requests during an outage than it may hold. */
+  @Test
+  void nodeHoldsABoundedNumberOfRequestsWhileTheTableIsAway() {
+    rig.table().setAway(true);
+    rig.run(1_000);
+    List<Long> tickets = new ArrayList<>();
+    for (int i = 0; i < 600; i++) {
+      tickets.add(rig.submit(first, spec(rig, "held" + i, REQUEST, false, 100), 50_000));
+    }
+    rig.run(200);
+    long refused =
+        tickets.stream()
+            .flatMap(ticket -> rig.replies(ticket).stream())
+            .filter(reply -> reply.isLeft() && reply.getLeft().ran() == RunState.NO)
+            .count();
+    assertEquals(100, refused);
+  }
+
   @Test
   void allNodesLostAtOnceStillAnswerEveryAcceptedRequestOnce() {
     RequestSpec once = spec(rig, "w", REQUEST, false, 9_000);
