Do not report a job as not run after a forgiven failure

Change: a job remembers that a start was sent; its final error then says "unknown" instead of "not run", in the one place that emits it. Ruled out: takeover, as the owner did not change.

--- a/core/src/main/java/dev/bambootray/core/model/Answer.java
+++ b/core/src/main/java/dev/bambootray/core/model/Answer.java
@@ -39,18 +39,9 @@
 
   /** Returns this answer with "unknown" in place of "not run", for runs that left no trace. */
   public Answer withoutCertainty() {
-    if (error == null || error.ran() != RunState.NO) {
-      return this;
-    }
-    return failure(
-        key,
-        new RequestError(
-            error.step(),
-            error.peer(),
-            error.message() + "; an earlier owner of the region may have run it",
-            RunState.UNKNOWN,
-            error.retryable(),
-            error.retryAfterMs()));
+    return error == null
+        ? this
+        : failure(key, error.withoutCertainty("an earlier owner of the region may have run it"));
   }
 
   /** Returns the error on the left, or the inline result or reference on the right. */
--- a/core/src/main/java/dev/bambootray/core/model/RequestError.java
+++ b/core/src/main/java/dev/bambootray/core/model/RequestError.java
@@ -36,6 +36,14 @@
     return new RequestError(step, peer, message, RunState.UNKNOWN, false, null);
   }
 
+  /** Returns this error with "unknown" in place of "not run". */
+  public RequestError withoutCertainty(String reason) {
+    return ran == RunState.NO
+        ? new RequestError(
+            step, peer, message + "; " + reason, RunState.UNKNOWN, retryable, retryAfterMs)
+        : this;
+  }
+
   /** Returns an error for a request that ran and failed. */
   public static RequestError failed(Step step, String peer, String message) {
     return new RequestError(step, peer, message, RunState.YES, false, null);
--- a/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/GangLifecycle.java
@@ -281,6 +281,7 @@
               : RequestError.impossible(Step.QUEUE, "local", message);
     }
     enter(gang, Gang.Step.DRAINING, nowMs);
+    job.mayHaveRun |= gang.startSent;
     if (ran) {
       listener.stoppedRunning(gang, nowMs);
     }
@@ -298,9 +299,10 @@
     drainIfEmpty(gang, nowMs);
   }
 
-  /** Emits the final error of a job. */
+  /** Emits the final error of a job, which says "not run" only if no start was ever sent. */
   void giveUp(Job job, RequestError error, long nowMs) {
-    effects.add(new SchedulerEffect.JobFailed(job.key(), error));
+    RequestError known = job.mayHaveRun ? error.withoutCertainty("it may have run") : error;
+    effects.add(new SchedulerEffect.JobFailed(job.key(), known));
     listener.answered(job, nowMs);
   }
 
--- a/core/src/main/java/dev/bambootray/core/scheduling/Job.java
+++ b/core/src/main/java/dev/bambootray/core/scheduling/Job.java
@@ -31,6 +31,9 @@
   /** Whether its next failure counts against its worker instead of against its budget. */
   boolean excused;
 
+  /** Whether a start was ever sent; a failure may be forgiven, but not this. */
+  boolean mayHaveRun;
+
   int attempts;
   int failures;
   int preemptions;
--- a/core/src/test/java/dev/bambootray/core/scheduling/WorkerHealthTest.java
+++ b/core/src/test/java/dev/bambootray/core/scheduling/WorkerHealthTest.java
@@ -1,19 +1,24 @@
 package dev.bambootray.core.scheduling;
 
+import static java.util.stream.Collectors.toSet;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Adjacency;
 import dev.bambootray.core.model.RequestKey;
+import dev.bambootray.core.model.RunState;
 import dev.bambootray.core.model.WorkerId;
 import dev.bambootray.core.worker.TaskId;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a broken worker that eats jobs and against poison jobs that condemn workers. */
 final class WorkerHealthTest {
   private static final WorkerId BROKEN = PoolFixture.worker(0, 0);
+  private static final long LATE_MS = 86_400_000;
 
   private final PoolFixture fixture =
       new PoolFixture()
@@ -36,9 +41,13 @@
   }
 
   private ScriptedCluster afterThreeFailures() {
+    return afterThreeFailures(LATE_MS);
+  }
+
+  private ScriptedCluster afterThreeFailures(long deadlineInMs) {
     ScriptedCluster cluster = fixture.cluster();
     for (int i = 0; i < 40; i++) {
-      cluster.submit(fixture.job("a", "j" + i, "one"));
+      cluster.submit(fixture.job("a", "j" + i, "one", true, false, cluster.nowMs + deadlineInMs));
     }
     for (int i = 0; i < 3; i++) {
       failAll(cluster, BROKEN);
@@ -56,6 +65,27 @@
     assertTrue(cluster.effects(SchedulerEffect.JobFailed.class).isEmpty());
   }
 
+  /** Guards against "not run" for a job whose failed run was blamed on its worker. */
+  @Test
+  void aJobThatRanOnABrokenWorkerIsNeverReportedAsNotRun() {
+    ScriptedCluster cluster = afterThreeFailures(10_000);
+    for (int i = 1; i < 4; i++) {
+      cluster.send(new SchedulerEvent.WorkerLost(PoolFixture.worker(0, i)));
+    }
+    Set<RequestKey> started =
+        cluster.effects(SchedulerEffect.StartMember.class).stream()
+            .map(SchedulerEffect.StartMember::key)
+            .collect(toSet());
+    cluster.pass(20_000);
+    List<RequestKey> notRun =
+        cluster.effects(SchedulerEffect.JobFailed.class).stream()
+            .filter(failed -> failed.error().ran() == RunState.NO)
+            .map(SchedulerEffect.JobFailed::key)
+            .toList();
+    assertFalse(notRun.isEmpty());
+    assertTrue(notRun.stream().noneMatch(started::contains));
+  }
+
   @Test
   void aQuarantinedWorkerIsProbedAndReadmittedOnSuccess() {
     ScriptedCluster cluster = afterThreeFailures();
