Read the history of declarations as the node sends it

Cause: get history printed no rows against a running node, which sends an object with the member history; the stand-in of the tool's tests sent an array, and the contract did not say which. Measured: status, submit, list and get declaration were run against a node on loopback and worked; get history showed the fault. Transcript, apply and page tests of the tool pass after the change.

--- a/cli/src/main/java/dev/bambootray/cli/verb/GetVerb.java
+++ b/cli/src/main/java/dev/bambootray/cli/verb/GetVerb.java
@@ -103,7 +103,7 @@
           .read(NodeCall.get("/v1/declaration/history?limit=" + limit))
           .map(
               json -> {
-                console.print(json, () -> table(json.isArray() ? json : json.path("versions")));
+                console.print(json, () -> table(json.path("history")));
                 return ExitCode.OK;
               });
     }
--- a/cli/src/test/java/dev/bambootray/cli/StandInNode.java
+++ b/cli/src/test/java/dev/bambootray/cli/StandInNode.java
@@ -82,7 +82,8 @@
       case "PUT /v1/declaration" ->
           publish(Integer.parseInt(exchange.getRequestHeaders().getFirst("If-Match")), body);
       case "GET /v1/declaration" -> new Reply(200, version(texts.size() - 1));
-      case "GET /v1/declaration/history" -> new Reply(200, history());
+      case "GET /v1/declaration/history" ->
+          new Reply(200, JSON.objectNode().set("history", history()));
       case "GET /v1/status" -> new Reply(200, status());
       case "GET /v1/events" ->
           new Reply(200, JSON.objectNode().put("nextAfter", events.size()).set("events", events));
