--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ApiRequest.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ApiRequest.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -18,6 +19,8 @@
  * A request after its path and query are decoded.
  *
  * @param method HTTP method
+ * @param rawPath path as it was sent, without the query
+ * @param headers all headers
  * @param path decoded segments of the path
  * @param query parameters of the query
  * @param token bearer token, or empty
@@ -26,8 +29,10 @@
  * @param author value of the header X-Author, or empty
  * @param body body as text
  */
-record ApiRequest(
+public record ApiRequest(
     String method,
+    String rawPath,
+    HttpHeaders headers,
     List<String> path,
     Map<String, List<String>> query,
     String token,
@@ -56,6 +61,8 @@
     return Either.right(
         new ApiRequest(
             message.method().name(),
+            rawPath,
+            message.headers(),
             List.copyOf(segments),
             query,
             token(message),
@@ -65,6 +72,12 @@
             message.content().toString(UTF_8)));
   }
 
+  /** Returns the value of a header, or an empty text. */
+  public String header(String name) {
+    String value = headers.get(name);
+    return value == null ? "" : value;
+  }
+
   /** Refuses query parameters other than the given ones. */
   Either<ApiResponse, ApiRequest> onlyQuery(String... allowed) {
     TreeSet<String> unknown = new TreeSet<>(query.keySet());
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ApiRouter.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ApiRouter.java
@@ -11,7 +11,7 @@
 import java.util.function.Function;
 
 /** Finds the call that a path names and checks whether the caller may make it. */
-final class ApiRouter {
+final class ApiRouter implements RequestRouter {
   private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
   private static final String TEXT_TYPE = "text/plain; charset=utf-8";
 
@@ -27,7 +27,8 @@
     operatorCalls = new OperatorCalls(api, maxWaitMs);
   }
 
-  PendingResponse route(ApiRequest request) {
+  @Override
+  public PendingResponse route(ApiRequest request) {
     List<String> path = request.path();
     if (path.size() == 1) {
       return PendingResponse.now(probe(request));
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -36,7 +36,7 @@
 
   private static final long LINGER_MS = 1_000;
 
-  private final ApiRouter router;
+  private final RequestRouter router;
   private final HttpLimits limits;
   private final Deque<Queued> queue = new ArrayDeque<>();
   private @Nullable PendingResponse current;
@@ -45,7 +45,7 @@
   private boolean stopping;
   private boolean closing;
 
-  ConnectionHandler(ApiRouter router, HttpLimits limits) {
+  ConnectionHandler(RequestRouter router, HttpLimits limits) {
     this.router = router;
     this.limits = limits;
   }
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -23,7 +23,7 @@
   private final EventLoopGroup group;
   private final HttpLimits limits;
   private final @Nullable ReloadableTls tls;
-  private final ApiRouter router;
+  private final RequestRouter router;
   private final Map<Channel, ConnectionHandler> connections = new ConcurrentHashMap<>();
   private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
   private final Channel listener;
@@ -33,14 +33,13 @@
       EventLoopGroup group,
       String host,
       int port,
-      NodeApi api,
-      NodeProbes probes,
+      RequestRouter router,
       HttpLimits limits,
       @Nullable ReloadableTls tls) {
     this.group = group;
     this.limits = limits;
     this.tls = tls;
-    router = new ApiRouter(api, probes, limits.waitMs());
+    this.router = router;
     listener =
         new ServerBootstrap()
             .group(group)
@@ -77,7 +76,22 @@
       NodeProbes probes,
       HttpLimits limits,
       @Nullable ReloadableTls tls) {
-    return new HttpApiServer(group, host, port, api, probes, limits, tls);
+    ApiRouter router = new ApiRouter(api, probes, limits.waitMs());
+    return new HttpApiServer(group, host, port, router, limits, tls);
+  }
+
+  /**
+   * Starts a server of another interface without TLS.
+   *
+   * @param group event loops for its connections
+   * @param host IP number to listen on
+   * @param port TCP port to listen on, 0 for any free one
+   * @param router answers its requests
+   * @param limits bounds
+   */
+  public static HttpApiServer start(
+      EventLoopGroup group, String host, int port, RequestRouter router, HttpLimits limits) {
+    return new HttpApiServer(group, host, port, router, limits, null);
   }
 
   /** Returns the TCP port that it listens on. */
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/PendingResponse.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/PendingResponse.java
@@ -12,15 +12,18 @@
  * @param source what the node was asked; cancelled when the caller disconnects
  * @param response the response that follows from it
  */
-record PendingResponse(CompletableFuture<?> source, CompletableFuture<ApiResponse> response) {
+public record PendingResponse(
+    CompletableFuture<?> source, CompletableFuture<ApiResponse> response) {
 
-  static PendingResponse now(ApiResponse response) {
+  /** Returns a response that is there. */
+  public static PendingResponse now(ApiResponse response) {
     CompletableFuture<ApiResponse> done = CompletableFuture.completedFuture(response);
     return new PendingResponse(done, done);
   }
 
   /** Returns the response to a question that cannot fail. */
-  static <T> PendingResponse of(CompletableFuture<T> source, Function<T, ApiResponse> writer) {
+  public static <T> PendingResponse of(
+      CompletableFuture<T> source, Function<T, ApiResponse> writer) {
     return new PendingResponse(source, source.thenApply(writer));
   }
 
--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/BadInputProperties.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/BadInputProperties.java
@@ -9,6 +9,7 @@
 import dev.bambootray.core.model.Step;
 import dev.bambootray.core.model.WorkspaceId;
 import dev.bambootray.ports.api.SubmitCommand;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.List;
@@ -145,7 +146,9 @@
   }
 
   private static Either<ApiResponse, SubmitCommand> read(String body) {
-    ApiRequest request = new ApiRequest("POST", List.of(), Map.of(), "", "", null, "", body);
+    ApiRequest request =
+        new ApiRequest(
+            "POST", "/", new DefaultHttpHeaders(), List.of(), Map.of(), "", "", null, "", body);
     return SubmitReader.read(WorkspaceId.of("w1"), request, 0);
   }
 }
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/ConnectionPool.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/ConnectionPool.java
@@ -1,13 +1,13 @@
-package dev.bambootray.adapters.platform;
+package dev.bambootray.adapters.httpclient;
 
 import static java.util.concurrent.TimeUnit.MICROSECONDS;
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
-import dev.bambootray.adapters.platform.HttpExchange.Lane;
-import dev.bambootray.adapters.platform.HttpExchange.NoReply;
-import dev.bambootray.adapters.platform.HttpExchange.NotSent;
-import dev.bambootray.adapters.platform.HttpExchange.Outcome;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
+import dev.bambootray.adapters.httpclient.HttpExchange.NoReply;
+import dev.bambootray.adapters.httpclient.HttpExchange.NotSent;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -28,7 +28,7 @@
  * Keep-alive connections to one peer. All state belongs to one event loop, on which all connections
  * of the pool are registered.
  */
-final class ConnectionPool {
+public final class ConnectionPool {
   private static final long IDLE_CLOSE_MS = 30_000;
   private static final long PEER_CLOSE_MS = 1_000;
 
@@ -40,7 +40,7 @@
    * @param runsAndCommands connections that runs and commands may hold together
    * @param maxResponseBytes largest response body
    */
-  record Limits(int runs, int polls, int runsAndCommands, int maxResponseBytes) {
+  public record Limits(int runs, int polls, int runsAndCommands, int maxResponseBytes) {
     int connections() {
       return polls + runsAndCommands;
     }
@@ -58,7 +58,16 @@
   private int connections;
   private boolean closed;
 
-  ConnectionPool(EventLoop loop, String host, int port, Limits limits, LinkDelay delay) {
+  /**
+   * Creates a pool that connects when it is used.
+   *
+   * @param loop event loop of all its connections
+   * @param host IP number of the peer
+   * @param port TCP port of the peer
+   * @param limits its bounds
+   * @param delay emulated latency, {@link LinkDelay#NONE} in production
+   */
+  public ConnectionPool(EventLoop loop, String host, int port, Limits limits, LinkDelay delay) {
     this.loop = loop;
     this.host = host;
     this.port = port;
@@ -71,7 +80,7 @@
   }
 
   /** Sends a request; the future completes on the event loop and never with a throw. */
-  CompletableFuture<Outcome> send(Request request, long timeoutMs) {
+  public CompletableFuture<Outcome> send(Request request, long timeoutMs) {
     PooledExchange exchange = new PooledExchange(request);
     if (loop.isShuttingDown()) {
       exchange.complete(new NotSent("the client is closed"));
@@ -82,7 +91,7 @@
   }
 
   /** Closes the connection of each active exchange with the given tag. */
-  void closeConnectionOf(Object tag) {
+  public void closeConnectionOf(Object tag) {
     loop.execute(
         () ->
             List.copyOf(active).stream()
@@ -91,7 +100,7 @@
   }
 
   /** Closes all connections; active exchanges end without a reply. */
-  void close() {
+  public void close() {
     if (!loop.isShuttingDown()) {
       loop.execute(this::closeOnLoop);
     }
--- /dev/null
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/HttpExchange.java
@@ -0,0 +1,105 @@
+package dev.bambootray.adapters.httpclient;
+
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** A request to a peer and the possible ends of its exchange. */
+public final class HttpExchange {
+  private HttpExchange() {}
+
+  /** Content of a request or response; compared by identity. */
+  public static final class Body {
+    private final byte[] bytes;
+
+    /** Wraps content; the array is not copied. */
+    public Body(byte[] bytes) {
+      this.bytes = bytes;
+    }
+
+    /** Returns the content itself. */
+    public byte[] bytes() {
+      return bytes;
+    }
+  }
+
+  /** Share of a peer's connections that a request counts against. */
+  public enum Lane {
+    /** Tasks of service requests, which hold their connection until the task ends. */
+    RUN,
+    /** The long poll for events. */
+    POLL,
+    /** Everything else. */
+    COMMAND
+  }
+
+  /**
+   * A request.
+   *
+   * @param method HTTP method
+   * @param path path and query, already encoded
+   * @param headers further headers
+   * @param body body, may be empty
+   * @param lane lane that it counts against
+   * @param fresh whether it must not reuse a connection
+   * @param tag names the exchange so that its connection can be closed, or null
+   */
+  public record Request(
+      String method,
+      String path,
+      Map<String, String> headers,
+      Body body,
+      Lane lane,
+      boolean fresh,
+      @Nullable Object tag) {
+
+    /** Returns a request without a body. */
+    public static Request get(String path) {
+      return of("GET", path, new byte[0], Lane.COMMAND);
+    }
+
+    /** Returns a request with a JSON body. */
+    public static Request post(String path, byte[] body) {
+      return of("POST", path, body, Lane.COMMAND);
+    }
+
+    /** Returns a request of a lane. */
+    public static Request of(String method, String path, byte[] body, Lane lane) {
+      return new Request(method, path, Map.of(), new Body(body), lane, false, null);
+    }
+
+    /** Returns the same request with headers. */
+    public Request withHeaders(Map<String, String> values) {
+      return new Request(method, path, Map.copyOf(values), body, lane, fresh, tag);
+    }
+
+    /** Returns the same request, to be sent on a new connection. */
+    public Request onFreshConnection() {
+      return new Request(method, path, headers, body, lane, true, tag);
+    }
+  }
+
+  /** How an exchange ended. */
+  public sealed interface Outcome {}
+
+  /**
+   * A whole response arrived.
+   *
+   * @param status HTTP status
+   * @param body its body
+   */
+  public record Answered(int status, Body body) implements Outcome {}
+
+  /**
+   * No byte of the request was written.
+   *
+   * @param reason what went wrong
+   */
+  public record NotSent(String reason) implements Outcome {}
+
+  /**
+   * The request was written at least in part and no whole response arrived.
+   *
+   * @param reason what went wrong
+   */
+  public record NoReply(String reason) implements Outcome {}
+}
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/LinkDelay.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/LinkDelay.java
@@ -1,4 +1,4 @@
-package dev.bambootray.adapters.platform;
+package dev.bambootray.adapters.httpclient;
 
 /** Emulated one-way latency of the link to a peer, for demos on one machine. */
 @FunctionalInterface
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PooledConnection.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/PooledConnection.java
@@ -1,10 +1,10 @@
-package dev.bambootray.adapters.platform;
+package dev.bambootray.adapters.httpclient;
 
-import dev.bambootray.adapters.platform.HttpExchange.Answered;
-import dev.bambootray.adapters.platform.HttpExchange.Body;
-import dev.bambootray.adapters.platform.HttpExchange.NoReply;
-import dev.bambootray.adapters.platform.HttpExchange.Outcome;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
+import dev.bambootray.adapters.httpclient.HttpExchange.Body;
+import dev.bambootray.adapters.httpclient.HttpExchange.NoReply;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -74,6 +74,7 @@
         .set(HttpHeaderNames.HOST, host)
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().bytes().length);
+    request.headers().forEach((name, value) -> message.headers().set(name, value));
     HttpUtil.setKeepAlive(message, !request.fresh());
     var unused =
         channel()
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PooledExchange.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/PooledExchange.java
@@ -1,7 +1,7 @@
-package dev.bambootray.adapters.platform;
+package dev.bambootray.adapters.httpclient;
 
-import dev.bambootray.adapters.platform.HttpExchange.Outcome;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import io.netty.channel.Channel;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpObjectStore.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpObjectStore.java
@@ -1,9 +1,8 @@
 package dev.bambootray.adapters.platform;
 
-import dev.bambootray.adapters.platform.HttpExchange.Answered;
-import dev.bambootray.adapters.platform.HttpExchange.Body;
-import dev.bambootray.adapters.platform.HttpExchange.Lane;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
+import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import dev.bambootray.core.store.StoreError;
 import dev.bambootray.ports.ObjectStore;
 import io.vavr.control.Either;
@@ -22,7 +21,7 @@
 
   @Override
   public CompletableFuture<Either<StoreError, Boolean>> put(String name, byte[] content) {
-    Request request = new Request("PUT", path(name), new Body(content), Lane.COMMAND, false, null);
+    Request request = Request.of("PUT", path(name), content, Lane.COMMAND);
     return calls
         .send(request)
         .thenApply(outcome -> calls.readBytes(PEER, outcome, true).map(body -> true));
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpVmDirectory.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpVmDirectory.java
@@ -1,7 +1,7 @@
 package dev.bambootray.adapters.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import dev.bambootray.core.store.StoreError;
 import dev.bambootray.ports.VmDirectory;
 import io.vavr.control.Either;
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpWorkerGateway.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpWorkerGateway.java
@@ -1,9 +1,11 @@
 package dev.bambootray.adapters.platform;
 
-import dev.bambootray.adapters.platform.HttpExchange.Answered;
-import dev.bambootray.adapters.platform.HttpExchange.NoReply;
-import dev.bambootray.adapters.platform.HttpExchange.NotSent;
-import dev.bambootray.adapters.platform.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.ConnectionPool;
+import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
+import dev.bambootray.adapters.httpclient.HttpExchange.NoReply;
+import dev.bambootray.adapters.httpclient.HttpExchange.NotSent;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.RequestError;
 import dev.bambootray.core.model.Step;
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PlatformCalls.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PlatformCalls.java
@@ -2,11 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dev.bambootray.adapters.platform.HttpExchange.Answered;
-import dev.bambootray.adapters.platform.HttpExchange.NoReply;
-import dev.bambootray.adapters.platform.HttpExchange.NotSent;
-import dev.bambootray.adapters.platform.HttpExchange.Outcome;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.ConnectionPool;
+import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
+import dev.bambootray.adapters.httpclient.HttpExchange.NoReply;
+import dev.bambootray.adapters.httpclient.HttpExchange.NotSent;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import dev.bambootray.core.store.StoreError;
 import io.vavr.control.Either;
 import java.io.IOException;
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PlatformClient.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/PlatformClient.java
@@ -1,5 +1,7 @@
 package dev.bambootray.adapters.platform;
 
+import dev.bambootray.adapters.httpclient.ConnectionPool;
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.ports.ObjectStore;
 import dev.bambootray.ports.TableStore;
 import dev.bambootray.ports.VmDirectory;
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerCommandJson.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerCommandJson.java
@@ -4,9 +4,9 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.bambootray.adapters.platform.HttpExchange.Body;
-import dev.bambootray.adapters.platform.HttpExchange.Lane;
-import dev.bambootray.adapters.platform.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.HttpExchange.Body;
+import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import dev.bambootray.core.model.RequestKey;
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.core.model.TemplateId;
@@ -22,6 +22,7 @@
 import dev.bambootray.core.worker.WorkerCommand.Start;
 import dev.bambootray.core.worker.WorkerCommand.Stop;
 import dev.bambootray.core.worker.WorkerCommand.Throttle;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /** Writes worker commands in the form of the platform protocol. */
@@ -88,7 +89,7 @@
 
   private static Request post(String command, ObjectNode json, Lane lane, @Nullable TaskId tag) {
     Body body = new Body(json.toString().getBytes(UTF_8));
-    return new Request("POST", "/agent/" + command, body, lane, false, tag);
+    return new Request("POST", "/agent/" + command, Map.of(), body, lane, false, tag);
   }
 
   private static ObjectNode putTask(ObjectNode json, TaskId task) {
--- a/adapters/platform/src/test/java/dev/bambootray/adapters/platform/HttpWorkerGatewayTest.java
+++ b/adapters/platform/src/test/java/dev/bambootray/adapters/platform/HttpWorkerGatewayTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.AttemptToken;
 import dev.bambootray.core.model.FailureDomainId;
--- a/adapters/platform/src/test/java/dev/bambootray/adapters/platform/PlatformClientTest.java
+++ b/adapters/platform/src/test/java/dev/bambootray/adapters/platform/PlatformClientTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.core.store.CommitResult;
 import dev.bambootray.core.store.RowPage;
 import dev.bambootray.core.store.RowWrite;
--- a/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
@@ -2,7 +2,7 @@
 
 import com.sun.management.OperatingSystemMXBean;
 import dev.bambootray.adapters.platform.HttpWorkerGateway;
-import dev.bambootray.adapters.platform.LinkDelay;
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.bench.report.BenchReport;
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.AttemptToken;
--- a/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
@@ -4,42 +4,30 @@
 import com.lmax.disruptor.EventHandler;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
-import dev.bambootray.core.node.NodeCore;
-import dev.bambootray.core.node.NodeEffect;
-import dev.bambootray.core.node.NodeEvent;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
- * The one control thread of a node: takes events from a ring, lets the control state decide and
- * passes the effects on.
+ * The one control thread of a node: takes events from a ring and handles them one after the other.
+ *
+ * @param <E> type of the events
  */
-final class ControlLoop implements AutoCloseable {
+public final class ControlLoop<E> implements AutoCloseable {
   private static final int RING_SIZE = 8_192;
 
-  private final NodeCore core;
-  private final LongSupplier clock;
-  private final Consumer<NodeEffect> effects;
+  private final Consumer<E> handler;
   private final LongConsumer durations;
-  private final Disruptor<Slot> disruptor;
-  private final Queue<NodeEvent> ownEvents = new ArrayDeque<>();
+  private final Disruptor<Slot<E>> disruptor;
+  private final Queue<E> ownEvents = new ArrayDeque<>();
   private volatile @Nullable Thread controlThread;
 
-  private ControlLoop(
-      NodeCore core,
-      LongSupplier clock,
-      Consumer<NodeEffect> effects,
-      LongConsumer durations,
-      String threadName) {
-    this.core = core;
-    this.clock = clock;
-    this.effects = effects;
+  private ControlLoop(Consumer<E> handler, LongConsumer durations, String threadName) {
+    this.handler = handler;
     this.durations = durations;
     ThreadFactory threads =
         task -> {
@@ -50,30 +38,26 @@
         };
     disruptor =
         new Disruptor<>(
-            Slot::new, RING_SIZE, threads, ProducerType.MULTI, new BlockingWaitStrategy());
-    EventHandler<Slot> handler = (slot, sequence, endOfBatch) -> handle(slot.take());
-    disruptor.handleEventsWith(handler);
+            Slot<E>::new, RING_SIZE, threads, ProducerType.MULTI, new BlockingWaitStrategy());
+    EventHandler<Slot<E>> consumer = (slot, sequence, endOfBatch) -> handle(slot.take());
+    disruptor.handleEventsWith(consumer);
   }
 
   /**
    * Creates a loop that is not running yet.
    *
-   * @param core decides
-   * @param clock the time in milliseconds since the epoch
-   * @param effects carries effects out
+   * @param <E> type of the events
+   * @param handler decides and passes the effects on
    * @param durations takes the time of each event in nanoseconds
    * @param threadName name of the control thread
    */
-  static ControlLoop create(
-      NodeCore core,
-      LongSupplier clock,
-      Consumer<NodeEffect> effects,
-      LongConsumer durations,
-      String threadName) {
-    return new ControlLoop(core, clock, effects, durations, threadName);
+  public static <E> ControlLoop<E> create(
+      Consumer<E> handler, LongConsumer durations, String threadName) {
+    return new ControlLoop<>(handler, durations, threadName);
   }
 
-  void start() {
+  /** Starts the control thread. */
+  public void start() {
     disruptor.start();
   }
 
@@ -81,7 +65,7 @@
    * Hands an event to the control thread. Traffic threads wait if the ring is full; the control
    * thread itself never waits, because nobody else could empty the ring.
    */
-  void post(NodeEvent event) {
+  public void post(E event) {
     if (Thread.currentThread() == controlThread) {
       ownEvents.add(event);
       return;
@@ -94,20 +78,18 @@
     disruptor.halt();
   }
 
-  private void handle(@Nullable NodeEvent event) {
-    NodeEvent next = event;
+  private void handle(@Nullable E event) {
+    E next = event;
     while (next != null) {
       decide(next);
       next = ownEvents.poll();
     }
   }
 
-  private void decide(NodeEvent event) {
+  private void decide(E event) {
     long startNanos = System.nanoTime();
     try {
-      for (NodeEffect effect : core.handle(event, clock.getAsLong())) {
-        effects.accept(effect);
-      }
+      handler.accept(event);
     } catch (RuntimeException e) {
       // One bad event must not end the control thread and with it the node.
       Logger.error(e, "control: Event {} failed.", event.getClass().getSimpleName());
@@ -116,11 +98,11 @@
     }
   }
 
-  private static final class Slot {
-    private @Nullable NodeEvent event;
+  private static final class Slot<E> {
+    private @Nullable E event;
 
-    private @Nullable NodeEvent take() {
-      NodeEvent taken = event;
+    private @Nullable E take() {
+      E taken = event;
       event = null;
       return taken;
     }
--- a/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/NodeProcess.java
@@ -3,10 +3,10 @@
 import dev.bambootray.adapters.http.HttpApiServer;
 import dev.bambootray.adapters.http.HttpLimits;
 import dev.bambootray.adapters.http.NodeProbes;
+import dev.bambootray.adapters.httpclient.LinkDelay;
 import dev.bambootray.adapters.peer.PeerTraffic;
 import dev.bambootray.adapters.peer.TcpPeerNetwork;
 import dev.bambootray.adapters.platform.HttpWorkerGateway;
-import dev.bambootray.adapters.platform.LinkDelay;
 import dev.bambootray.adapters.platform.PlatformClient;
 import dev.bambootray.adapters.telemetry.Redaction;
 import dev.bambootray.core.message.PeerMessage;
@@ -50,7 +50,7 @@
   private final PlatformClient platform;
   private final HttpWorkerGateway workers;
   private final TcpPeerNetwork peers;
-  private final ControlLoop loop;
+  private final ControlLoop<NodeEvent> loop;
   private final EffectRunner outside;
   private final NodeService service;
   private final EventLog events = new EventLog();
@@ -85,11 +85,10 @@
             .seed(settings.node().hashCode())
             .build();
     JsonRowCodec codec = JsonRowCodec.create();
+    NodeCore core = coreOf(codec);
     loop =
         ControlLoop.create(
-            coreOf(codec),
-            System::currentTimeMillis,
-            this::carryOut,
+            event -> core.handle(event, System.currentTimeMillis()).forEach(this::carryOut),
             telemetry.metrics()::controlEvent,
             settings.node() + "-control");
     outside =
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
@@ -0,0 +1,83 @@
+package dev.bambootray.daemon.jobs;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one line for each decision to standard output. The caller never waits: lines that do not
+ * fit into the queue are counted and the number is written with the next line.
+ */
+public final class DecisionLog implements AutoCloseable {
+  private static final int QUEUE_LINES = 4_096;
+  private static final int LONGEST_LINE = 600;
+
+  private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final PrintStream out;
+  private final Thread writer;
+
+  private DecisionLog(PrintStream out) {
+    this.out = out;
+    writer = new Thread(this::write, "decision-log");
+    writer.setDaemon(true);
+  }
+
+  /** Returns a log that writes to standard output. */
+  public static DecisionLog start() {
+    DecisionLog log =
+        new DecisionLog(new PrintStream(new FileOutputStream(FileDescriptor.out), true, UTF_8));
+    log.writer.start();
+    return log;
+  }
+
+  /**
+   * Writes a line.
+   *
+   * @param part prefix of the part that decided
+   * @param subject job, worker or node that it concerns
+   * @param text what was decided, from which inputs
+   */
+  public void line(String part, String subject, String text) {
+    String line = part + " id=" + subject + " " + text;
+    if (!lines.offer(line.length() <= LONGEST_LINE ? line : line.substring(0, LONGEST_LINE))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Returns how many lines were dropped since the start. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  @Override
+  public void close() {
+    String line = lines.poll();
+    while (line != null) {
+      out.println(line);
+      line = lines.poll();
+    }
+    writer.interrupt();
+  }
+
+  private void write() {
+    long reported = 0;
+    try {
+      while (true) {
+        out.println(lines.take());
+        long now = dropped.get();
+        if (now > reported) {
+          out.println("log: id=- dropped lines=" + (now - reported));
+          reported = now;
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
@@ -0,0 +1,230 @@
+package dev.bambootray.daemon.jobs;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+
+import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.model.JobDeclaration.Template;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.Row;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.ports.RowStore;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Serves callers from the store; any node does so, whoever owns the pool. */
+public final class FrontDesk {
+  private static final byte[] EMPTY = new byte[0];
+
+  private final RowStore store;
+  private final JobRowCodec codec;
+  private final Declarations declarations;
+  private final OwnerRows owner;
+  private final DecisionLog log;
+  private final JobMetrics metrics;
+
+  FrontDesk(
+      RowStore store,
+      JobRowCodec codec,
+      Declarations declarations,
+      OwnerRows owner,
+      DecisionLog log,
+      JobMetrics metrics) {
+    this.store = store;
+    this.codec = codec;
+    this.declarations = declarations;
+    this.owner = owner;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Returns the configuration in force. */
+  public Optional<JobDeclaration> declaration() {
+    return declarations.newest();
+  }
+
+  /** Returns where calls are counted. */
+  public JobMetrics metrics() {
+    return metrics;
+  }
+
+  /** Returns the log of decisions. */
+  public DecisionLog log() {
+    return log;
+  }
+
+  /**
+   * Accepts a job.
+   *
+   * @param job the job
+   * @param timeMs how long the caller waits, in milliseconds
+   */
+  public CompletableFuture<SubmitOutcome> submit(JobSpec job, long timeMs) {
+    long endMs = JobNode.now().ms() + timeMs;
+    return submit(job, endMs, false)
+        .thenApply(
+            outcome -> {
+              log.line(
+                  "front:",
+                  job.id(),
+                  "submit template="
+                      + job.template()
+                      + " workspace="
+                      + job.workspace()
+                      + " steps="
+                      + job.steps().size()
+                      + " outcome="
+                      + outcome);
+              return outcome;
+            });
+  }
+
+  private CompletableFuture<SubmitOutcome> submit(JobSpec job, long endMs, boolean maybeStored) {
+    long leftMs = endMs - JobNode.now().ms();
+    if (leftMs < CallTimeouts.LEAST_MS) {
+      return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
+    }
+    RowCondition absent = new RowCondition(JobTables.JOBS, job.id(), 0);
+    RowChange write = new RowChange(JobTables.JOBS, job.id(), codec.encode(job));
+    return store
+        .commit(List.of(absent), List.of(write), Math.min(leftMs, CallTimeouts.COMMIT_MS))
+        .thenCompose(
+            outcome -> {
+              if (outcome instanceof CommitOutcome.Committed
+                  || outcome instanceof CommitOutcome.Conflict) {
+                // A conflict means that the same identifier is stored: by an earlier attempt.
+                return completedFuture(SubmitOutcome.ACCEPTED);
+              }
+              if (outcome instanceof CommitOutcome.Unknown) {
+                return submit(job, endMs, true);
+              }
+              return completedFuture(
+                  maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
+            });
+  }
+
+  /** Returns the state of a job. */
+  public CompletableFuture<JobView> state(String job) {
+    return read(JobTables.RECORDS, job)
+        .thenCompose(
+            found -> {
+              if (found.unreachable()) {
+                return completedFuture(JobView.UNAVAILABLE);
+              }
+              if (found.row().isPresent()) {
+                return completedFuture(
+                    codec
+                        .decodeRecord(found.row().get().value())
+                        .fold(error -> JobView.UNAVAILABLE, saved -> JobView.of(saved.phase())));
+              }
+              return read(JobTables.JOBS, job).thenApply(FrontDesk::unbegun);
+            });
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param job the job
+   * @param timeMs how long the caller waits, in milliseconds
+   */
+  public CompletableFuture<CancelOutcome> cancel(String job, long timeMs) {
+    long endMs = JobNode.now().ms() + timeMs;
+    return read(JobTables.JOBS, job)
+        .thenCompose(
+            found -> {
+              if (found.unreachable()) {
+                return completedFuture(CancelOutcome.UNAVAILABLE);
+              }
+              return found.row().isEmpty()
+                  ? completedFuture(CancelOutcome.GONE)
+                  : mark(job, found.row().get(), endMs);
+            })
+        .thenApply(
+            outcome -> {
+              log.line("front:", job, "cancel outcome=" + outcome);
+              return outcome;
+            });
+  }
+
+  private CompletableFuture<CancelOutcome> mark(String job, Row accepted, long endMs) {
+    long leftMs = endMs - JobNode.now().ms();
+    if (leftMs < CallTimeouts.LEAST_MS) {
+      return completedFuture(CancelOutcome.UNAVAILABLE);
+    }
+    String key = JobTables.cancelKey(job);
+    List<RowCondition> conditions =
+        List.of(
+            new RowCondition(JobTables.JOBS, job, accepted.version()),
+            new RowCondition(JobTables.JOBS, key, 0));
+    return store
+        .commit(
+            conditions,
+            List.of(new RowChange(JobTables.JOBS, key, EMPTY)),
+            Math.min(leftMs, CallTimeouts.COMMIT_MS))
+        .thenCompose(
+            outcome -> {
+              if (outcome instanceof CommitOutcome.Committed) {
+                return completedFuture(CancelOutcome.CANCELLED);
+              }
+              if (outcome instanceof CommitOutcome.Conflict conflict) {
+                boolean marked =
+                    conflict.rows().stream()
+                        .anyMatch(row -> row.key().equals(key) && !row.removed());
+                return completedFuture(marked ? CancelOutcome.CANCELLED : CancelOutcome.GONE);
+              }
+              return outcome instanceof CommitOutcome.Unknown
+                  ? mark(job, accepted, endMs)
+                  : completedFuture(CancelOutcome.UNAVAILABLE);
+            });
+  }
+
+  /** Returns the number of accepted jobs of a template that have not begun, some time ago. */
+  public Optional<Long> pending(Template template) {
+    return owner.newest().map(row -> row.pending().getOrDefault(template.name(), 0L));
+  }
+
+  private CompletableFuture<Found> read(String table, String key) {
+    return store
+        .read(table, key, JobTables.after(key), 1)
+        .thenApply(
+            result ->
+                result.fold(
+                    error -> {
+                      log.line("front:", key, "store not readable " + error.message());
+                      return new Found(true, Optional.empty());
+                    },
+                    page -> new Found(false, page.rows().stream().findFirst())));
+  }
+
+  private static JobView unbegun(Found found) {
+    if (found.unreachable()) {
+      return JobView.UNAVAILABLE;
+    }
+    return found.row().isPresent() ? JobView.of(JobPhase.QUEUED) : JobView.GONE;
+  }
+
+  private record Found(boolean unreachable, Optional<Row> row) {}
+
+  /** Outcome of handing a job in. */
+  public enum SubmitOutcome {
+    /** It is stored. */
+    ACCEPTED,
+    /** It is not stored and never runs for this attempt. */
+    NOT_STORED,
+    /** It may be stored. */
+    UNKNOWN
+  }
+
+  /** Outcome of cancelling a job. */
+  public enum CancelOutcome {
+    /** The wish is stored. */
+    CANCELLED,
+    /** There is no such job. */
+    GONE,
+    /** It is not known whether the wish is stored. */
+    UNAVAILABLE
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -0,0 +1,111 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.jobs.scheduling.JobScheduler;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** Counters and latency histograms of a job node. */
+public final class JobMetrics {
+  private static final double MS_PER_S = 1_000.0;
+  private static final double NANOS_PER_S = 1_000_000_000.0;
+  private static final int FIRST_TEXT_BYTES = 8_192;
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter calls =
+      Counter.builder()
+          .name("bambootray_job_calls")
+          .help("Calls of callers by kind and status.")
+          .labelNames("kind", "status")
+          .register(registry);
+  private final Histogram callSeconds =
+      Histogram.builder()
+          .name("bambootray_job_call_seconds")
+          .help("Time to answer a call.")
+          .labelNames("kind")
+          .classicUpperBounds(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+          .classicOnly()
+          .register(registry);
+  private final Histogram commitSeconds =
+      Histogram.builder()
+          .name("bambootray_job_commit_seconds")
+          .help("Time of the owner's transactions.")
+          .classicUpperBounds(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+          .classicOnly()
+          .register(registry);
+  private final Counter starts =
+      Counter.builder()
+          .name("bambootray_job_starts")
+          .help("Orders to start a run.")
+          .register(registry);
+  private final Counter controlSeconds =
+      Counter.builder()
+          .name("bambootray_job_control_seconds")
+          .help("Time that the control thread worked.")
+          .register(registry);
+  private final Gauge owner =
+      Gauge.builder()
+          .name("bambootray_job_owner")
+          .help("Whether the node owns the pool.")
+          .register(registry);
+  private final Gauge open =
+      Gauge.builder()
+          .name("bambootray_job_open")
+          .help("Jobs that are not final, at the owner.")
+          .register(registry);
+  private final Gauge free =
+      Gauge.builder()
+          .name("bambootray_job_free_accelerators")
+          .help("Accelerators without a run, at the owner.")
+          .register(registry);
+
+  /** Returns metrics of their own registry. */
+  public static JobMetrics create() {
+    return new JobMetrics();
+  }
+
+  private JobMetrics() {}
+
+  /** Returns all metrics as text. */
+  public String expose() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(FIRST_TEXT_BYTES);
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new IllegalStateException("metrics cannot be written to memory", e);
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Notes an answered call. */
+  public void call(String kind, int status, long durationMs) {
+    calls.labelValues(kind, Integer.toString(status)).inc();
+    callSeconds.labelValues(kind).observe(durationMs / MS_PER_S);
+  }
+
+  void commit(long durationMs) {
+    commitSeconds.observe(durationMs / MS_PER_S);
+  }
+
+  void started() {
+    starts.inc();
+  }
+
+  void controlEvent(long durationNanos) {
+    controlSeconds.inc((double) durationNanos / NANOS_PER_S);
+  }
+
+  void owner(boolean value) {
+    owner.set(value ? 1 : 0);
+  }
+
+  void load(JobScheduler.Load load) {
+    open.set((double) load.openJobs());
+    free.set((double) load.freeAccelerators());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -0,0 +1,328 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.daemon.ControlLoop;
+import dev.bambootray.jobs.lead.LeaseEffect;
+import dev.bambootray.jobs.lead.LeaseEvent;
+import dev.bambootray.jobs.lead.LeaseTimes;
+import dev.bambootray.jobs.lead.OwnerRecord;
+import dev.bambootray.jobs.lead.PoolLease;
+import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.scheduling.JobEffect;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.scheduling.JobScheduler;
+import dev.bambootray.jobs.scheduling.JobTimes;
+import dev.bambootray.jobs.scheduling.Now;
+import dev.bambootray.ports.JobWorkers;
+import dev.bambootray.ports.PlatformDocuments;
+import dev.bambootray.ports.RowStore;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A node that takes jobs from callers and, while it owns the pool, schedules them. All control
+ * state belongs to one thread; ports complete on traffic threads, which post back to it.
+ */
+public final class JobNode implements AutoCloseable {
+  /** Interval at which the control thread looks at its timers. */
+  private static final long TICK_MS = 50;
+
+  private final String name;
+  private final JobTimes times;
+  private final ScheduledExecutorService executor;
+  private final JobWorkers workers;
+  private final DecisionLog log;
+  private final JobMetrics metrics;
+  private final Declarations declarations;
+  private final OwnerRows ownerRows;
+  private final PoolLoader loader;
+  private final PoolLease lease;
+  private final FrontDesk desk;
+  private final ControlLoop<Runnable> loop;
+  private final ScheduledFuture<?> ticks;
+  private final CompletableFuture<Boolean> released = new CompletableFuture<>();
+
+  private @Nullable JobScheduler scheduler;
+  private long epoch;
+  private boolean releasing;
+
+  private JobNode(Builder builder) {
+    name = builder.name;
+    times = builder.times;
+    executor = builder.parts.executor();
+    workers = builder.parts.workers();
+    log = builder.parts.log();
+    metrics = builder.parts.metrics();
+    JobRowCodec codec = new JobRowCodec();
+    loop = ControlLoop.create(Runnable::run, metrics::controlEvent, "job-control");
+    ownerRows = new OwnerRows(builder.parts.store(), codec, log);
+    declarations =
+        new Declarations(
+            builder.parts.store(), executor, builder.parts.documents(), log, this::onDeclaration);
+    loader = new PoolLoader(builder.parts.store(), executor, builder.parts.documents(), codec, log);
+    desk = new FrontDesk(builder.parts.store(), codec, declarations, ownerRows, log, metrics);
+    // Nodes spread their claims over 300 ms, so that one of them usually meets no rival.
+    long claimDelayMs = Math.floorMod(builder.name.hashCode(), 4) * 100L;
+    lease =
+        PoolLease.create(
+            builder.process, LeaseTimes.defaults(claimDelayMs, times.ownerWithoutStoreMs()));
+    loop.start();
+    declarations.start();
+    ticks =
+        executor.scheduleAtFixedRate(
+            () -> loop.post(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns a builder of a node with the given parts. */
+  public static Builder builder(Parts parts) {
+    return new Builder(parts);
+  }
+
+  /** Returns what serves callers. */
+  public FrontDesk desk() {
+    return desk;
+  }
+
+  /** Returns whether the node can serve callers: it has a configuration and reaches the store. */
+  public boolean isReady() {
+    return declarations.newest().isPresent() && declarations.isReachable();
+  }
+
+  /** Gives the pool up, if this node owns it, and never claims it again. */
+  public CompletableFuture<Boolean> release() {
+    loop.post(
+        () -> {
+          releasing = true;
+          onLease(new LeaseEvent.Release());
+          completeRelease();
+        });
+    return released;
+  }
+
+  @Override
+  public void close() {
+    ticks.cancel(false);
+    declarations.stop();
+    loader.stop();
+    loop.close();
+  }
+
+  private void tick() {
+    JobScheduler current = scheduler;
+    if (current != null) {
+      Map<String, Long> pending = new TreeMap<>();
+      declarations
+          .newest()
+          .map(JobDeclaration::templates)
+          .orElse(List.of())
+          .forEach(template -> pending.put(template.name(), current.pending(template.name())));
+      onLease(new LeaseEvent.PendingChanged(pending));
+      metrics.load(current.load());
+    }
+    onLease(new LeaseEvent.Tick());
+    onScheduler(new JobEvent.Tick());
+    completeRelease();
+  }
+
+  private void completeRelease() {
+    if (releasing && lease.isReleased()) {
+      released.complete(true);
+    }
+  }
+
+  private void onDeclaration(JobDeclaration declaration) {
+    loop.post(() -> onScheduler(new JobEvent.DeclarationChanged(declaration)));
+  }
+
+  private void onLease(LeaseEvent event) {
+    for (LeaseEffect effect : lease.handle(event, now().ms())) {
+      carryOut(effect);
+    }
+    OwnerRecord owner = lease.owner();
+    if (owner != null) {
+      ownerRows.remember(owner);
+    }
+  }
+
+  private void carryOut(LeaseEffect effect) {
+    if (effect instanceof LeaseEffect.ReadOwner) {
+      var unused = ownerRows.read().thenAccept(event -> loop.post(() -> onLease(event)));
+    } else if (effect instanceof LeaseEffect.Commit commit) {
+      long startMs = now().ms();
+      var unused =
+          ownerRows
+              .commit(commit)
+              .thenAccept(
+                  event -> {
+                    metrics.commit(now().ms() - startMs);
+                    loop.post(() -> onLease(event));
+                  });
+    } else if (effect instanceof LeaseEffect.Won won) {
+      onWon(won.epoch());
+    } else if (effect instanceof LeaseEffect.Lost lost) {
+      log.line("owner:", name, "lost epoch=" + epoch + " reason=" + lost.reason());
+      stopScheduling();
+    } else if (effect instanceof LeaseEffect.BatchDurable durable) {
+      onScheduler(new JobEvent.Durable(durable.batch()));
+    }
+  }
+
+  private void onWon(long wonEpoch) {
+    epoch = wonEpoch;
+    metrics.owner(true);
+    log.line("owner:", name, "won epoch=" + epoch);
+    loader.start(event -> loop.post(() -> onLoaded(wonEpoch, event)), declarations::newest);
+  }
+
+  private void onLoaded(long loadedEpoch, JobEvent event) {
+    if (loadedEpoch != epoch || !lease.isOwner()) {
+      return;
+    }
+    if (event instanceof JobEvent.TookOver) {
+      scheduler = JobScheduler.create(times);
+    }
+    onScheduler(event);
+  }
+
+  private void stopScheduling() {
+    loader.stop();
+    scheduler = null;
+    metrics.owner(false);
+  }
+
+  private void onScheduler(JobEvent event) {
+    JobScheduler current = scheduler;
+    if (current == null) {
+      return;
+    }
+    for (JobEffect effect : current.handle(event, now())) {
+      carryOut(effect);
+    }
+  }
+
+  private void carryOut(JobEffect effect) {
+    if (effect instanceof JobEffect.Persist persist) {
+      onLease(new LeaseEvent.Persist(persist));
+    } else if (effect instanceof JobEffect.StartRun start) {
+      start(start);
+    } else if (effect instanceof JobEffect.StopRun stop) {
+      stop(stop);
+    } else if (effect instanceof JobEffect.HoldWorker hold) {
+      hold(hold);
+    } else if (effect instanceof JobEffect.StepDown stepDown) {
+      log.line("owner:", name, "steps down epoch=" + epoch + " reason=" + stepDown.reason());
+      stopScheduling();
+    } else if (effect instanceof JobEffect.Decided decided) {
+      log.line("sched:", decided.subject(), "epoch=" + epoch + " " + decided.text());
+    }
+  }
+
+  private void start(JobEffect.StartRun start) {
+    long sentEpoch = epoch;
+    metrics.started();
+    var unused =
+        workers
+            .start(start, sentEpoch, CallTimeouts.ORDER_MS)
+            .thenAccept(
+                reply ->
+                    answer(
+                        sentEpoch,
+                        new JobEvent.StartAnswered(start.worker().id(), start.run(), reply)));
+  }
+
+  private void stop(JobEffect.StopRun stop) {
+    long sentEpoch = epoch;
+    var unused =
+        workers
+            .stop(stop, sentEpoch, CallTimeouts.ORDER_MS)
+            .thenAccept(
+                taken ->
+                    answer(
+                        sentEpoch,
+                        new JobEvent.StopAnswered(stop.worker().id(), stop.run(), taken)));
+  }
+
+  private void hold(JobEffect.HoldWorker hold) {
+    long sentEpoch = epoch;
+    long sentMs = now().ms();
+    var unused =
+        workers
+            .hold(hold, sentEpoch, hold.waitMs() + CallTimeouts.HOLD_MS)
+            .thenAccept(
+                reply ->
+                    answer(
+                        sentEpoch,
+                        new JobEvent.HoldAnswered(hold.worker().id(), reply, sentMs, hold.look())));
+  }
+
+  private void answer(long sentEpoch, JobEvent event) {
+    loop.post(
+        () -> {
+          if (sentEpoch == epoch) {
+            onScheduler(event);
+          }
+        });
+  }
+
+  static Now now() {
+    return new Now(System.nanoTime() / 1_000_000, System.currentTimeMillis());
+  }
+
+  /** Builds a node. */
+  public static final class Builder {
+    private final Parts parts;
+    private String name = "node";
+    private String process = "process";
+    private JobTimes times = JobTimes.within(Long.MAX_VALUE);
+
+    private Builder(Parts parts) {
+      this.parts = parts;
+    }
+
+    /** Sets the name of the node, for the log. */
+    public Builder name(String value) {
+      name = value;
+      return this;
+    }
+
+    /** Sets the name of the process, which must differ after each start. */
+    public Builder process(String value) {
+      process = value;
+      return this;
+    }
+
+    /** Sets the times of the scheduler. */
+    public Builder times(JobTimes value) {
+      times = value;
+      return this;
+    }
+
+    /** Starts the node. */
+    public JobNode start() {
+      return new JobNode(this);
+    }
+  }
+
+  /**
+   * What a node works with.
+   *
+   * @param store the platform's store
+   * @param workers the workers
+   * @param documents reads what operators and workers write
+   * @param executor event loop for followers and timers
+   * @param log takes decisions
+   * @param metrics takes measurements
+   */
+  public record Parts(
+      RowStore store,
+      JobWorkers workers,
+      PlatformDocuments documents,
+      ScheduledExecutorService executor,
+      DecisionLog log,
+      JobMetrics metrics) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
@@ -0,0 +1,122 @@
+package dev.bambootray.daemon.jobs;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect.Visibility;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.bambootray.jobs.lead.OwnerRecord;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.JobRecord;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.model.TaskRecord;
+import dev.bambootray.jobs.model.TaskRecord.State;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Writes rows as JSON. Unknown members are skipped, so that newer nodes may add some. Tasks are
+ * written as short arrays, because the row of a wide job is written often.
+ */
+final class JobRowCodec {
+  private final ObjectMapper json =
+      JsonMapper.builder()
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .visibility(PropertyAccessor.IS_GETTER, Visibility.NONE)
+          .build();
+
+  byte[] encode(JobSpec job) {
+    return bytes(job);
+  }
+
+  Either<String, JobSpec> decodeJob(byte[] value) {
+    return read(value, JobSpec.class);
+  }
+
+  byte[] encode(OwnerRecord owner) {
+    return bytes(owner);
+  }
+
+  Either<String, OwnerRecord> decodeOwner(byte[] value) {
+    return read(value, OwnerRecord.class);
+  }
+
+  byte[] encode(JobRecord saved) {
+    ObjectNode row = json.createObjectNode();
+    row.put("job", saved.job());
+    row.put("phase", saved.phase().name());
+    row.put("finishedWallMs", saved.finishedWallMs());
+    ArrayNode tasks = row.putArray("tasks");
+    for (TaskRecord task : saved.tasks()) {
+      ArrayNode values = tasks.addArray();
+      values.add(letter(task.state())).add(task.run()).add(task.failures());
+      if (!task.worker().isEmpty() || !task.checkpoint().isEmpty()) {
+        values.add(task.worker()).add(task.checkpoint());
+      }
+    }
+    return bytes(row);
+  }
+
+  Either<String, JobRecord> decodeRecord(byte[] value) {
+    try {
+      JsonNode row = json.readTree(value);
+      List<TaskRecord> tasks = new ArrayList<>();
+      for (JsonNode task : row.path("tasks")) {
+        tasks.add(
+            new TaskRecord(
+                state(task.path(0).asText()),
+                task.path(1).asInt(),
+                task.path(2).asInt(),
+                task.path(3).asText(""),
+                task.path(4).asText("")));
+      }
+      return Either.right(
+          new JobRecord(
+              row.path("job").asText(),
+              JobPhase.valueOf(row.path("phase").asText()),
+              row.path("finishedWallMs").asLong(),
+              tasks));
+    } catch (IOException | IllegalArgumentException e) {
+      return Either.left("the record of a job cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static String letter(State state) {
+    return switch (state) {
+      case WAITING -> "W";
+      case PLACED -> "P";
+      case DONE -> "D";
+    };
+  }
+
+  private static State state(String letter) {
+    return switch (letter) {
+      case "W" -> State.WAITING;
+      case "P" -> State.PLACED;
+      case "D" -> State.DONE;
+      default -> throw new IllegalArgumentException("no state of a task: " + letter);
+    };
+  }
+
+  private byte[] bytes(Object value) {
+    try {
+      return json.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a row cannot be written", e);
+    }
+  }
+
+  private <T> Either<String, T> read(byte[] value, Class<T> type) {
+    try {
+      return Either.right(json.readValue(value, type));
+    } catch (IOException e) {
+      return Either.left("a row of " + type.getSimpleName() + " cannot be read: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRows.java
@@ -0,0 +1,97 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.jobs.lead.LeaseEffect;
+import dev.bambootray.jobs.lead.LeaseEvent;
+import dev.bambootray.jobs.lead.OwnerRecord;
+import dev.bambootray.jobs.model.JobRecord;
+import dev.bambootray.jobs.scheduling.JobEffect;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.Row;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.ports.RowStore;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the owner row and writes it together with the owner's records. */
+final class OwnerRows {
+  private final RowStore store;
+  private final JobRowCodec codec;
+  private final DecisionLog log;
+  private final AtomicReference<@Nullable OwnerRecord> newest = new AtomicReference<>();
+
+  OwnerRows(RowStore store, JobRowCodec codec, DecisionLog log) {
+    this.store = store;
+    this.codec = codec;
+    this.log = log;
+  }
+
+  /** Returns the newest owner row that this node knows. */
+  Optional<OwnerRecord> newest() {
+    return Optional.ofNullable(newest.get());
+  }
+
+  void remember(OwnerRecord owner) {
+    newest.set(owner);
+  }
+
+  CompletableFuture<LeaseEvent> read() {
+    return store
+        .read(JobTables.OWNER, JobTables.OWNER_KEY, JobTables.after(JobTables.OWNER_KEY), 1)
+        .thenApply(
+            result ->
+                result.fold(
+                    error -> new LeaseEvent.ReadFailed(),
+                    page ->
+                        page.rows().isEmpty()
+                            ? new LeaseEvent.OwnerRead(null, 0)
+                            : new LeaseEvent.OwnerRead(
+                                decode(page.rows().get(0)), page.rows().get(0).version())));
+  }
+
+  CompletableFuture<LeaseEvent> commit(LeaseEffect.Commit commit) {
+    List<RowChange> changes = new ArrayList<>();
+    changes.add(new RowChange(JobTables.OWNER, JobTables.OWNER_KEY, codec.encode(commit.owner())));
+    JobEffect.Persist batch = commit.batch();
+    if (batch != null) {
+      for (JobRecord saved : batch.records()) {
+        changes.add(new RowChange(JobTables.RECORDS, saved.job(), codec.encode(saved)));
+      }
+      for (String job : batch.forgotten()) {
+        changes.add(new RowChange(JobTables.RECORDS, job, null));
+        changes.add(new RowChange(JobTables.JOBS, job, null));
+        changes.add(new RowChange(JobTables.JOBS, JobTables.cancelKey(job), null));
+      }
+    }
+    RowCondition condition =
+        new RowCondition(JobTables.OWNER, JobTables.OWNER_KEY, commit.expectedVersion());
+    return store.commit(List.of(condition), changes, CallTimeouts.COMMIT_MS).thenApply(this::event);
+  }
+
+  private LeaseEvent event(CommitOutcome outcome) {
+    if (outcome instanceof CommitOutcome.Committed committed) {
+      return new LeaseEvent.Committed(committed.version());
+    }
+    if (outcome instanceof CommitOutcome.Conflict conflict) {
+      return conflict.rows().stream()
+          .filter(row -> row.table().equals(JobTables.OWNER) && !row.removed())
+          .findFirst()
+          .map(row -> new LeaseEvent.Conflicted(decode(row), row.version()))
+          .orElse(new LeaseEvent.Conflicted(null, 0));
+    }
+    boolean unknown = outcome instanceof CommitOutcome.Unknown;
+    log.line("store:", JobTables.OWNER_KEY, "commit failed " + outcome);
+    return new LeaseEvent.CommitFailed(unknown);
+  }
+
+  private @Nullable OwnerRecord decode(Row row) {
+    return codec
+        .decodeOwner(row.value())
+        .peekLeft(error -> log.line("store:", JobTables.OWNER_KEY, "unreadable " + error))
+        .getOrNull();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -0,0 +1,248 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.model.JobRecord;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.store.Row;
+import dev.bambootray.jobs.worker.WorkerEntry;
+import dev.bambootray.ports.PlatformDocuments;
+import dev.bambootray.ports.RowStore;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the state of the pool for a new owner, and then passes on what changes in the registry of
+ * workers and among the accepted jobs.
+ */
+final class PoolLoader {
+  private final RowStore store;
+  private final ScheduledExecutorService executor;
+  private final PlatformDocuments documents;
+  private final JobRowCodec codec;
+  private final DecisionLog log;
+  private volatile @Nullable Session session;
+
+  PoolLoader(
+      RowStore store,
+      ScheduledExecutorService executor,
+      PlatformDocuments documents,
+      JobRowCodec codec,
+      DecisionLog log) {
+    this.store = store;
+    this.executor = executor;
+    this.documents = documents;
+    this.codec = codec;
+    this.log = log;
+  }
+
+  void start(Consumer<JobEvent> events, Supplier<Optional<JobDeclaration>> declaration) {
+    stop();
+    Session started = new Session(events, declaration);
+    session = started;
+    started.start();
+  }
+
+  void stop() {
+    Session running = session;
+    if (running != null) {
+      running.stop();
+    }
+    session = null;
+  }
+
+  /** One ownership; its fields are used on the event loop only. */
+  private final class Session {
+    private final Consumer<JobEvent> events;
+    private final Supplier<Optional<JobDeclaration>> declaration;
+    private final TableFollower jobs;
+    private final TableFollower records;
+    private final TableFollower workers;
+    private final Set<String> listed = new HashSet<>();
+    private @Nullable List<Row> jobRows;
+    private @Nullable List<Row> recordRows;
+    private @Nullable List<Row> workerRows;
+    private boolean tookOver;
+
+    Session(Consumer<JobEvent> events, Supplier<Optional<JobDeclaration>> declaration) {
+      this.events = events;
+      this.declaration = declaration;
+      jobs = follower(JobTables.JOBS, this::jobContent, this::jobChanges);
+      records = follower(JobTables.RECORDS, this::recordContent, rows -> {});
+      workers = follower(documents.workerTable(), this::workerContent, this::workerChanges);
+    }
+
+    void start() {
+      jobs.start();
+      records.start();
+      workers.start();
+    }
+
+    void stop() {
+      jobs.stop();
+      records.stop();
+      workers.stop();
+    }
+
+    private TableFollower follower(
+        String table, Consumer<List<Row>> content, Consumer<List<Row>> changes) {
+      return new TableFollower(
+          store,
+          executor,
+          table,
+          new TableFollower.Listener() {
+            @Override
+            public void onContent(List<Row> rows) {
+              content.accept(rows);
+            }
+
+            @Override
+            public void onChanges(List<Row> rows) {
+              changes.accept(rows);
+            }
+
+            @Override
+            public void onReachable(boolean reachable, String detail) {
+              log.line("store:", table, reachable ? "regained" : "lost " + detail);
+            }
+          });
+    }
+
+    private void jobContent(List<Row> rows) {
+      if (tookOver) {
+        jobChanges(rows);
+        return;
+      }
+      jobRows = rows;
+      takeOver();
+    }
+
+    private void recordContent(List<Row> rows) {
+      // Only the owner writes records: what was read once stays true.
+      records.stop();
+      recordRows = rows;
+      takeOver();
+    }
+
+    private void workerContent(List<Row> rows) {
+      if (!tookOver) {
+        workerRows = rows;
+        takeOver();
+        return;
+      }
+      Set<String> found = new HashSet<>();
+      for (Row row : rows) {
+        found.add(row.key());
+        onWorker(row);
+      }
+      for (String id : List.copyOf(listed)) {
+        if (!found.contains(id)) {
+          unlist(id);
+        }
+      }
+    }
+
+    private void takeOver() {
+      List<Row> jobsRead = jobRows;
+      List<Row> recordsRead = recordRows;
+      List<Row> workersRead = workerRows;
+      if (jobsRead == null || recordsRead == null || workersRead == null || tookOver) {
+        return;
+      }
+      Map<String, JobRecord> kept = new HashMap<>();
+      recordsRead.forEach(
+          row ->
+              codec
+                  .decodeRecord(row.value())
+                  .peek(saved -> kept.put(saved.job(), saved))
+                  .peekLeft(error -> log.line("store:", row.key(), error)));
+      List<JobSpec> accepted = new ArrayList<>();
+      Set<String> cancelled = new HashSet<>();
+      for (Row row : jobsRead) {
+        if (JobTables.isCancelKey(row.key())) {
+          cancelled.add(JobTables.jobOfCancelKey(row.key()));
+        } else {
+          job(row).ifPresent(accepted::add);
+        }
+      }
+      List<WorkerEntry> entries = new ArrayList<>();
+      for (Row row : workersRead) {
+        documents
+            .worker(row)
+            .ifPresent(
+                entry -> {
+                  listed.add(entry.id());
+                  entries.add(entry);
+                });
+      }
+      Optional<JobDeclaration> inForce = declaration.get();
+      tookOver = true;
+      events.accept(
+          new JobEvent.TookOver(
+              inForce.orElse(new JobDeclaration(0, List.of(), Map.of(), List.of(), 0)),
+              accepted,
+              kept,
+              cancelled,
+              entries));
+    }
+
+    private void jobChanges(List<Row> rows) {
+      if (!tookOver) {
+        return;
+      }
+      for (Row row : rows) {
+        if (row.removed()) {
+          continue;
+        }
+        if (JobTables.isCancelKey(row.key())) {
+          events.accept(new JobEvent.CancelRequested(JobTables.jobOfCancelKey(row.key())));
+        } else {
+          job(row).ifPresent(spec -> events.accept(new JobEvent.Accepted(spec)));
+        }
+      }
+    }
+
+    private void workerChanges(List<Row> rows) {
+      if (tookOver) {
+        rows.forEach(this::onWorker);
+      }
+    }
+
+    private void onWorker(Row row) {
+      if (row.removed()) {
+        unlist(row.key());
+        return;
+      }
+      Optional<WorkerEntry> entry = documents.worker(row);
+      if (entry.isEmpty()) {
+        log.line("worker:", row.key(), "entry names no worker to use");
+        unlist(row.key());
+        return;
+      }
+      listed.add(row.key());
+      events.accept(new JobEvent.WorkerListed(entry.get()));
+    }
+
+    private void unlist(String id) {
+      if (listed.remove(id)) {
+        events.accept(new JobEvent.WorkerUnlisted(id));
+      }
+    }
+
+    private Optional<JobSpec> job(Row row) {
+      return codec
+          .decodeJob(row.value())
+          .peekLeft(error -> log.line("store:", row.key(), error))
+          .toJavaOptional();
+    }
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEvent.java
@@ -0,0 +1,54 @@
+package dev.bambootray.jobs.lead;
+
+import dev.bambootray.jobs.scheduling.JobEffect;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Input of {@link PoolLease}. */
+public sealed interface LeaseEvent {
+  /** Time has passed. */
+  record Tick() implements LeaseEvent {}
+
+  /**
+   * The owner row was read.
+   *
+   * @param owner its content, or null if there is none
+   * @param version its version, 0 if there is none
+   */
+  record OwnerRead(@Nullable OwnerRecord owner, long version) implements LeaseEvent {}
+
+  /** The owner row could not be read. */
+  record ReadFailed() implements LeaseEvent {}
+
+  /** The commit in flight was applied. */
+  record Committed(long version) implements LeaseEvent {}
+
+  /**
+   * The commit in flight was not applied, because the owner row has another version.
+   *
+   * @param owner content of the owner row, or null if there is none
+   * @param version version of the owner row, 0 if there is none
+   */
+  record Conflicted(@Nullable OwnerRecord owner, long version) implements LeaseEvent {}
+
+  /**
+   * The commit in flight failed.
+   *
+   * @param mayApply whether it may have been applied, or may be applied later
+   */
+  record CommitFailed(boolean mayApply) implements LeaseEvent {}
+
+  /** The scheduler has records to write. */
+  record Persist(JobEffect.Persist batch) implements LeaseEvent {}
+
+  /** The number of jobs that have not begun has changed. */
+  record PendingChanged(Map<String, Long> pending) implements LeaseEvent {
+    /** Copies the map. */
+    public PendingChanged {
+      pending = Map.copyOf(pending);
+    }
+  }
+
+  /** Give the pool up, if this node owns it, and claim it no more. */
+  record Release() implements LeaseEvent {}
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseTimes.java
@@ -0,0 +1,20 @@
+package dev.bambootray.jobs.lead;
+
+/**
+ * Times of the pool's lease, in milliseconds.
+ *
+ * @param readMs interval at which a node that is not the owner reads the owner row
+ * @param renewMs interval at which the owner writes it if there is nothing else to write
+ * @param expiryMs an owner whose row has not changed for this long may be replaced
+ * @param claimDelayMs added to it on this node, so that nodes do not claim all at once
+ * @param retryMs pause before a failed commit is repeated
+ * @param giveUpMs an owner whose commits have failed for this long stops
+ */
+public record LeaseTimes(
+    long readMs, long renewMs, long expiryMs, long claimDelayMs, long retryMs, long giveUpMs) {
+
+  /** Returns the defaults for a node. */
+  public static LeaseTimes defaults(long claimDelayMs, long giveUpMs) {
+    return new LeaseTimes(600, 700, 2_400, claimDelayMs, 200, giveUpMs);
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -0,0 +1,250 @@
+package dev.bambootray.jobs.lead;
+
+import dev.bambootray.jobs.lead.LeaseEvent.CommitFailed;
+import dev.bambootray.jobs.lead.LeaseEvent.Committed;
+import dev.bambootray.jobs.lead.LeaseEvent.Conflicted;
+import dev.bambootray.jobs.lead.LeaseEvent.OwnerRead;
+import dev.bambootray.jobs.lead.LeaseEvent.PendingChanged;
+import dev.bambootray.jobs.lead.LeaseEvent.Persist;
+import dev.bambootray.jobs.lead.LeaseEvent.ReadFailed;
+import dev.bambootray.jobs.lead.LeaseEvent.Release;
+import dev.bambootray.jobs.scheduling.JobEffect;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides whether this node owns the pool, and writes the owner's records.
+ *
+ * <p>The owner row changes with every commit of the owner, and every commit requires the version
+ * that the commit before it left. A commit of an earlier owner, or one that is carried out late,
+ * can therefore never overwrite newer records. Nodes compare no clocks: a node may claim the pool
+ * after it has seen the same version for the whole expiry time.
+ */
+public final class PoolLease {
+  private enum Role {
+    FOLLOWER,
+    CLAIMING,
+    OWNER
+  }
+
+  private final String holder;
+  private final LeaseTimes times;
+  private Role role = Role.FOLLOWER;
+  private boolean mayClaim = true;
+  private boolean reading;
+  private long nextReadMs;
+  private @Nullable OwnerRecord seen;
+  private long seenVersion = -1;
+  private long seenSinceMs;
+  private boolean readFailed;
+
+  private long version;
+  private long epoch;
+  private long sequence;
+  private boolean committing;
+  private boolean releasing;
+  private @Nullable OwnerRecord attempted;
+  private JobEffect.@Nullable Persist attemptedBatch;
+  private JobEffect.@Nullable Persist waitingBatch;
+  private Map<String, Long> pending = Map.of();
+  private long nextCommitMs;
+  private long lastSuccessMs;
+
+  private List<LeaseEffect> effects = new ArrayList<>();
+
+  private PoolLease(String holder, LeaseTimes times) {
+    this.holder = holder;
+    this.times = times;
+  }
+
+  /**
+   * Returns a lease that nobody holds as far as this node knows.
+   *
+   * @param holder name of this process, different after each start
+   * @param times its times
+   */
+  public static PoolLease create(String holder, LeaseTimes times) {
+    return new PoolLease(holder, times);
+  }
+
+  /** Handles an event and returns the effects in their order. */
+  public List<LeaseEffect> handle(LeaseEvent event, long nowMs) {
+    if (event instanceof OwnerRead read) {
+      onRead(read.owner(), read.version(), nowMs);
+    } else if (event instanceof ReadFailed) {
+      reading = false;
+      readFailed = true;
+    } else if (event instanceof Committed committed) {
+      onCommitted(committed.version(), nowMs);
+    } else if (event instanceof Conflicted conflicted) {
+      onConflict(conflicted.owner(), conflicted.version(), nowMs);
+    } else if (event instanceof CommitFailed failed) {
+      onCommitFailed(failed.mayApply(), nowMs);
+    } else if (event instanceof Persist persist) {
+      waitingBatch = persist.batch();
+    } else if (event instanceof PendingChanged changed) {
+      pending = changed.pending();
+    } else if (event instanceof Release) {
+      mayClaim = false;
+      releasing = role == Role.OWNER;
+    }
+    proceed(nowMs);
+    List<LeaseEffect> taken = effects;
+    effects = new ArrayList<>();
+    return taken;
+  }
+
+  /** Returns the newest owner row that this node knows, or null. */
+  public @Nullable OwnerRecord owner() {
+    return role == Role.OWNER ? attempted : seen;
+  }
+
+  /** Returns whether this node owns the pool. */
+  public boolean isOwner() {
+    return role == Role.OWNER;
+  }
+
+  /** Returns whether the pool was given up after {@link Release}, or was not owned. */
+  public boolean isReleased() {
+    return role == Role.FOLLOWER;
+  }
+
+  private void proceed(long nowMs) {
+    if (role == Role.OWNER) {
+      if (nowMs - lastSuccessMs > times.giveUpMs()) {
+        lose("no commit for " + (nowMs - lastSuccessMs) + " ms", nowMs);
+        return;
+      }
+      boolean due = waitingBatch != null || releasing || nowMs - lastSuccessMs >= times.renewMs();
+      if (!committing && nowMs >= nextCommitMs && (due || attemptedBatch != null)) {
+        commit();
+      }
+      return;
+    }
+    if (role == Role.FOLLOWER && !reading && nowMs >= nextReadMs) {
+      reading = true;
+      nextReadMs = nowMs + times.readMs();
+      effects.add(new LeaseEffect.ReadOwner());
+    }
+  }
+
+  private void onRead(@Nullable OwnerRecord owner, long readVersion, long nowMs) {
+    reading = false;
+    // While the store was away nobody could renew, so the time of an outage does not count.
+    if (readVersion != seenVersion || readFailed) {
+      seenSinceMs = nowMs;
+    }
+    readFailed = false;
+    seen = owner;
+    seenVersion = readVersion;
+    if (role != Role.FOLLOWER || !mayClaim) {
+      return;
+    }
+    boolean expired = nowMs - seenSinceMs >= times.expiryMs() + times.claimDelayMs();
+    if (owner == null || owner.released() || expired) {
+      claim(owner, readVersion);
+    }
+  }
+
+  private void claim(@Nullable OwnerRecord last, long expectedVersion) {
+    role = Role.CLAIMING;
+    committing = true;
+    epoch = last == null ? 1 : last.epoch() + 1;
+    sequence = 1;
+    version = expectedVersion;
+    // Until this node has read the jobs, the figures of the owner before it hold.
+    pending = last == null ? Map.of() : last.pending();
+    attempted = new OwnerRecord(holder, epoch, sequence, false, pending);
+    effects.add(new LeaseEffect.Commit(expectedVersion, attempted, null));
+  }
+
+  private void commit() {
+    committing = true;
+    if (attemptedBatch == null) {
+      attemptedBatch = waitingBatch;
+      waitingBatch = null;
+    }
+    attempted = new OwnerRecord(holder, epoch, sequence + 1, releasing, pending);
+    effects.add(new LeaseEffect.Commit(version, attempted, attemptedBatch));
+  }
+
+  private void onCommitted(long newVersion, long nowMs) {
+    committing = false;
+    version = newVersion;
+    lastSuccessMs = nowMs;
+    nextCommitMs = 0;
+    if (role == Role.CLAIMING) {
+      role = Role.OWNER;
+      effects.add(new LeaseEffect.Won(epoch));
+      return;
+    }
+    if (role != Role.OWNER) {
+      return;
+    }
+    sequence++;
+    JobEffect.Persist done = attemptedBatch;
+    attemptedBatch = null;
+    if (done != null) {
+      effects.add(new LeaseEffect.BatchDurable(done.batch()));
+    }
+    if (attempted != null && attempted.released()) {
+      lose("released", nowMs);
+    }
+  }
+
+  private void onConflict(@Nullable OwnerRecord owner, long foundVersion, long nowMs) {
+    committing = false;
+    boolean ours = owner != null && owner.holder().equals(holder) && owner.epoch() == epoch;
+    if (role == Role.CLAIMING) {
+      if (ours) {
+        onCommitted(foundVersion, nowMs);
+      } else {
+        follow(nowMs);
+      }
+      return;
+    }
+    if (role != Role.OWNER) {
+      return;
+    }
+    if (owner != null && ours && owner.sequence() == sequence + 1) {
+      // An attempt whose answer was lost had been applied.
+      onCommitted(foundVersion, nowMs);
+    } else if (owner != null && ours && owner.sequence() == sequence) {
+      version = foundVersion;
+    } else {
+      lose("the pool has another owner", nowMs);
+    }
+  }
+
+  private void onCommitFailed(boolean mayApply, long nowMs) {
+    committing = false;
+    nextCommitMs = mayApply ? nowMs : nowMs + times.retryMs();
+    if (role == Role.CLAIMING) {
+      if (mayApply) {
+        committing = true;
+        effects.add(
+            new LeaseEffect.Commit(
+                version, new OwnerRecord(holder, epoch, sequence, false, pending), null));
+      } else {
+        follow(nowMs);
+      }
+    }
+  }
+
+  private void lose(String reason, long nowMs) {
+    waitingBatch = null;
+    attemptedBatch = null;
+    releasing = false;
+    follow(nowMs);
+    effects.add(new LeaseEffect.Lost(reason));
+  }
+
+  private void follow(long nowMs) {
+    role = Role.FOLLOWER;
+    seenVersion = -1;
+    reading = false;
+    nextReadMs = nowMs + times.retryMs();
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Claims.java
@@ -0,0 +1,49 @@
+package dev.bambootray.jobs.scheduling;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Jobs that their workspace's guarantee covers, oldest first. */
+final class Claims {
+  private final Set<Job> covered;
+
+  private Claims(Set<Job> covered) {
+    this.covered = covered;
+  }
+
+  /** Works out which jobs of priority 0 are covered. */
+  static Claims of(SchedulerState state) {
+    List<Job> jobs =
+        state.jobs.values().stream()
+            .filter(job -> !job.phase.isFinal() && job.spec.objective().priority() == 0)
+            .sorted(Comparator.comparingLong(job -> job.acceptedMs))
+            .toList();
+    Map<String, Integer> used = new HashMap<>();
+    Set<Job> covered = new HashSet<>();
+    for (Job job : jobs) {
+      String workspace = job.spec.workspace();
+      int sum = used.getOrDefault(workspace, 0) + accelerators(job);
+      used.put(workspace, sum);
+      if (sum <= state.declaration.guaranteedAccelerators(workspace)) {
+        covered.add(job);
+      }
+    }
+    return new Claims(covered);
+  }
+
+  boolean covers(Job job) {
+    return covered.contains(job);
+  }
+
+  /** Returns the accelerators of the widest step; steps of a job rarely overlap. */
+  private static int accelerators(Job job) {
+    return job.spec.steps().stream()
+        .mapToInt(step -> step.count() * step.each().accelerators())
+        .max()
+        .orElse(0);
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
@@ -0,0 +1,93 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.JobRecord;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.jobs.model.TaskName;
+import dev.bambootray.jobs.model.TaskRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/** A job as the owner knows it. */
+final class Job {
+  final JobSpec spec;
+
+  /** Time of acceptance on the scheduler's clock. */
+  final long acceptedMs;
+
+  final List<StepRun> steps = new ArrayList<>();
+  JobPhase phase = JobPhase.QUEUED;
+  long finishedWallMs;
+
+  private Job(JobSpec spec, long acceptedMs) {
+    this.spec = spec;
+    this.acceptedMs = acceptedMs;
+  }
+
+  /** Builds a job from what was accepted and, if there is any, what was kept of it. */
+  static Job of(JobSpec spec, @Nullable JobRecord saved, Now now) {
+    // Clocks of nodes differ a little: a job is never younger than its arrival here.
+    Job job = new Job(spec, now.ms() - Math.max(0, now.wallMs() - spec.acceptedWallMs()));
+    if (saved != null) {
+      job.phase = saved.phase();
+      job.finishedWallMs = saved.finishedWallMs();
+    }
+    // Steps of a final job are kept as well: a worker may still list runs that must be stopped.
+    job.buildSteps(saved == null ? List.of() : saved.tasks());
+    return job;
+  }
+
+  JobRecord record() {
+    List<TaskRecord> kept = phase.isFinal() ? List.of() : tasks().map(Task::record).toList();
+    return new JobRecord(spec.id(), phase, finishedWallMs, kept);
+  }
+
+  Stream<Task> tasks() {
+    return steps.stream().flatMap(step -> step.tasks.stream());
+  }
+
+  Optional<Task> task(TaskName name) {
+    return steps.stream()
+        .filter(step -> step.occurrence == name.occurrence() && step.index == name.step())
+        .flatMap(step -> step.tasks.stream())
+        .filter(task -> task.name.equals(name))
+        .findFirst();
+  }
+
+  boolean isDone() {
+    return steps.stream().allMatch(StepRun::isDone);
+  }
+
+  /** Returns whether the steps before a step are done and its time has come. */
+  boolean isDue(StepRun step, long wallMs) {
+    return spec.schedule().dueWallMs(step.occurrence) <= wallMs
+        && step.spec.after().stream()
+            .allMatch(before -> steps.get(step.occurrence * spec.steps().size() + before).isDone());
+  }
+
+  /** Ends the job. */
+  void finish(JobPhase end, long wallMs) {
+    phase = end;
+    finishedWallMs = wallMs;
+  }
+
+  private void buildSteps(List<TaskRecord> saved) {
+    int next = 0;
+    for (int occurrence = 0; occurrence < spec.schedule().occurrences(); occurrence++) {
+      for (int index = 0; index < spec.steps().size(); index++) {
+        StepSpec step = spec.steps().get(index);
+        StepRun run = new StepRun(this, occurrence, index, step);
+        for (int task = 0; task < step.count(); task++) {
+          TaskRecord record = next < saved.size() ? saved.get(next) : TaskRecord.NEW;
+          run.tasks.add(new Task(run, new TaskName(spec.id(), occurrence, index, task), record));
+          next++;
+        }
+        steps.add(run);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -0,0 +1,232 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.TaskRecord.State;
+import dev.bambootray.jobs.worker.StartReply;
+import dev.bambootray.jobs.worker.WorkerEntry;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Schedules the jobs of a pool of workers.
+ *
+ * <p>Only the owner of the pool has one. Every decision is in the store before it reaches a worker,
+ * and every end is in the store before the worker may forget it, so a successor can go on from the
+ * records and the lists of the workers. It has no thread, clock or socket: {@link #handle} takes an
+ * event and returns what is to be done.
+ */
+public final class JobScheduler {
+  /** Interval of checks that no event brings about. */
+  private static final long CHECK_MS = 200;
+
+  private final SchedulerState state;
+  private final RunTracker runs;
+  private final WorkerCalls calls;
+  private final Planner planner;
+  private final StallCheck stalls;
+  private long nextCheckMs;
+
+  private JobScheduler(JobTimes times) {
+    state = new SchedulerState(times);
+    runs = new RunTracker(state);
+    calls = new WorkerCalls(state, runs);
+    planner = new Planner(state, runs);
+    stalls = new StallCheck(state, runs);
+  }
+
+  /** Returns a scheduler that waits for {@link JobEvent.TookOver}. */
+  public static JobScheduler create(JobTimes times) {
+    return new JobScheduler(times);
+  }
+
+  /** Handles an event and returns the effects in the order in which they are to be carried out. */
+  public List<JobEffect> handle(JobEvent event, Now now) {
+    apply(event, now);
+    if (now.ms() >= nextCheckMs) {
+      nextCheckMs = now.ms() + CHECK_MS;
+      calls.lapse(now);
+      stalls.check(now);
+      forgetFinished(now);
+      state.planWanted = true;
+    }
+    if (state.planWanted) {
+      state.planWanted = false;
+      planner.plan(now);
+    }
+    if (state.batches.mayWrite()) {
+      state.emit(state.batches.write());
+    }
+    calls.call(now);
+    return state.takeEffects();
+  }
+
+  /** Returns the number of accepted jobs without times that have not begun, by template. */
+  public long pending(String template) {
+    return state.jobs.values().stream()
+        .filter(job -> job.phase == JobPhase.QUEUED && job.spec.template().equals(template))
+        .count();
+  }
+
+  /** Returns a short description of the load for the log and for metrics. */
+  public Load load() {
+    long open = state.jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
+    long running = 0;
+    int free = 0;
+    int capacity = 0;
+    for (WorkerState worker : state.workers.values()) {
+      running += worker.placements.size();
+      free += worker.free().accelerators();
+      capacity += worker.entry.capacity().accelerators();
+    }
+    return new Load(open, running, free, capacity);
+  }
+
+  /**
+   * Load of the pool.
+   *
+   * @param openJobs jobs that are not final
+   * @param runs runs at workers
+   * @param freeAccelerators accelerators without a run
+   * @param accelerators all accelerators
+   */
+  public record Load(long openJobs, long runs, int freeAccelerators, int accelerators) {}
+
+  private void apply(JobEvent event, Now now) {
+    if (event instanceof JobEvent.TookOver takeover) {
+      takeOver(takeover, now);
+    } else if (event instanceof JobEvent.Accepted accepted) {
+      accept(accepted, now);
+    } else if (event instanceof JobEvent.CancelRequested cancel) {
+      cancel(cancel.job(), now);
+    } else if (event instanceof JobEvent.WorkerListed listed) {
+      calls.onListed(listed.worker(), now);
+    } else if (event instanceof JobEvent.WorkerUnlisted unlisted) {
+      calls.onUnlisted(unlisted.worker(), now);
+    } else if (event instanceof JobEvent.DeclarationChanged changed) {
+      state.declaration = changed.declaration();
+      state.planWanted = true;
+    } else if (event instanceof JobEvent.StartAnswered answered) {
+      state.worker(answered.worker()).ifPresent(worker -> onStart(worker, answered, now));
+    } else if (event instanceof JobEvent.StopAnswered answered) {
+      state
+          .worker(answered.worker())
+          .ifPresent(
+              worker -> runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now));
+    } else if (event instanceof JobEvent.HoldAnswered answered) {
+      state
+          .worker(answered.worker())
+          .ifPresent(
+              worker ->
+                  calls.onHoldAnswered(
+                      worker, answered.reply(), answered.sentMs(), answered.look(), now));
+    } else if (event instanceof JobEvent.Durable durable) {
+      state.batches.onDurable(durable.batch());
+      runs.startDurable(now);
+    }
+  }
+
+  private void onStart(WorkerState worker, JobEvent.StartAnswered answered, Now now) {
+    if (answered.reply() instanceof StartReply.OtherLife) {
+      calls.onReplaced(worker, now);
+    } else {
+      runs.onStartAnswered(worker, answered.run(), answered.reply(), now);
+    }
+  }
+
+  private void takeOver(JobEvent.TookOver takeover, Now now) {
+    state.declaration = takeover.declaration();
+    takeover.workers().forEach(entry -> calls.onListed(entry, now));
+    takeover
+        .jobs()
+        .forEach(
+            spec -> {
+              Job job = Job.of(spec, takeover.records().get(spec.id()), now);
+              state.jobs.put(spec.id(), job);
+              state.runTimes.accepted(job);
+              adoptRuns(job, now);
+            });
+    state.workers.values().forEach(worker -> startOrphanLease(worker, now));
+    takeover.cancelled().forEach(job -> cancel(job, now));
+    state.decided(
+        "-",
+        "takeover jobs="
+            + takeover.jobs().size()
+            + " records="
+            + takeover.records().size()
+            + " workers="
+            + takeover.workers().size());
+  }
+
+  private void adoptRuns(Job job, Now now) {
+    job.tasks()
+        .filter(task -> task.state == State.PLACED)
+        .forEach(task -> runs.adopt(task, knownWorker(task, job), now));
+  }
+
+  /** Returns the worker of a run; one that the registry does not list may still have it. */
+  private WorkerState knownWorker(Task task, Job job) {
+    return state.workers.computeIfAbsent(
+        task.worker,
+        id ->
+            new WorkerState(
+                new WorkerEntry(
+                    id,
+                    job.spec.service(),
+                    "",
+                    "",
+                    "",
+                    Set.of(),
+                    new Resources(0, 0, 0),
+                    0,
+                    true)));
+  }
+
+  private void startOrphanLease(WorkerState worker, Now now) {
+    worker.leaseEndMs = now.ms() + state.times.orphanLeaseMs();
+    if (worker.entry.address().isEmpty()) {
+      // It cannot be reached: its runs count as gone once their leases have run out.
+      worker.failedCalls = 1;
+      worker.pollInFlight = true;
+    }
+  }
+
+  private void accept(JobEvent.Accepted accepted, Now now) {
+    if (state.jobs.containsKey(accepted.job().id())) {
+      return;
+    }
+    Job job = Job.of(accepted.job(), null, now);
+    state.jobs.put(accepted.job().id(), job);
+    state.runTimes.accepted(job);
+    state.decided(
+        accepted.job().id(),
+        "queued template="
+            + accepted.job().template()
+            + " priority="
+            + accepted.job().objective().priority()
+            + " age_ms="
+            + (now.ms() - job.acceptedMs));
+    state.planWanted = true;
+  }
+
+  private void cancel(String id, Now now) {
+    state
+        .job(id)
+        .filter(job -> !job.phase.isFinal())
+        .ifPresent(job -> runs.end(job, JobPhase.CANCELLED, now));
+  }
+
+  private void forgetFinished(Now now) {
+    List<String> old =
+        state.jobs.values().stream()
+            .filter(job -> job.phase.isFinal())
+            .filter(job -> now.wallMs() - job.finishedWallMs > state.times.keepFinishedMs())
+            .map(job -> job.spec.id())
+            .toList();
+    old.forEach(
+        id -> {
+          state.jobs.remove(id);
+          state.batches.forget(id);
+        });
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -0,0 +1,211 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.RunName;
+import dev.bambootray.jobs.model.TaskRecord.State;
+import dev.bambootray.jobs.scheduling.Reservations.Reservation;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One round of placement: which waiting steps get which workers. */
+final class Planner {
+  /** A step takes a slower rack only after it has waited this long for the right one. */
+  private static final long RIGHT_RACK_WAIT_MS = 4_000;
+
+  /** Wide gangs for which workers are kept free at a time; more would idle the pool. */
+  private static final int MOST_DRAINS = 2;
+
+  private final SchedulerState state;
+  private final RunTracker runs;
+  private final ValueDensityOrder order;
+  private final PackingPlacement placement = new PackingPlacement();
+  private final DrainPlan drains;
+
+  Planner(SchedulerState state, RunTracker runs) {
+    this.state = state;
+    this.runs = runs;
+    order = new ValueDensityOrder(state.runTimes);
+    drains = new DrainPlan(state.runTimes);
+  }
+
+  /** Places what fits, reclaims guarantees and keeps room for wide gangs. */
+  void plan(Now now) {
+    Room room = new Room(state.workers.values(), now.ms());
+    state.reservations.prune(room);
+    state.reservations.takeFrom(room);
+    Claims claims = Claims.of(state);
+    for (StepRun step : waiting(claims, now)) {
+      List<Task> ready = step.readyTasks();
+      if (step.isGang()) {
+        placeGang(step, ready, room, claims, now);
+      } else {
+        placeSingles(step, ready, room, claims, now);
+      }
+    }
+  }
+
+  private List<StepRun> waiting(Claims claims, Now now) {
+    Map<StepRun, Double> urgencies = new LinkedHashMap<>();
+    for (Job job : state.jobs.values()) {
+      if (job.phase.isFinal()) {
+        continue;
+      }
+      for (StepRun step : job.steps) {
+        if (step.readyTasks().isEmpty() || !job.isDue(step, now.wallMs())) {
+          step.readySinceMs = -1;
+          continue;
+        }
+        step.readySinceMs = step.readySinceMs < 0 ? now.ms() : step.readySinceMs;
+        double urgency = order.urgency(step, now.ms());
+        urgencies.put(step, claims.covers(job) ? Double.MAX_VALUE : urgency);
+      }
+    }
+    List<StepRun> steps = new ArrayList<>(urgencies.keySet());
+    steps.sort(
+        Comparator.comparingDouble((StepRun step) -> -urgencies.getOrDefault(step, 0.0))
+            .thenComparingLong(step -> step.job.acceptedMs));
+    return steps;
+  }
+
+  private void placeGang(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+    boolean covered = claims.covers(step.job);
+    if (state.reservations.has(step)) {
+      if (placeReserved(step, ready, room, now)) {
+        return;
+      }
+    }
+    boolean anywhere = now.ms() - step.readySinceMs > RIGHT_RACK_WAIT_MS;
+    Optional<Map<WorkerState, Integer>> places = placement.find(step, ready.size(), room, anywhere);
+    if (places.isPresent()) {
+      dropReservation(step, room);
+      place(step, ready, places.get(), room, now);
+      return;
+    }
+    if (state.reservations.has(step)) {
+      return;
+    }
+    if (covered) {
+      reclaim(step, ready.size(), room, claims, now);
+    } else if (state.reservations.drains() < MOST_DRAINS) {
+      reserve(step, ready.size(), room, now);
+    }
+  }
+
+  private void placeSingles(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+    if (state.reservations.has(step)) {
+      state.reservations.giveBack(room, step);
+      state.reservations.remove(step);
+    }
+    boolean anywhere = now.ms() - step.readySinceMs > RIGHT_RACK_WAIT_MS;
+    int placed = 0;
+    for (Task task : ready) {
+      Optional<Map<WorkerState, Integer>> places = placement.find(step, 1, room, anywhere);
+      if (places.isEmpty()) {
+        break;
+      }
+      place(step, List.of(task), places.get(), room, now);
+      placed++;
+    }
+    if (placed < ready.size() && claims.covers(step.job)) {
+      reclaim(step, ready.size() - placed, room, claims, now);
+    }
+  }
+
+  private boolean placeReserved(StepRun step, List<Task> ready, Room room, Now now) {
+    Reservation reservation = state.reservations.all().get(step);
+    if (reservation == null) {
+      return false;
+    }
+    state.reservations.giveBack(room, step);
+    boolean fits =
+        reservation.places().entrySet().stream()
+            .allMatch(place -> room.count(step, place.getKey()) >= place.getValue());
+    if (!fits) {
+      reservation.places().forEach((worker, count) -> room.take(worker, step.spec.each(), count));
+      return false;
+    }
+    state.reservations.remove(step);
+    place(step, ready, reservation.places(), room, now);
+    return true;
+  }
+
+  private void dropReservation(StepRun step, Room room) {
+    state.reservations.giveBack(room, step);
+    state.reservations.remove(step);
+  }
+
+  private void reclaim(StepRun step, int count, Room room, Claims claims, Now now) {
+    Optional<ReclaimPlan> found =
+        ReclaimPlan.find(
+            step, count, room, placed -> !claims.covers(placed.task.step.job), now.ms());
+    if (found.isEmpty()) {
+      return;
+    }
+    ReclaimPlan plan = found.get();
+    state.decided(
+        step.job.spec.id(),
+        "reclaim step="
+            + step.label()
+            + " tasks="
+            + count
+            + " stopped="
+            + plan.victims().size()
+            + " workspace="
+            + step.job.spec.workspace());
+    keep(step, plan.places(), true, room, now);
+    plan.victims().forEach(victim -> runs.stopWithGang(victim, "reclaimed", now));
+  }
+
+  private void reserve(StepRun step, int count, Room room, Now now) {
+    Optional<Map<WorkerState, Integer>> places = drains.find(step, count, room, order, now.ms());
+    if (places.isPresent()) {
+      state.decided(
+          step.job.spec.id(),
+          "reserve step=" + step.label() + " tasks=" + count + " workers=" + places.get().size());
+      keep(step, places.get(), false, room, now);
+    }
+  }
+
+  private void keep(
+      StepRun step, Map<WorkerState, Integer> places, boolean reclaim, Room room, Now now) {
+    state.reservations.put(step, new Reservation(places, reclaim, now.ms()));
+    places.forEach((worker, count) -> room.take(worker, step.spec.each(), count));
+  }
+
+  private void place(
+      StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Room room, Now now) {
+    List<WorkerState> targets = new ArrayList<>();
+    places.forEach(
+        (worker, count) -> {
+          room.take(worker, step.spec.each(), count);
+          for (int i = 0; i < count; i++) {
+            targets.add(worker);
+          }
+        });
+    int gangRun = step.isGang() ? step.nextRun() : 0;
+    for (int i = 0; i < tasks.size(); i++) {
+      Task task = tasks.get(i);
+      task.run = gangRun > 0 ? gangRun : task.run + 1;
+      task.state = State.PLACED;
+      task.worker = targets.get(i).id();
+      runs.order(task, new RunName(task.name, task.run), targets.get(i), now);
+    }
+    state.decided(
+        step.job.spec.id(),
+        "place step="
+            + step.label()
+            + " run="
+            + tasks.get(0).run
+            + " tasks="
+            + tasks.size()
+            + " waited_ms="
+            + (now.ms() - step.readySinceMs)
+            + " age_ms="
+            + (now.ms() - step.job.acceptedMs)
+            + " workers="
+            + places.keySet().stream().map(WorkerState::id).toList());
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
@@ -0,0 +1,144 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Places for a step that holds a guarantee, and the runs to stop for it.
+ *
+ * @param places number of tasks by worker
+ * @param victims runs to stop
+ */
+record ReclaimPlan(Map<WorkerState, Integer> places, Set<Placement> victims) {
+
+  /** Cost of stopping a run that has just begun, in core-seconds; a stop and a start cost time. */
+  private static final double LEAST_COST = 1.0;
+
+  /** Work that a checkpointing task loses on average when it is stopped, in seconds. */
+  private static final double CHECKPOINT_LOSS_S = 0.5;
+
+  private record Offer(WorkerState worker, int places, double cost, Set<Placement> victims) {}
+
+  /**
+   * Chooses the victims that lose the least work.
+   *
+   * @param step the step to place
+   * @param count number of its tasks
+   * @param room what is free, without places that are reserved for others
+   * @param mayStop whether a run may be stopped for it
+   * @param nowMs the time
+   */
+  static Optional<ReclaimPlan> find(
+      StepRun step, int count, Room room, Predicate<Placement> mayStop, long nowMs) {
+    List<WorkerState> candidates = room.candidates(step);
+    Collection<List<WorkerState>> groups =
+        step.spec.sameRack() && step.isGang()
+            ? new ArrayList<>(PackingPlacement.byRack(candidates).values())
+            : new ArrayList<>();
+    Optional<ReclaimPlan> plan = Optional.empty();
+    groups.removeIf(group -> !PackingPlacement.couldHold(step, count, group));
+    if (groups.isEmpty()) {
+      groups.add(candidates);
+    }
+    double leastCost = Double.MAX_VALUE;
+    for (List<WorkerState> group : groups) {
+      List<Offer> offers = offers(step, group, room, mayStop, nowMs);
+      Optional<ReclaimPlan> found = assemble(offers, count);
+      if (found.isPresent() && cost(found.get(), nowMs) < leastCost) {
+        leastCost = cost(found.get(), nowMs);
+        plan = found;
+      }
+    }
+    return plan;
+  }
+
+  private static Optional<ReclaimPlan> assemble(List<Offer> offers, int count) {
+    Map<WorkerState, Integer> places = new LinkedHashMap<>();
+    Set<Placement> victims = new LinkedHashSet<>();
+    int left = count;
+    for (Offer offer : offers) {
+      int taken = Math.min(left, offer.places());
+      places.put(offer.worker(), taken);
+      victims.addAll(offer.victims());
+      left -= taken;
+      if (left == 0) {
+        return Optional.of(new ReclaimPlan(places, victims));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static List<Offer> offers(
+      StepRun step,
+      List<WorkerState> workers,
+      Room room,
+      Predicate<Placement> mayStop,
+      long nowMs) {
+    List<Offer> offers = new ArrayList<>();
+    for (WorkerState worker : workers) {
+      offers.addAll(offersOf(step, worker, room, mayStop, nowMs));
+    }
+    offers.sort(Comparator.comparingDouble(offer -> offer.cost() / offer.places()));
+    return offers;
+  }
+
+  /** Offers of one worker: what is or becomes free without a victim, and the most with victims. */
+  private static List<Offer> offersOf(
+      StepRun step, WorkerState worker, Room room, Predicate<Placement> mayStop, long nowMs) {
+    Resources free = room.free(worker);
+    List<Placement> stoppable = new ArrayList<>();
+    for (Placement placement : worker.placements.values()) {
+      if (placement.phase == Placement.Phase.STOPPING) {
+        free = Amounts.plus(free, placement.size(), 1);
+      } else if (mayStop.test(placement)) {
+        stoppable.add(placement);
+      }
+    }
+    int most = step.spec.maxPerWorker() > 0 ? step.spec.maxPerWorker() : Integer.MAX_VALUE;
+    int before = Math.min(most, Amounts.count(step.spec.each(), free));
+    List<Offer> offers = new ArrayList<>();
+    if (before > 0) {
+      offers.add(new Offer(worker, before, 0, Set.of()));
+      return offers;
+    }
+    stoppable.sort(Comparator.comparingDouble(placement -> lostWork(placement, nowMs)));
+    Set<Placement> victims = new HashSet<>();
+    double cost = 0;
+    for (Placement victim : stoppable) {
+      free = Amounts.plus(free, victim.size(), 1);
+      victims.add(victim);
+      cost += lostWork(victim, nowMs);
+      int places = Math.min(most, Amounts.count(step.spec.each(), free));
+      if (places > 0) {
+        offers.add(new Offer(worker, places, cost, Set.copyOf(victims)));
+        return offers;
+      }
+    }
+    return offers;
+  }
+
+  private static double cost(ReclaimPlan plan, long nowMs) {
+    return plan.victims().stream().mapToDouble(victim -> lostWork(victim, nowMs)).sum();
+  }
+
+  /** Returns the core-seconds that are lost when a run, and with it its gang, is stopped. */
+  private static double lostWork(Placement victim, long nowMs) {
+    StepRun step = victim.task.step;
+    double seconds = Math.max(0, nowMs - victim.startedMs) / 1_000.0;
+    if (step.spec.checkpointing()) {
+      seconds = Math.min(seconds, CHECKPOINT_LOSS_S);
+    }
+    int members = step.isGang() ? step.spec.count() : 1;
+    return LEAST_COST + members * seconds * Amounts.cores(step.spec.each());
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTimes.java
@@ -0,0 +1,98 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.TaskRecord.State;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Run times and sizes of jobs learned for each template. Declared run times may be wrong by a
+ * factor of ten, so observed ones replace them as soon as there are a few.
+ */
+final class RunTimes {
+  private static final int ENOUGH_SAMPLES = 3;
+  private static final double NEW_SHARE = 0.15;
+  private static final long UNKNOWN_MS = 3_000;
+
+  private static final class Average {
+    private double value;
+    private int samples;
+
+    private void add(double sample) {
+      samples++;
+      value += (sample - value) * Math.max(NEW_SHARE, 1.0 / samples);
+    }
+  }
+
+  private final Map<String, Average> runTimes = new HashMap<>();
+  private final Map<String, Average> jobWork = new HashMap<>();
+
+  void ran(String template, double durationMs) {
+    runTimes.computeIfAbsent(template, name -> new Average()).add(durationMs);
+  }
+
+  void accepted(Job job) {
+    jobWork.computeIfAbsent(job.spec.template(), name -> new Average()).add(work(job));
+  }
+
+  /** Returns the expected run time of a task of a step. */
+  long expectedMs(StepRun step) {
+    Average learned = runTimes.get(step.job.spec.template());
+    if (learned != null && learned.samples >= ENOUGH_SAMPLES) {
+      return (long) learned.value;
+    }
+    return step.spec.estimateMs() > 0 ? step.spec.estimateMs() : UNKNOWN_MS;
+  }
+
+  /** Returns the core-seconds of a job against the mean of its template. */
+  double relativeWork(Job job) {
+    Average mean = jobWork.get(job.spec.template());
+    return mean == null || mean.value <= 0 ? 1 : work(job) / mean.value;
+  }
+
+  /** Returns the core-seconds that a job still needs. */
+  double remainingWork(Job job) {
+    double sum = 0;
+    for (StepRun step : job.steps) {
+      long open = step.tasks.stream().filter(RunTimes::isOpen).count();
+      sum += open * Amounts.cores(step.spec.each()) * expectedMs(step) / 1_000.0;
+    }
+    return sum;
+  }
+
+  /** Returns the expected time of the longest chain of steps that are not done. */
+  long remainingChainMs(Job job, int occurrence) {
+    return chainMs(job, occurrence, true);
+  }
+
+  /** Returns the expected time of the longest chain of all steps. */
+  long wholeChainMs(Job job, int occurrence) {
+    return chainMs(job, occurrence, false);
+  }
+
+  private long chainMs(Job job, int occurrence, boolean onlyOpen) {
+    int count = job.spec.steps().size();
+    long[] ends = new long[count];
+    long longest = 0;
+    for (int index = 0; index < count; index++) {
+      StepRun step = job.steps.get(occurrence * count + index);
+      long start = 0;
+      for (int before : step.spec.after()) {
+        start = before < index ? Math.max(start, ends[before]) : start;
+      }
+      ends[index] = start + (onlyOpen && step.isDone() ? 0 : expectedMs(step));
+      longest = Math.max(longest, ends[index]);
+    }
+    return longest;
+  }
+
+  private double work(Job job) {
+    return job.steps.stream()
+        .mapToDouble(
+            step -> step.spec.count() * Amounts.cores(step.spec.each()) * expectedMs(step) / 1_000)
+        .sum();
+  }
+
+  private static boolean isOpen(Task task) {
+    return task.state != State.DONE;
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -0,0 +1,322 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.RunName;
+import dev.bambootray.jobs.model.TaskRecord.State;
+import dev.bambootray.jobs.scheduling.Placement.Phase;
+import dev.bambootray.jobs.worker.RunEnd.Cause;
+import dev.bambootray.jobs.worker.StartReply;
+import dev.bambootray.jobs.worker.StartReply.Reason;
+import java.util.List;
+
+/** Follows each run from the decision to start it until its end is known. */
+final class RunTracker {
+  /** A worker that refuses as unhealthy gets no new run for this long. */
+  private static final long UNHEALTHY_PAUSE_MS = 2_000;
+
+  /** A worker that had less room than expected is asked for its runs before it is used again. */
+  private static final long NO_ROOM_PAUSE_MS = 300;
+
+  private final SchedulerState state;
+  private final WorkerHealth health;
+
+  RunTracker(SchedulerState state) {
+    this.state = state;
+    health = new WorkerHealth();
+  }
+
+  /** Notes a run that is to start once the decision is in the store. */
+  void order(Task task, RunName run, WorkerState worker, Now now) {
+    Placement placement = new Placement(task, run, worker, Phase.ORDERED, now.ms());
+    placement.untilMs = worker.leaseUntilMs(now.ms(), state.times.leaseMs());
+    placement.batch = state.batches.change(task.step.job);
+    add(placement);
+  }
+
+  /** Notes a run that an earlier owner ordered. */
+  void adopt(Task task, WorkerState worker, Now now) {
+    add(new Placement(task, new RunName(task.name, task.run), worker, Phase.ADOPTING, now.ms()));
+  }
+
+  /** Notes a run that a worker lists and that the records do not name, and stops it. */
+  void stopForeign(Task task, RunName run, WorkerState worker, Now now) {
+    Placement placement = new Placement(task, run, worker, Phase.RUNNING, now.ms());
+    add(placement);
+    stop(placement, "not expected", now);
+  }
+
+  /** Sends the starts whose decision is in the store. */
+  void startDurable(Now now) {
+    for (WorkerState worker : state.workers.values()) {
+      for (Placement placement : List.copyOf(worker.placements.values())) {
+        if (placement.phase == Phase.ORDERED && state.batches.isDurable(placement.batch)) {
+          start(placement, now);
+        }
+      }
+    }
+  }
+
+  private void start(Placement placement, Now now) {
+    WorkerState worker = placement.worker;
+    boolean late = now.ms() - placement.phaseSinceMs > state.times.orderMaxAgeMs();
+    if (late || !worker.isUsable(now.ms())) {
+      // The decision is out of date: its lease has begun, or the worker has changed since.
+      finish(placement, Cause.STOPPED, "", now);
+      return;
+    }
+    if (!worker.placements.containsKey(placement.run)) {
+      return; // Its gang was given up by the start of an earlier member.
+    }
+    placement.enter(Phase.STARTING, now.ms());
+    worker.leaseEndMs = Math.max(worker.leaseEndMs, now.ms() + state.times.leaseBoundMs());
+    state.emit(
+        new JobEffect.StartRun(
+            worker.entry,
+            placement.run,
+            placement.task.step.job.spec.payload(),
+            placement.untilMs,
+            placement.task.checkpoint));
+  }
+
+  void onStartAnswered(WorkerState worker, RunName run, StartReply reply, Now now) {
+    Placement placement = worker.placements.get(run);
+    if (placement == null || placement.phase == Phase.ORDERED) {
+      return;
+    }
+    if (reply instanceof StartReply.Started started) {
+      worker.learnClock(started.clockMs(), now.ms());
+      if (placement.phase == Phase.STARTING) {
+        placement.enter(Phase.RUNNING, now.ms());
+        placement.percentSinceMs = now.ms();
+        placement.startedMs = now.ms();
+        placement.timed = placement.task.checkpoint.isEmpty();
+        onStarted(placement);
+      }
+    } else if (reply instanceof StartReply.Refused refused) {
+      onRefused(placement, refused.reason(), now);
+    } else if (reply instanceof StartReply.Unknown unknown) {
+      // It may run, or be started seconds later; a stop settles both.
+      stop(placement, "start not answered: " + unknown.detail(), now);
+    }
+  }
+
+  private void onStarted(Placement placement) {
+    Job job = placement.task.step.job;
+    if (job.phase == JobPhase.QUEUED) {
+      job.phase = JobPhase.RUNNING;
+      state.batches.change(job);
+    }
+  }
+
+  private void onRefused(Placement placement, Reason reason, Now now) {
+    WorkerState worker = placement.worker;
+    if (reason == Reason.FENCED) {
+      state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
+      return;
+    }
+    if (reason == Reason.UNHEALTHY || reason == Reason.NOT_SENT) {
+      worker.pausedUntilMs = now.ms() + UNHEALTHY_PAUSE_MS;
+    }
+    if (reason == Reason.NO_ROOM) {
+      worker.pausedUntilMs = now.ms() + NO_ROOM_PAUSE_MS;
+      worker.lookWanted = true;
+    }
+    state.decided(
+        placement.run.task().job(),
+        "refused run=" + text(placement) + " worker=" + worker.id() + " reason=" + reason);
+    finish(placement, Cause.STOPPED, "", now);
+  }
+
+  /** Stops a run, and with it the other members of its gang. */
+  void stopWithGang(Placement placement, String why, Now now) {
+    StepRun step = placement.task.step;
+    if (!step.isGang()) {
+      stop(placement, why, now);
+      return;
+    }
+    for (WorkerState worker : state.workers.values()) {
+      for (Placement member : List.copyOf(worker.placements.values())) {
+        if (member.task.step == step && member.run.run() == placement.run.run()) {
+          stop(member, why, now);
+        }
+      }
+    }
+  }
+
+  /** Stops a run, or drops it if its start was not sent yet. */
+  void stop(Placement placement, String why, Now now) {
+    if (placement.phase == Phase.ORDERED) {
+      finish(placement, Cause.STOPPED, "", now);
+      return;
+    }
+    if (placement.phase == Phase.STOPPING) {
+      return;
+    }
+    placement.enter(Phase.STOPPING, now.ms());
+    state.decided(
+        placement.run.task().job(),
+        "stop run=" + text(placement) + " worker=" + placement.worker.id() + " why=" + why);
+    sendStop(placement, now);
+  }
+
+  /** Repeats stops that were not confirmed. */
+  void repeatStops(WorkerState worker, Now now) {
+    for (Placement placement : worker.placements.values()) {
+      if (placement.phase == Phase.STOPPING
+          && !placement.stopConfirmed
+          && !placement.stopInFlight
+          && now.ms() - placement.stopSentMs >= state.times.retryMs()) {
+        sendStop(placement, now);
+      }
+    }
+  }
+
+  private void sendStop(Placement placement, Now now) {
+    placement.stopInFlight = true;
+    placement.stopSentMs = now.ms();
+    state.emit(new JobEffect.StopRun(placement.worker.entry, placement.run));
+  }
+
+  void onStopAnswered(WorkerState worker, RunName run, boolean confirmed, Now now) {
+    Placement placement = worker.placements.get(run);
+    if (placement == null) {
+      return;
+    }
+    placement.stopInFlight = false;
+    if (confirmed && placement.phase == Phase.STOPPING && !placement.stopConfirmed) {
+      placement.stopConfirmed = true;
+      placement.phaseSinceMs = now.ms();
+      worker.lookWanted = true;
+    }
+  }
+
+  /** Ends a run whose worker neither lists it nor reports its end. */
+  void lost(Placement placement, String why, Now now) {
+    state.decided(
+        placement.run.task().job(),
+        "lost run=" + text(placement) + " worker=" + placement.worker.id() + " why=" + why);
+    finish(placement, Cause.LAPSED, "", now);
+  }
+
+  /** Handles the end of a run. */
+  void finish(Placement placement, Cause cause, String checkpoint, Now now) {
+    placement.worker.placements.remove(placement.run);
+    Task task = placement.task;
+    task.live--;
+    state.planWanted = true;
+    if (!checkpoint.isEmpty()) {
+      keepCheckpoint(task, checkpoint);
+    }
+    if (!placement.isCurrent() || task.step.job.phase.isFinal()) {
+      return;
+    }
+    state.batches.change(task.step.job);
+    switch (cause) {
+      case DONE -> onDone(placement, now);
+      case FAILED -> onFailed(placement, now);
+      case STOPPED, LAPSED, BROKEN, ALONE -> requeue(placement, cause, now);
+    }
+  }
+
+  private void onDone(Placement placement, Now now) {
+    StepRun step = placement.task.step;
+    if (step.spec.longRunning()) {
+      requeue(placement, Cause.DONE, now);
+      return;
+    }
+    if (placement.timed) {
+      state.runTimes.ran(step.job.spec.template(), (double) (now.ms() - placement.startedMs));
+    }
+    health.succeeded(placement.worker);
+    if (step.isGang()) {
+      // The members end together, and the end of one stands for all.
+      step.tasks.forEach(task -> task.state = State.DONE);
+    } else {
+      placement.task.state = State.DONE;
+    }
+    Job job = step.job;
+    if (job.isDone()) {
+      end(job, JobPhase.COMPLETED, now);
+    }
+  }
+
+  private void onFailed(Placement placement, Now now) {
+    StepRun step = placement.task.step;
+    health.failed(placement, now);
+    if (step.isGang()) {
+      if (step.countedFailure != placement.run.run()) {
+        step.countedFailure = placement.run.run();
+        step.tasks.forEach(task -> task.failures++);
+      }
+    } else {
+      placement.task.failures++;
+    }
+    state.decided(
+        step.job.spec.id(),
+        "failed run="
+            + text(placement)
+            + " worker="
+            + placement.worker.id()
+            + " failures="
+            + placement.task.failures
+            + " of="
+            + step.job.spec.objective().maxAttempts());
+    boolean spent = placement.task.failures >= step.job.spec.objective().maxAttempts();
+    if (spent && !step.spec.longRunning()) {
+      end(step.job, JobPhase.FAILED, now);
+      return;
+    }
+    requeue(placement, Cause.FAILED, now);
+  }
+
+  private void requeue(Placement placement, Cause cause, Now now) {
+    placement.task.state = State.WAITING;
+    if (cause == Cause.LAPSED || cause == Cause.ALONE) {
+      state.decided(
+          placement.run.task().job(),
+          "requeue run=" + text(placement) + " worker=" + placement.worker.id() + " end=" + cause);
+    }
+    if (placement.task.step.isGang()) {
+      stopWithGang(placement, "a member ended: " + cause, now);
+    }
+  }
+
+  /** Ends a job and stops what still runs of it. */
+  void end(Job job, JobPhase phase, Now now) {
+    job.finish(phase, now.wallMs());
+    state.batches.change(job);
+    state.planWanted = true;
+    state.decided(job.spec.id(), "job phase=" + phase + " age_ms=" + (now.ms() - job.acceptedMs));
+    for (WorkerState worker : state.workers.values()) {
+      for (Placement placement : List.copyOf(worker.placements.values())) {
+        if (placement.task.step.job == job && phase != JobPhase.COMPLETED) {
+          stop(placement, "job " + phase, now);
+        }
+      }
+    }
+  }
+
+  private void add(Placement placement) {
+    placement.worker.placements.put(placement.run, placement);
+    placement.task.live++;
+  }
+
+  private static void keepCheckpoint(Task task, String checkpoint) {
+    if (task.step.isGang()) {
+      // Members of a gang resume from one common checkpoint.
+      task.step.tasks.forEach(member -> member.checkpoint = checkpoint);
+    } else {
+      task.checkpoint = checkpoint;
+    }
+  }
+
+  static String text(Placement placement) {
+    return placement.run.task().occurrence()
+        + "."
+        + placement.run.task().step()
+        + "."
+        + placement.run.task().index()
+        + "#"
+        + placement.run.run();
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
@@ -0,0 +1,50 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.JobDeclaration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** State that the parts of the scheduler share; confined to the control thread. */
+final class SchedulerState {
+  final JobTimes times;
+  final Map<String, Job> jobs = new LinkedHashMap<>();
+  final Map<String, WorkerState> workers = new LinkedHashMap<>();
+  final RunTimes runTimes = new RunTimes();
+  final RecordBatches batches = new RecordBatches();
+  final Reservations reservations = new Reservations();
+  JobDeclaration declaration = new JobDeclaration(0, List.of(), Map.of(), List.of(), 0);
+
+  /** Whether something changed that may let a step be placed. */
+  boolean planWanted;
+
+  private List<JobEffect> effects = new ArrayList<>();
+
+  SchedulerState(JobTimes times) {
+    this.times = times;
+  }
+
+  void emit(JobEffect effect) {
+    effects.add(effect);
+  }
+
+  void decided(String subject, String text) {
+    effects.add(new JobEffect.Decided(subject, text));
+  }
+
+  List<JobEffect> takeEffects() {
+    List<JobEffect> taken = effects;
+    effects = new ArrayList<>();
+    return taken;
+  }
+
+  Optional<WorkerState> worker(String id) {
+    return Optional.ofNullable(workers.get(id));
+  }
+
+  Optional<Job> job(String id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StallCheck.java
@@ -0,0 +1,48 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.scheduling.Placement.Phase;
+import java.util.List;
+
+/**
+ * Stops runs that make no progress although their worker answers, so that they start again
+ * elsewhere. Workers may hang single tasks while their health is good.
+ */
+final class StallCheck {
+  private static final long WORKER_PAUSE_MS = 5_000;
+  private static final int DONE_PERCENT = 100;
+
+  private final SchedulerState state;
+  private final RunTracker runs;
+
+  StallCheck(SchedulerState state, RunTracker runs) {
+    this.state = state;
+    this.runs = runs;
+  }
+
+  void check(Now now) {
+    for (WorkerState worker : List.copyOf(state.workers.values())) {
+      for (Placement placement : List.copyOf(worker.placements.values())) {
+        if (isStalled(placement, now.ms())) {
+          worker.pausedUntilMs = Math.max(worker.pausedUntilMs, now.ms() + WORKER_PAUSE_MS);
+          runs.stopWithGang(placement, "no progress at percent=" + placement.percent, now);
+        }
+      }
+    }
+  }
+
+  private boolean isStalled(Placement placement, long nowMs) {
+    if (placement.phase != Phase.RUNNING
+        || placement.percent >= DONE_PERCENT
+        || placement.worker.failedCalls > 0
+        || nowMs - placement.percentSinceMs <= state.times.stallMs()) {
+      return false;
+    }
+    // Members of a gang wait for each other; the one with the least progress is at fault.
+    StepRun step = placement.task.step;
+    return !step.isGang()
+        || state.workers.values().stream()
+            .flatMap(worker -> worker.placements.values().stream())
+            .filter(other -> other.task.step == step)
+            .allMatch(other -> other.percent >= placement.percent);
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepRun.java
@@ -0,0 +1,50 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.jobs.model.TaskRecord.State;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One step in one occurrence of a job. */
+final class StepRun {
+  final Job job;
+  final int occurrence;
+  final int index;
+  final StepSpec spec;
+  final List<Task> tasks = new ArrayList<>();
+
+  /** Newest run number whose failure was counted, so that a gang fails once for a run. */
+  int countedFailure;
+
+  /** When its tasks could first be placed, or -1. */
+  long readySinceMs = -1;
+
+  StepRun(Job job, int occurrence, int index, StepSpec spec) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.index = index;
+    this.spec = spec;
+  }
+
+  boolean isDone() {
+    return tasks.stream().allMatch(task -> task.state == State.DONE);
+  }
+
+  boolean isGang() {
+    return spec.gang() && spec.count() > 1;
+  }
+
+  /** Returns the tasks that may be placed now; for a gang all or none. */
+  List<Task> readyTasks() {
+    List<Task> ready = tasks.stream().filter(Task::isReady).toList();
+    return isGang() && ready.size() < tasks.size() ? List.of() : ready;
+  }
+
+  int nextRun() {
+    return tasks.stream().mapToInt(task -> task.run).max().orElse(0) + 1;
+  }
+
+  String label() {
+    return job.spec.id() + "/" + occurrence + "." + index;
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
@@ -0,0 +1,37 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.jobs.model.TaskName;
+import dev.bambootray.jobs.model.TaskRecord;
+import dev.bambootray.jobs.model.TaskRecord.State;
+
+/** A task of a job that is not final. */
+final class Task {
+  final StepRun step;
+  final TaskName name;
+  State state;
+  int run;
+  int failures;
+  String worker;
+  String checkpoint;
+
+  /** Live runs of this task, also of earlier numbers whose end is not known yet. */
+  int live;
+
+  Task(StepRun step, TaskName name, TaskRecord saved) {
+    this.step = step;
+    this.name = name;
+    state = saved.state();
+    run = saved.run();
+    failures = saved.failures();
+    worker = saved.worker();
+    checkpoint = saved.checkpoint();
+  }
+
+  TaskRecord record() {
+    return new TaskRecord(state, run, failures, state == State.PLACED ? worker : "", checkpoint);
+  }
+
+  boolean isReady() {
+    return state == State.WAITING && live == 0;
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -0,0 +1,114 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.RunName;
+import dev.bambootray.jobs.worker.WorkerEntry;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What the owner knows of a worker. */
+final class WorkerState {
+  /** At 2% of drift a lease is 0.6 s shorter than meant after this time. */
+  private static final long CLOCK_KEEPS_MS = 30_000;
+
+  WorkerEntry entry;
+  final Map<RunName, Placement> placements = new LinkedHashMap<>();
+
+  /** Whether the registry lists it; an unlisted worker gets no new runs but may finish its own. */
+  boolean listed;
+
+  /** Whether it has listed its runs to this owner. */
+  boolean adopted;
+
+  long bornMs;
+
+  /** Newest end that was handled, and newest that may be acknowledged. */
+  long seen;
+
+  long durableSeen;
+  long acknowledgedSeen;
+
+  /** Batch after which {@code seen} may be acknowledged. */
+  long seenBatch;
+
+  private long clockMs = -1;
+  private long clockAtMs;
+
+  /** After this time every lease that was ever sent to it has run out. */
+  long leaseEndMs;
+
+  boolean pollInFlight;
+  boolean lookInFlight;
+  boolean lookWanted;
+  long lastReplyMs = Long.MIN_VALUE / 2;
+  long nextCallMs;
+  int failedCalls;
+
+  /** No new runs before this time. */
+  long pausedUntilMs;
+
+  /** Failures of different jobs in a row, as evidence against the worker. */
+  int failureStreak;
+
+  String lastFailedJob = "";
+
+  WorkerState(WorkerEntry entry) {
+    this.entry = entry;
+    bornMs = entry.bornMs();
+  }
+
+  String id() {
+    return entry.id();
+  }
+
+  String rack() {
+    return entry.rack();
+  }
+
+  boolean isUsable(long nowMs) {
+    return listed && adopted && !entry.draining() && failedCalls == 0 && nowMs >= pausedUntilMs;
+  }
+
+  void learnClock(long workerMs, long nowMs) {
+    clockMs = workerMs;
+    clockAtMs = nowMs;
+  }
+
+  boolean knowsClock() {
+    return clockMs >= 0;
+  }
+
+  /** Returns whether the clock was read too long ago to grant leases by it. */
+  boolean needsClock(long nowMs) {
+    return !knowsClock() || nowMs - clockAtMs > CLOCK_KEEPS_MS;
+  }
+
+  /** Returns the end of a lease that begins now, by the worker's clock, never too late. */
+  long leaseUntilMs(long nowMs, long leaseMs) {
+    // A worker's clock may run 2% slow.
+    return clockMs + (long) ((nowMs - clockAtMs) * 0.98) + leaseMs;
+  }
+
+  Resources free() {
+    int accelerators = entry.capacity().accelerators();
+    int millicores = entry.capacity().millicores();
+    int memoryMib = entry.capacity().memoryMib();
+    for (Placement placement : placements.values()) {
+      accelerators -= placement.size().accelerators();
+      millicores -= placement.size().millicores();
+      memoryMib -= placement.size().memoryMib();
+    }
+    return new Resources(accelerators, millicores, memoryMib);
+  }
+
+  /** Forgets all of an earlier life. */
+  void restart(long newBornMs) {
+    bornMs = newBornMs;
+    adopted = false;
+    seen = 0;
+    durableSeen = 0;
+    acknowledgedSeen = 0;
+    clockMs = -1;
+    failureStreak = 0;
+  }
+}
--- /dev/null
+++ b/ports/src/main/java/dev/bambootray/ports/RowStore.java
@@ -0,0 +1,47 @@
+package dev.bambootray.ports;
+
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.jobs.store.RowPage;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Versioned rows of the platform's store. Futures complete on a traffic thread, never with a throw.
+ */
+public interface RowStore {
+
+  /**
+   * Applies all changes, or none if a condition does not hold.
+   *
+   * @param conditions versions that rows must have
+   * @param changes rows to write or remove
+   * @param timeoutMs time for the whole exchange, in milliseconds
+   */
+  CompletableFuture<CommitOutcome> commit(
+      List<RowCondition> conditions, List<RowChange> changes, long timeoutMs);
+
+  /**
+   * Reads rows in the order of their keys.
+   *
+   * @param table the table
+   * @param from first key, or empty for the start
+   * @param to key that ends the range and is not part of it, or empty for the end
+   * @param limit most rows
+   */
+  CompletableFuture<Either<StoreError, RowPage>> read(
+      String table, String from, String to, int limit);
+
+  /**
+   * Waits for changes of a table.
+   *
+   * @param table the table
+   * @param after version after which changes are wanted
+   * @param waitMs longest wait in milliseconds
+   */
+  CompletableFuture<ChangePage> changes(String table, long after, long waitMs);
+}
