Let short urgent jobs stop long work of little value

Change: a waiting step whose slack is nearly used may stop runs whose jobs have a third of its value for the work that is left; the owner logs the pool's load each second.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -32,6 +32,9 @@
   /** Interval at which the control thread looks at its timers. */
   private static final long TICK_MS = 50;
 
+  /** Interval of the log line about the load of the pool. */
+  private static final long LOAD_LINE_MS = 1_000;
+
   private final String name;
   private final JobTimes times;
   private final ScheduledExecutorService executor;
@@ -49,6 +52,7 @@
 
   private @Nullable JobScheduler scheduler;
   private long epoch;
+  private long nextLoadLineMs;
   private boolean releasing;
 
   private JobNode(Builder builder) {
@@ -122,13 +126,22 @@
           .orElse(List.of())
           .forEach(template -> pending.put(template.name(), current.pending(template.name())));
       onLease(new LeaseEvent.PendingChanged(pending));
-      metrics.load(current.load());
+      noteLoad(current.load());
     }
     onLease(new LeaseEvent.Tick());
     onScheduler(new JobEvent.Tick());
     completeRelease();
   }
 
+  private void noteLoad(JobScheduler.Load load) {
+    metrics.load(load);
+    long nowMs = now().ms();
+    if (load.openJobs() > 0 && nowMs >= nextLoadLineMs) {
+      nextLoadLineMs = nowMs + LOAD_LINE_MS;
+      log.line("sched:", name, "epoch=" + epoch + " load " + load);
+    }
+  }
+
   private void completeRelease() {
     if (releasing && lease.isReleased()) {
       released.complete(true);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -23,12 +23,14 @@
   private final ValueDensityOrder order;
   private final PackingPlacement placement = new PackingPlacement();
   private final DrainPlan drains;
+  private final ValuePreemption preemption;
 
   Planner(SchedulerState state, RunTracker runs) {
     this.state = state;
     this.runs = runs;
     order = new ValueDensityOrder(state.runTimes);
     drains = new DrainPlan(state.runTimes);
+    preemption = new ValuePreemption(state.runTimes, order);
   }
 
   /** Places what fits, reclaims guarantees and keeps room for wide gangs. */
@@ -87,9 +89,10 @@
     if (state.reservations.has(step)) {
       return;
     }
-    if (covered) {
+    if (covered || preemption.isWorthwhile(step, now.ms())) {
       reclaim(step, ready.size(), room, claims, now);
-    } else if (state.reservations.drains() < MOST_DRAINS) {
+    }
+    if (!state.reservations.has(step) && state.reservations.drains() < MOST_DRAINS) {
       reserve(step, ready.size(), room, now);
     }
   }
@@ -109,7 +112,8 @@
       place(step, List.of(task), places.get(), room, now);
       placed++;
     }
-    if (placed < ready.size() && claims.covers(step.job)) {
+    boolean urgent = claims.covers(step.job) || preemption.isWorthwhile(step, now.ms());
+    if (placed < ready.size() && urgent) {
       reclaim(step, ready.size() - placed, room, claims, now);
     }
   }
@@ -138,9 +142,16 @@
   }
 
   private void reclaim(StepRun step, int count, Room room, Claims claims, Now now) {
+    boolean covered = claims.covers(step.job);
     Optional<ReclaimPlan> found =
         ReclaimPlan.find(
-            step, count, room, placed -> !claims.covers(placed.task.step.job), now.ms());
+            step,
+            count,
+            room,
+            placed ->
+                !claims.covers(placed.task.step.job)
+                    && (covered || preemption.mayStop(step, placed, now.ms())),
+            now.ms());
     if (found.isEmpty()) {
       return;
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValueDensityOrder.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValueDensityOrder.java
@@ -15,7 +15,7 @@
   private static final double LATE_SHARE = 0.27;
 
   /** Completions later than this multiple of the allowed time have no value. */
-  private static final double LATE_FACTOR = 3.0;
+  static final double LATE_FACTOR = 3.0;
 
   private static final double HOPELESS_SHARE = 0.01;
 
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
@@ -0,0 +1,37 @@
+package dev.bambootray.jobs.scheduling;
+
+/**
+ * Decides whether a waiting step may stop runs of others without holding a guarantee.
+ *
+ * <p>It answers a pool that is full of long work when short urgent jobs arrive: these would be late
+ * before the first place comes free, while the long jobs have time for a second start.
+ */
+final class ValuePreemption {
+  /** Value for remaining work must be this many times that of the run to be stopped. */
+  private static final double LEAST_ADVANTAGE = 3.0;
+
+  /** A step that can wait longer than this without being late waits for a free place. */
+  private static final long PATIENCE_MS = 2_500;
+
+  private final RunTimes runTimes;
+  private final ValueDensityOrder order;
+
+  ValuePreemption(RunTimes runTimes, ValueDensityOrder order) {
+    this.runTimes = runTimes;
+    this.order = order;
+  }
+
+  /** Returns whether a step loses value soon unless it starts, and has value left to lose. */
+  boolean isWorthwhile(StepRun step, long nowMs) {
+    Job job = step.job;
+    double ageMs = nowMs - job.acceptedMs;
+    double allowedMs = order.allowedMs(job, step.occurrence);
+    double slackMs = allowedMs - ageMs - runTimes.remainingChainMs(job, step.occurrence);
+    return slackMs < PATIENCE_MS && ageMs < ValueDensityOrder.LATE_FACTOR * allowedMs;
+  }
+
+  /** Returns whether a step may stop a run. */
+  boolean mayStop(StepRun step, Placement victim, long nowMs) {
+    return order.urgency(step, nowMs) > LEAST_ADVANTAGE * order.urgency(victim.task.step, nowMs);
+  }
+}
