--- /dev/null
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
@@ -0,0 +1,69 @@
+package dev.bambootray.daemon.jobs;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class DeclarationsTest {
+  private final ScriptedStore store = new ScriptedStore();
+  private final ManualExecutor executor = new ManualExecutor();
+  private final List<Long> versions = new ArrayList<>();
+  private final Declarations declarations =
+      new Declarations(
+          store,
+          executor,
+          new VersionDocuments(),
+          DecisionLog.start(),
+          declaration -> versions.add(declaration.version()));
+
+  private void publish(long version) {
+    store.put("declarations", "current", Long.toString(version).getBytes(UTF_8));
+    executor.runAll();
+  }
+
+  @Test
+  void appliesEachVersionAsItIsPublished() {
+    publish(3);
+    declarations.start();
+    executor.runAll();
+    publish(5);
+    assertEquals(List.of(3L, 5L), versions);
+  }
+
+  @Test
+  void neverGoesBack() {
+    declarations.start();
+    executor.runAll();
+    publish(5);
+    publish(4);
+    publish(6);
+    assertEquals(List.of(5L, 6L), versions);
+  }
+
+  @Test
+  void passesOverOtherRowsAndUnreadableOnes() {
+    declarations.start();
+    executor.runAll();
+    store.put("declarations", "other", "9".getBytes(UTF_8));
+    store.put("declarations", "current", new byte[0]);
+    executor.runAll();
+    publish(7);
+    assertEquals(List.of(7L), versions);
+  }
+
+  @Test
+  void tellsWhenTheStoreCannotBeReached() {
+    store.away = true;
+    declarations.start();
+    executor.runAll();
+    assertFalse(declarations.isReachable());
+    store.away = false;
+    executor.runLater();
+    assertTrue(declarations.isReachable());
+  }
+}
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -32,6 +32,7 @@
   private record Watch(String table, long after, CompletableFuture<ChangePage> future) {}
 
   private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final List<Row> history = new ArrayList<>();
   private final Map<String, List<Held>> held = new HashMap<>();
   private final List<String> holding = new ArrayList<>();
   private final List<Watch> watches = new ArrayList<>();
@@ -71,6 +72,7 @@
   }
 
   private void tell(Row row) {
+    history.add(row);
     for (Watch watch : List.copyOf(watches)) {
       if (watch.table().equals(row.table())) {
         watches.remove(watch);
@@ -142,9 +144,7 @@
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
     CompletableFuture<ChangePage> future = new CompletableFuture<>();
     List<Row> newer =
-        rows.values().stream()
-            .filter(row -> row.table().equals(table) && row.version() > after)
-            .toList();
+        history.stream().filter(row -> row.table().equals(table) && row.version() > after).toList();
     if (newer.isEmpty()) {
       watches.add(new Watch(table, after, future));
     } else {
