Stop work for an urgent job only where that pays

Change: what the stopped jobs lose, in proportion to their value and with the time of a stop and a start, must be under half of what being on time gains.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -155,7 +155,7 @@
                 !claims.covers(placed.task.step.job)
                     && (covered || preemption.mayStop(step, placed, now.ms())),
             now.ms());
-    if (found.isEmpty()) {
+    if (found.isEmpty() || (!covered && !preemption.pays(step, found.get(), now.ms()))) {
       return;
     }
     ReclaimPlan plan = found.get();
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,8 +21,8 @@
  */
 record ReclaimPlan(Map<WorkerState, Integer> places, Set<Placement> victims) {
 
-  /** Cost of stopping a run that has just begun, in core-seconds; a stop and a start cost time. */
-  private static final double LEAST_COST = 1.0;
+  /** Time that stopping and starting again takes on average, in seconds. */
+  private static final double STOP_AND_START_S = 1.0;
 
   /** Work that a checkpointing task loses on average when it is stopped, in seconds. */
   private static final double CHECKPOINT_LOSS_S = 0.5;
@@ -126,6 +127,27 @@
     return offers;
   }
 
+  /**
+   * Returns the value that the stopped jobs lose, if each loses it in proportion to its work.
+   *
+   * @param order values of jobs
+   * @param runTimes work of jobs
+   * @param nowMs the time
+   */
+  double lostValue(ValueDensityOrder order, RunTimes runTimes, long nowMs) {
+    // A gang counts once, although several of its members may be victims.
+    Set<StepRun> gangs = new HashSet<>();
+    double sum = 0;
+    for (Placement victim : victims) {
+      StepRun step = victim.task.step;
+      if (!step.isGang() || gangs.add(step)) {
+        double share = lostWork(victim, nowMs) / Math.max(1.0, runTimes.wholeWork(step.job));
+        sum += share * order.fullValue(step.job);
+      }
+    }
+    return sum;
+  }
+
   private static double cost(ReclaimPlan plan, long nowMs) {
     return plan.victims().stream().mapToDouble(victim -> lostWork(victim, nowMs)).sum();
   }
@@ -138,6 +160,6 @@
       seconds = Math.min(seconds, CHECKPOINT_LOSS_S);
     }
     int members = step.isGang() ? step.spec.count() : 1;
-    return LEAST_COST + members * seconds * Amounts.cores(step.spec.each());
+    return members * (seconds + STOP_AND_START_S) * Amounts.cores(step.spec.each());
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTimes.java
@@ -31,7 +31,7 @@
   }
 
   void accepted(Job job) {
-    jobWork.computeIfAbsent(job.spec.template(), name -> new Average()).add(work(job));
+    jobWork.computeIfAbsent(job.spec.template(), name -> new Average()).add(wholeWork(job));
   }
 
   /** Returns the expected run time of a task of a step. */
@@ -46,7 +46,7 @@
   /** Returns the core-seconds of a job against the mean of its template. */
   double relativeWork(Job job) {
     Average mean = jobWork.get(job.spec.template());
-    return mean == null || mean.value <= 0 ? 1 : work(job) / mean.value;
+    return mean == null || mean.value <= 0 ? 1 : wholeWork(job) / mean.value;
   }
 
   /** Returns the core-seconds that a job still needs. */
@@ -85,7 +85,8 @@
     return longest;
   }
 
-  private double work(Job job) {
+  /** Returns the core-seconds of all steps of a job. */
+  double wholeWork(Job job) {
     return job.steps.stream()
         .mapToDouble(
             step -> step.spec.count() * Amounts.cores(step.spec.each()) * expectedMs(step) / 1_000)
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValueDensityOrder.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValueDensityOrder.java
@@ -12,7 +12,7 @@
   private static final double[] PRIORITY_VALUES = {4.0, 3.0, 1.0};
 
   /** Share of the value that a late completion keeps. */
-  private static final double LATE_SHARE = 0.27;
+  static final double LATE_SHARE = 0.27;
 
   /** Completions later than this multiple of the allowed time have no value. */
   static final double LATE_FACTOR = 3.0;
@@ -57,7 +57,8 @@
         + job.spec.objective().targetLatencyMs();
   }
 
-  private double fullValue(Job job) {
+  /** Returns the value of a job that completes in time. */
+  double fullValue(Job job) {
     int priority =
         Math.min(Math.max(0, job.spec.objective().priority()), PRIORITY_VALUES.length - 1);
     double relative = FIXED_SHARE + (1 - FIXED_SHARE) * runTimes.relativeWork(job);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
@@ -10,6 +10,9 @@
   /** Value for remaining work must be this many times that of the run to be stopped. */
   private static final double LEAST_ADVANTAGE = 3.0;
 
+  /** Lost work is done twice, and the job that waits might still have been on time. */
+  private static final double LEAST_RETURN = 2.0;
+
   /** A step that can wait longer than this without being late waits for a free place. */
   private static final long PATIENCE_MS = 2_500;
 
@@ -30,6 +33,12 @@
     return slackMs < PATIENCE_MS && ageMs < ValueDensityOrder.LATE_FACTOR * allowedMs;
   }
 
+  /** Returns whether being on time is worth what the stopped jobs lose. */
+  boolean pays(StepRun step, ReclaimPlan plan, long nowMs) {
+    double gain = (1 - ValueDensityOrder.LATE_SHARE) * order.fullValue(step.job);
+    return gain > LEAST_RETURN * plan.lostValue(order, runTimes, nowMs);
+  }
+
   /** Returns whether a step may stop a run. */
   boolean mayStop(StepRun step, Placement victim, long nowMs) {
     return order.urgency(step, nowMs) > LEAST_ADVANTAGE * order.urgency(victim.task.step, nowMs);
