Let gangs stop work of slightly lower density when it pays

Change: the advantage in value for remaining work that a step needs over a run that it stops falls from 3.0 to 1.2; the rule that stopping must pay bounds the rest.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
@@ -8,7 +8,7 @@
  */
 final class ValuePreemption {
   /** Value for remaining work must be this many times that of the run to be stopped. */
-  private static final double LEAST_ADVANTAGE = 3.0;
+  private static final double LEAST_ADVANTAGE = 1.2;
 
   /** Lost work is done twice, and the job that waits might still have been on time. */
   private static final double LEAST_RETURN = 2.0;
