--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -15,9 +15,6 @@
 import dev.bambootray.ports.JobWorkers;
 import dev.bambootray.ports.PlatformDocuments;
 import dev.bambootray.ports.RowStore;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -73,7 +70,8 @@
     loader = new PoolLoader(builder.parts.store(), executor, builder.parts.documents(), codec, log);
     desk = new FrontDesk(builder.parts.store(), codec, declarations, ownerRows, log, metrics);
     // Nodes spread their claims, so that one of them usually meets no rival.
-    long claimDelayMs = Math.floorMod(builder.name.hashCode(), 4) * CLAIM_SPREAD_MS;
+    long claimDelayMs =
+        builder.claimDelayMs + Math.floorMod(builder.name.hashCode(), 4) * CLAIM_SPREAD_MS;
     lease =
         PoolLease.create(
             builder.process, LeaseTimes.defaults(claimDelayMs, times.ownerWithoutStoreMs()));
@@ -121,13 +119,7 @@
   private void tick() {
     JobScheduler current = scheduler;
     if (current != null) {
-      Map<String, Long> pending = new TreeMap<>();
-      declarations
-          .newest()
-          .map(JobDeclaration::templates)
-          .orElse(List.of())
-          .forEach(template -> pending.put(template.name(), current.pending(template.name())));
-      onLease(new LeaseEvent.PendingChanged(pending));
+      onLease(new LeaseEvent.PendingChanged(current.pending()));
       noteLoad(current.load());
     }
     onLease(new LeaseEvent.Tick());
@@ -306,6 +298,7 @@
     private final Parts parts;
     private String name = "node";
     private String process = "process";
+    private long claimDelayMs;
     private JobTimes times = JobTimes.within(Long.MAX_VALUE);
 
     private Builder(Parts parts) {
@@ -324,6 +317,12 @@
       return this;
     }
 
+    /** Sets how much longer than others the node waits before it claims the pool. */
+    public Builder claimDelayMs(long value) {
+      claimDelayMs = value;
+      return this;
+    }
+
     /** Sets the times of the scheduler. */
     public Builder times(JobTimes value) {
       times = value;
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -148,8 +148,9 @@
       return;
     }
     boolean restarted = owner != null && owner.isEarlierLifeOf(holder);
-    boolean expired = nowMs - seenSinceMs >= times.expiryMs() + times.claimDelayMs();
-    if (owner == null || owner.released() || restarted || expired) {
+    boolean free = owner == null || owner.released() || restarted;
+    long waitMs = (free ? 0 : times.expiryMs()) + times.claimDelayMs();
+    if (nowMs - seenSinceMs >= waitMs) {
       claim(owner, readVersion);
     }
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -5,7 +5,9 @@
 import dev.bambootray.jobs.model.TaskRecord.State;
 import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -20,12 +22,23 @@
   /** Interval of checks that no event brings about. */
   private static final long CHECK_MS = 200;
 
+  /** Interval at which finished jobs are looked through. */
+  private static final long FORGET_MS = 5_000;
+
+  /** With more waiting steps than this a round takes milliseconds and is not made at each event. */
+  private static final int MANY_WAITING = 30;
+
+  /** Pause between two rounds of placement while many steps wait. */
+  private static final long PLAN_PAUSE_MS = 100;
+
   private final SchedulerState state;
   private final RunTracker runs;
   private final WorkerCalls calls;
   private final Planner planner;
   private final StallCheck stalls;
   private long nextCheckMs;
+  private long nextPlanMs;
+  private long nextForgetMs;
 
   private JobScheduler(JobTimes times) {
     state = new SchedulerState(times);
@@ -47,25 +60,35 @@
       nextCheckMs = now.ms() + CHECK_MS;
       calls.lapse(now);
       stalls.check(now);
-      forgetFinished(now);
       state.planWanted = true;
     }
-    if (state.planWanted) {
+    if (now.ms() >= nextForgetMs) {
+      nextForgetMs = now.ms() + FORGET_MS;
+      forgetFinished(now);
+    }
+    if (state.planWanted && now.ms() >= nextPlanMs) {
       state.planWanted = false;
-      planner.plan(now);
+      int waiting = planner.plan(now);
+      nextPlanMs = waiting > MANY_WAITING ? now.ms() + PLAN_PAUSE_MS : 0;
     }
     if (state.batches.mayWrite()) {
       state.emit(state.batches.write());
     }
-    calls.call(now);
+    if (event instanceof JobEvent.Tick || event instanceof JobEvent.TookOver) {
+      calls.callAll(now);
+    }
     return state.takeEffects();
   }
 
-  /** Returns the number of accepted jobs without times that have not begun, by template. */
-  public long pending(String template) {
-    return state.jobs.values().stream()
-        .filter(job -> job.phase == JobPhase.QUEUED && job.spec.template().equals(template))
-        .count();
+  /** Returns the number of accepted jobs that have not begun, by template. */
+  public Map<String, Long> pending() {
+    Map<String, Long> pending = new HashMap<>();
+    for (Job job : state.jobs.values()) {
+      if (job.phase == JobPhase.QUEUED) {
+        pending.merge(job.spec.template(), 1L, Long::sum);
+      }
+    }
+    return pending;
   }
 
   /** Returns a short description of the load for the log and for metrics. */
@@ -135,14 +158,19 @@
       state
           .worker(answered.worker())
           .ifPresent(
-              worker -> runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now));
+              worker -> {
+                runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now);
+                calls.call(worker, now);
+              });
     } else if (event instanceof JobEvent.HoldAnswered answered) {
       state
           .worker(answered.worker())
           .ifPresent(
-              worker ->
-                  calls.onHoldAnswered(
-                      worker, answered.reply(), answered.sentMs(), answered.look(), now));
+              worker -> {
+                calls.onHoldAnswered(
+                    worker, answered.reply(), answered.sentMs(), answered.look(), now);
+                calls.call(worker, now);
+              });
     } else if (event instanceof JobEvent.Durable durable) {
       state.batches.onDurable(durable.batch());
       runs.startDurable(now);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/PackingPlacement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/PackingPlacement.java
@@ -25,6 +25,9 @@
    * @return number of tasks by worker, or nothing if they do not all fit
    */
   Optional<Map<WorkerState, Integer>> find(StepRun step, int count, Room room, boolean anywhere) {
+    if (!room.mayHold(step, count)) {
+      return Optional.empty();
+    }
     List<WorkerState> candidates = room.candidates(step);
     if (!step.spec.dataRack().isEmpty() && !anywhere) {
       List<WorkerState> near = onRack(candidates, step.spec.dataRack());
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -18,6 +18,12 @@
   /** Wide gangs for which workers are kept free at a time; more would idle the pool. */
   private static final int MOST_DRAINS = 2;
 
+  /**
+   * Searches for victims in a round for steps without a guarantee. Each looks at all runs of the
+   * pool; without a bound an overloaded owner had no time left to renew its lease.
+   */
+  private static final int MOST_ATTEMPTS = 4;
+
   // Far above any urgency, which is a value for a core-second.
   private static final double COVERED_RANK = 2e9;
   private static final double RESERVED_RANK = 1e9;
@@ -28,6 +34,7 @@
   private final PackingPlacement placement = new PackingPlacement();
   private final DrainPlan drains;
   private final ValuePreemption preemption;
+  private int attemptsLeft;
 
   Planner(SchedulerState state, RunTracker runs) {
     this.state = state;
@@ -37,12 +44,19 @@
     preemption = new ValuePreemption(state.runTimes, order);
   }
 
-  /** Places what fits, reclaims guarantees and keeps room for wide gangs. */
-  void plan(Now now) {
+  /**
+   * Places what fits, reclaims guarantees and keeps room for wide gangs.
+   *
+   * @return how many steps were waiting
+   */
+  int plan(Now now) {
+    attemptsLeft = MOST_ATTEMPTS;
+    preemption.beginRound();
     Room room = new Room(state.workers.values(), now.ms());
     state.reservations.prune(room, now.ms());
     Claims claims = Claims.of(state);
-    for (StepRun step : waiting(claims, now)) {
+    List<StepRun> waiting = waiting(claims, now);
+    for (StepRun step : waiting) {
       List<Task> ready = step.readyTasks();
       if (step.isGang()) {
         placeGang(step, ready, room, claims, now);
@@ -50,6 +64,7 @@
         placeSingles(step, ready, room, claims, now);
       }
     }
+    return waiting.size();
   }
 
   private List<StepRun> waiting(Claims claims, Now now) {
@@ -59,7 +74,7 @@
         continue;
       }
       for (StepRun step : job.steps) {
-        if (step.readyTasks().isEmpty() || !job.isDue(step, now.wallMs())) {
+        if (!step.hasReadyTasks() || !job.isDue(step, now.wallMs())) {
           step.readySinceMs = -1;
           continue;
         }
@@ -146,6 +161,9 @@
 
   private void reclaim(StepRun step, int count, Room room, Claims claims, Now now) {
     boolean covered = claims.covers(step.job);
+    if (!covered && --attemptsLeft < 0) {
+      return;
+    }
     Optional<ReclaimPlan> found =
         ReclaimPlan.find(
             step,
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Reservations.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Reservations.java
@@ -55,7 +55,7 @@
         .removeIf(
             entry ->
                 entry.getKey().job.phase.isFinal()
-                    || entry.getKey().readyTasks().isEmpty()
+                    || !entry.getKey().hasReadyTasks()
                     || (entry.getValue().reclaim()
                         && nowMs - entry.getValue().sinceMs() > RECLAIM_MS)
                     || !entry.getValue().places().keySet().stream().allMatch(room::isUsable));
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
@@ -35,6 +35,20 @@
     return result;
   }
 
+  /** Returns whether the workers together have room for a number of tasks of a step. */
+  boolean mayHold(StepRun step, int count) {
+    int places = 0;
+    for (Map.Entry<WorkerState, Resources> entry : free.entrySet()) {
+      if (Amounts.fits(step.spec.each(), entry.getValue()) && mayRun(step, entry.getKey())) {
+        places += Amounts.count(step.spec.each(), entry.getValue());
+        if (places >= count) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   Resources free(WorkerState worker) {
     return free.getOrDefault(worker, new Resources(0, 0, 0));
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTimes.java
@@ -53,7 +53,10 @@
   double remainingWork(Job job) {
     double sum = 0;
     for (StepRun step : job.steps) {
-      long open = step.tasks.stream().filter(RunTimes::isOpen).count();
+      int open = 0;
+      for (Task task : step.tasks) {
+        open += task.state == State.DONE ? 0 : 1;
+      }
       sum += open * Amounts.cores(step.spec.each()) * expectedMs(step) / 1_000.0;
     }
     return sum;
@@ -92,8 +95,4 @@
             step -> step.spec.count() * Amounts.cores(step.spec.each()) * expectedMs(step) / 1_000)
         .sum();
   }
-
-  private static boolean isOpen(Task task) {
-    return task.state != State.DONE;
-  }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -7,6 +7,7 @@
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.jobs.worker.StartReply.Reason;
+import java.util.ArrayList;
 import java.util.List;
 
 /** Follows each run from the decision to start it until its end is known. */
@@ -19,6 +20,7 @@
 
   private final SchedulerState state;
   private final WorkerHealth health;
+  private final List<Placement> ordered = new ArrayList<>();
 
   RunTracker(SchedulerState state) {
     this.state = state;
@@ -30,6 +32,7 @@
     Placement placement = new Placement(task, run, worker, Phase.ORDERED, now.ms());
     placement.untilMs = worker.leaseUntilMs(now.ms(), state.times.leaseMs());
     placement.batch = state.batches.change(task.step.job);
+    ordered.add(placement);
     add(placement);
   }
 
@@ -47,11 +50,13 @@
 
   /** Sends the starts whose decision is in the store. */
   void startDurable(Now now) {
-    for (WorkerState worker : state.workers.values()) {
-      for (Placement placement : List.copyOf(worker.placements.values())) {
-        if (placement.phase == Phase.ORDERED && state.batches.isDurable(placement.batch)) {
-          start(placement, now);
-        }
+    List<Placement> waiting = new ArrayList<>(ordered);
+    ordered.clear();
+    for (Placement placement : waiting) {
+      if (!state.batches.isDurable(placement.batch)) {
+        ordered.add(placement);
+      } else if (placement.phase == Phase.ORDERED) {
+        start(placement, now);
       }
     }
   }
@@ -204,7 +209,7 @@
 
   /** Handles the end of a run. */
   void finish(Placement placement, Cause cause, String checkpoint, Now now) {
-    if (!placement.worker.placements.remove(placement.run, placement)) {
+    if (!placement.worker.remove(placement)) {
       return; // The end of another member of its gang has ended it already.
     }
     Task task = placement.task;
@@ -303,7 +308,7 @@
   }
 
   private void add(Placement placement) {
-    placement.worker.placements.put(placement.run, placement);
+    placement.worker.add(placement);
     placement.task.live++;
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepRun.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepRun.java
@@ -27,7 +27,12 @@
   }
 
   boolean isDone() {
-    return tasks.stream().allMatch(task -> task.state == State.DONE);
+    for (Task task : tasks) {
+      if (task.state != State.DONE) {
+        return false;
+      }
+    }
+    return true;
   }
 
   boolean isGang() {
@@ -40,6 +45,17 @@
     return isGang() && ready.size() < tasks.size() ? List.of() : ready;
   }
 
+  /** Returns whether {@link #readyTasks} is not empty. */
+  boolean hasReadyTasks() {
+    boolean gang = isGang();
+    for (Task task : tasks) {
+      if (task.isReady() != gang) {
+        return !gang;
+      }
+    }
+    return gang;
+  }
+
   int nextRun() {
     return tasks.stream().mapToInt(task -> task.run).max().orElse(0) + 1;
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
@@ -1,5 +1,8 @@
 package dev.bambootray.jobs.scheduling;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /**
  * Decides whether a waiting step may stop runs of others without holding a guarantee.
  *
@@ -16,6 +19,7 @@
   /** A step that can wait longer than this without being late waits for a free place. */
   private static final long PATIENCE_MS = 2_500;
 
+  private final Map<StepRun, Double> urgencies = new HashMap<>();
   private final RunTimes runTimes;
   private final ValueDensityOrder order;
 
@@ -39,8 +43,17 @@
     return gain > LEAST_RETURN * plan.lostValue(order, runTimes, nowMs);
   }
 
+  /** Begins a round of placement: urgencies are worked out once for each step and round. */
+  void beginRound() {
+    urgencies.clear();
+  }
+
+  private double urgency(StepRun step, long nowMs) {
+    return urgencies.computeIfAbsent(step, key -> order.urgency(key, nowMs));
+  }
+
   /** Returns whether a step may stop a run. */
   boolean mayStop(StepRun step, Placement victim, long nowMs) {
-    return order.urgency(step, nowMs) > LEAST_ADVANTAGE * order.urgency(victim.task.step, nowMs);
+    return urgency(step, nowMs) > LEAST_ADVANTAGE * urgency(victim.task.step, nowMs);
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
@@ -39,7 +39,7 @@
     if (worker.entry.draining() != entry.draining()) {
       state.decided(entry.id(), "worker draining=" + entry.draining());
     }
-    worker.entry = entry;
+    worker.update(entry);
     worker.listed = true;
     state.planWanted = true;
   }
@@ -199,39 +199,44 @@
     }
   }
 
-  /** Sends the calls that are due. */
-  void call(Now now) {
+  /** Sends the calls that are due, to all workers. */
+  void callAll(Now now) {
     for (WorkerState worker : List.copyOf(state.workers.values())) {
-      if (!worker.hasAddress()) {
-        continue;
-      }
-      runs.repeatStops(worker, now);
-      boolean durable = state.batches.isDurable(worker.seenBatch);
-      worker.durableSeen = durable ? worker.seen : worker.durableSeen;
-      if (worker.lookWanted && !worker.lookInFlight && worker.failedCalls == 0) {
-        worker.lookWanted = false;
-        if (worker.pollInFlight) {
-          worker.lookInFlight = true;
-          hold(worker, 0, true, now);
-          continue;
-        }
-      }
-      if (worker.pollInFlight || now.ms() < worker.nextCallMs) {
-        continue;
-      }
-      boolean busy = worker.placements.values().stream().anyMatch(WorkerCalls::isAtWorker);
-      boolean unacknowledged = worker.acknowledgedSeen < worker.durableSeen;
-      boolean settling = worker.durableSeen < worker.seen;
-      if (settling && now.ms() - worker.lastReplyMs < UNACKNOWLEDGED_PAUSE_MS) {
-        continue;
-      }
-      boolean unknown = worker.listed && (!worker.adopted || worker.needsClock(now.ms()));
-      if (busy || unacknowledged || settling || unknown) {
-        worker.pollInFlight = true;
-        boolean wait = busy && worker.adopted && worker.failedCalls == 0 && !settling;
-        hold(worker, wait ? state.times.holdWaitMs() : 0, false, now);
+      call(worker, now);
+    }
+  }
+
+  /** Sends the calls that are due to a worker. */
+  void call(WorkerState worker, Now now) {
+    if (!worker.hasAddress()) {
+      return;
+    }
+    runs.repeatStops(worker, now);
+    boolean durable = state.batches.isDurable(worker.seenBatch);
+    worker.durableSeen = durable ? worker.seen : worker.durableSeen;
+    if (worker.lookWanted && !worker.lookInFlight && worker.failedCalls == 0) {
+      worker.lookWanted = false;
+      if (worker.pollInFlight) {
+        worker.lookInFlight = true;
+        hold(worker, 0, true, now);
+        return;
       }
     }
+    if (worker.pollInFlight || now.ms() < worker.nextCallMs) {
+      return;
+    }
+    boolean busy = worker.placements.values().stream().anyMatch(WorkerCalls::isAtWorker);
+    boolean unacknowledged = worker.acknowledgedSeen < worker.durableSeen;
+    boolean settling = worker.durableSeen < worker.seen;
+    if (settling && now.ms() - worker.lastReplyMs < UNACKNOWLEDGED_PAUSE_MS) {
+      return;
+    }
+    boolean unknown = worker.listed && (!worker.adopted || worker.needsClock(now.ms()));
+    if (busy || unacknowledged || settling || unknown) {
+      worker.pollInFlight = true;
+      boolean wait = busy && worker.adopted && worker.failedCalls == 0 && !settling;
+      hold(worker, wait ? state.times.holdWaitMs() : 0, false, now);
+    }
   }
 
   private void hold(WorkerState worker, long waitMs, boolean look, Now now) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -5,6 +5,7 @@
 import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** What the owner knows of a worker. */
 final class WorkerState {
@@ -31,6 +32,9 @@
   /** Batch after which {@code seen} may be acknowledged. */
   long seenBatch;
 
+  /** Cached result of {@link #free}, null after a change. */
+  private @Nullable Resources free;
+
   private long clockMs = -1;
   private long clockAtMs;
 
@@ -79,6 +83,11 @@
     return listed && adopted && !entry.draining() && failedCalls == 0 && nowMs >= pausedUntilMs;
   }
 
+  void update(WorkerEntry newEntry) {
+    entry = newEntry;
+    free = null;
+  }
+
   void learnClock(long workerMs, long nowMs) {
     clockMs = workerMs;
     clockAtMs = nowMs;
@@ -99,7 +108,28 @@
     return clockMs + (long) ((nowMs - clockAtMs) * 0.98) + leaseMs;
   }
 
+  /** Returns what its placements leave free. */
   Resources free() {
+    Resources known = free;
+    if (known == null) {
+      known = countFree();
+      free = known;
+    }
+    return known;
+  }
+
+  void add(Placement placement) {
+    placements.put(placement.run, placement);
+    free = null;
+  }
+
+  /** Removes a placement and returns whether it was there. */
+  boolean remove(Placement placement) {
+    free = null;
+    return placements.remove(placement.run, placement);
+  }
+
+  private Resources countFree() {
     int accelerators = entry.capacity().accelerators();
     int millicores = entry.capacity().millicores();
     int memoryMib = entry.capacity().memoryMib();
