--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -4,11 +4,14 @@
 import dev.bambootray.jobs.model.TaskRecord.State;
 import dev.bambootray.jobs.scheduling.Reservations.Reservation;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** One round of placement: which waiting steps get which workers. */
 final class Planner {
@@ -125,14 +128,19 @@
   private void placeSingles(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
     boolean anywhere = now.ms() - step.readySinceMs > RIGHT_RACK_WAIT_MS;
     int placed = 0;
+    Set<WorkerState> used = new LinkedHashSet<>();
     for (Task task : ready) {
       Optional<Map<WorkerState, Integer>> places = placement.find(step, 1, room, anywhere);
       if (places.isEmpty()) {
         break;
       }
-      place(step, List.of(task), places.get(), room, now);
+      assign(step, List.of(task), places.get(), room, now);
+      used.addAll(places.get().keySet());
       placed++;
     }
+    if (placed > 0) {
+      notePlaced(step, placed, used, now);
+    }
     boolean urgent = claims.covers(step.job) || preemption.isWorthwhile(step, now.ms());
     if (placed == ready.size()) {
       state.reservations.remove(step);
@@ -207,8 +215,15 @@
     places.forEach((worker, count) -> room.take(worker, step.spec.each(), count));
   }
 
+  /** Orders runs on the given places and writes one line about them. */
   private void place(
       StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Room room, Now now) {
+    assign(step, tasks, places, room, now);
+    notePlaced(step, tasks.size(), places.keySet(), now);
+  }
+
+  private void assign(
+      StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Room room, Now now) {
     List<WorkerState> targets = new ArrayList<>();
     places.forEach(
         (worker, count) -> {
@@ -225,19 +240,22 @@
       task.worker = targets.get(i).id();
       runs.order(task, new RunName(task.name, task.run), targets.get(i), now);
     }
+  }
+
+  private void notePlaced(StepRun step, int count, Collection<WorkerState> workers, Now now) {
     state.decided(
         step.job.spec.id(),
         "place step="
             + step.label()
             + " run="
-            + tasks.get(0).run
+            + (step.nextRun() - 1)
             + " tasks="
-            + tasks.size()
+            + count
             + " waited_ms="
             + (now.ms() - step.readySinceMs)
             + " age_ms="
             + (now.ms() - step.job.acceptedMs)
             + " workers="
-            + places.keySet().stream().map(WorkerState::id).toList());
+            + workers.stream().map(WorkerState::id).toList());
   }
 }
