--- a/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/sockets/SocketBench.java
@@ -1,8 +1,8 @@
 package dev.bambootray.bench.sockets;
 
 import com.sun.management.OperatingSystemMXBean;
-import dev.bambootray.adapters.platform.HttpWorkerGateway;
 import dev.bambootray.adapters.httpclient.LinkDelay;
+import dev.bambootray.adapters.platform.HttpWorkerGateway;
 import dev.bambootray.bench.report.BenchReport;
 import dev.bambootray.core.declaration.WorkerDeclaration;
 import dev.bambootray.core.model.AttemptToken;
