Call a worker again after a failed call even if nothing runs there

Cause: found by reading: a worker whose newest call had failed was called again only while runs were there or after 30 s, when its clock is read again. A worker that was cut off until its leases ran out idled for that time after it answered again. Likewise an acknowledgement that was lost with its call was not repeated. Change: a listed worker that is silent is called until it answers; a failed call resets what counts as acknowledged. Test: JobSchedulerTest.usesAWorkerAgainSoonAfterItAnswers failed first.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
@@ -81,6 +81,7 @@
 
   private void onFailed(WorkerState worker, String detail, Now now) {
     worker.failedCalls++;
+    worker.acknowledgedSeen = 0; // The call may not have brought its acknowledgement.
     long pauseMs = state.times.retryMs() * Math.min(worker.failedCalls, 4);
     worker.nextCallMs = now.ms() + Math.min(LONGEST_RETRY_MS, pauseMs);
     if (worker.failedCalls == 1) {
@@ -231,7 +232,8 @@
     if (settling && now.ms() - worker.lastReplyMs < UNACKNOWLEDGED_PAUSE_MS) {
       return;
     }
-    boolean unknown = worker.listed && (!worker.adopted || worker.needsClock(now.ms()));
+    boolean unknown =
+        worker.listed && (!worker.adopted || worker.failedCalls > 0 || worker.needsClock(now.ms()));
     if (busy || unacknowledged || settling || unknown) {
       worker.pollInFlight = true;
       boolean wait = busy && worker.adopted && worker.failedCalls == 0 && !settling;
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobSchedulerTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobSchedulerTest.java
@@ -155,6 +155,20 @@
       assertEquals(5, rig.starts);
     }
 
+    @Test
+    void usesAWorkerAgainSoonAfterItAnswers() {
+      // A worker without runs was not called again after a failed call, and idled for 30 s.
+      SchedulerRig rig = rig(1);
+      rig.run(13_000);
+      rig.submit("a", 1, 3_000, tasks(1, 8));
+      rig.run(1_000);
+      rig.worker("w0").cut = true;
+      rig.run(10_000);
+      rig.worker("w0").cut = false;
+      rig.run(6_000);
+      assertEquals(JobPhase.COMPLETED, rig.phase("a"));
+    }
+
     @Test
     void startsNothingWhileTheStoreIsAway() {
       SchedulerRig rig = rig(4);
