Meet guarantees in the order of their jobs

Cause: jobs with a guarantee were ordered among themselves by value for their work. As the runs that were stopped for a gang ended one by one, later and smaller jobs with a guarantee took its reserved places. The reservation was given up after 1.3 s and other runs were stopped. Second fault in the same logs: a list of runs that was asked for before an end and arrived after it brought the run back, which was stopped again and kept its place occupied.

Ruled out: slow stops (the ends were listed 0.4 to 0.9 s after the stops), and work without a guarantee (the placements in the log on the reserved workers are of priority 0).

Change: steps with a guarantee are placed oldest job first. A worker remembers for 5 s when runs ended, and older lists do not bring them back. The fake worker takes 100 to 800 ms for a stop instead of always 400 ms.

Tests, both seen failing first: meetsAGuaranteeBeforeThoseOfLaterJobs and ignoresRunsInAListThatIsOlderThanTheirEnd.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -30,8 +30,7 @@
    */
   private static final int MOST_ATTEMPTS = 4;
 
-  // Far above any urgency, which is a value for a core-second.
-  private static final double COVERED_RANK = 2e9;
+  /** Far above any urgency, which is a value for a core-second. */
   private static final double RESERVED_RANK = 1e9;
 
   private final SchedulerState state;
@@ -85,22 +84,22 @@
           continue;
         }
         step.readySinceMs = step.readySinceMs < 0 ? now.ms() : step.readySinceMs;
-        double urgency = order.urgency(step, now.ms());
-        urgencies.put(step, rank(step, claims) + urgency);
+        urgencies.put(step, rank(step) + order.urgency(step, now.ms()));
       }
     }
     List<StepRun> steps = new ArrayList<>(urgencies.keySet());
+    // Steps with a guarantee come first, the oldest of them before the others: their places come
+    // free one by one, and later jobs must not take them.
     steps.sort(
-        Comparator.comparingDouble((StepRun step) -> -urgencies.getOrDefault(step, 0.0))
+        Comparator.comparing((StepRun step) -> !claims.covers(step.job))
+            .thenComparingDouble(
+                step -> claims.covers(step.job) ? 0 : -urgencies.getOrDefault(step, 0.0))
             .thenComparingLong(step -> step.job.acceptedMs));
     return steps;
   }
 
-  /** Steps with a guarantee come first, then those that workers are kept free for. */
-  private double rank(StepRun step, Claims claims) {
-    if (claims.covers(step.job)) {
-      return COVERED_RANK;
-    }
+  /** Steps that workers are kept free for come before others without a guarantee. */
+  private double rank(StepRun step) {
     return state.reservations.has(step) ? RESERVED_RANK : 0;
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -209,7 +209,7 @@
 
   /** Handles the end of a run. */
   void finish(Placement placement, Cause cause, String checkpoint, Now now) {
-    if (!placement.worker.remove(placement)) {
+    if (!placement.worker.remove(placement, now.ms())) {
       return; // The end of another member of its gang has ended it already.
     }
     Task task = placement.task;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerCalls.java
@@ -106,7 +106,7 @@
     Set<RunName> known = new HashSet<>();
     listed.running().forEach(running -> known.add(running.run()));
     for (RunningTask running : listed.running()) {
-      onRunning(worker, running, now);
+      onRunning(worker, running, sentMs, now);
     }
     boolean news = false;
     for (RunEnd end : listed.ended()) {
@@ -127,9 +127,12 @@
     worker.nextCallMs = news || listed.ended().isEmpty() ? 0 : now.ms() + UNACKNOWLEDGED_PAUSE_MS;
   }
 
-  private void onRunning(WorkerState worker, RunningTask running, Now now) {
+  private void onRunning(WorkerState worker, RunningTask running, long sentMs, Now now) {
     Placement placement = worker.placements.get(running.run());
     if (placement == null) {
+      if (worker.hasEndedSince(running.run(), sentMs)) {
+        return; // Two calls overlap, and the later one has brought the end already.
+      }
       Optional<Task> task =
           state.job(running.run().task().job()).flatMap(job -> job.task(running.run().task()));
       if (task.isPresent()) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -12,6 +12,9 @@
   /** At 2% of drift a lease is 0.6 s shorter than meant after this time. */
   private static final long CLOCK_KEEPS_MS = 30_000;
 
+  /** Longer than any list is on its way. */
+  private static final long ENDED_KEEPS_MS = 5_000;
+
   WorkerEntry entry;
   final Map<RunName, Placement> placements = new LinkedHashMap<>();
 
@@ -32,6 +35,9 @@
   /** Batch after which {@code seen} may be acknowledged. */
   long seenBatch;
 
+  /** When runs ended, for lists that were asked for before. */
+  private final Map<RunName, Long> endedMs = new LinkedHashMap<>();
+
   /** Cached result of {@link #free}, null after a change. */
   private @Nullable Resources free;
 
@@ -124,11 +130,18 @@
   }
 
   /** Removes a placement and returns whether it was there. */
-  boolean remove(Placement placement) {
+  boolean remove(Placement placement, long nowMs) {
     free = null;
+    endedMs.values().removeIf(sinceMs -> nowMs - sinceMs > ENDED_KEEPS_MS);
+    endedMs.put(placement.run, nowMs);
     return placements.remove(placement.run, placement);
   }
 
+  /** Returns whether a run ended after a time. */
+  boolean hasEndedSince(RunName run, long sinceMs) {
+    return endedMs.getOrDefault(run, Long.MIN_VALUE) >= sinceMs;
+  }
+
   private Resources countFree() {
     int accelerators = entry.capacity().accelerators();
     int millicores = entry.capacity().millicores();
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/FakeWorker.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/FakeWorker.java
@@ -20,7 +20,11 @@
 
 /** A worker in the memory of a test, with the behaviour that the platform describes. */
 final class FakeWorker {
-  private static final long STOP_MS = 400;
+  /** The platform bounds the time that a stop takes and lets it differ between runs. */
+  private static final long SHORTEST_STOP_MS = 100;
+
+  private static final long STOP_STEP_MS = 100;
+  private static final int STOP_STEPS = 8;
   private static final long GANG_WAIT_MS = 3_000;
 
   /** A run at the worker. */
@@ -118,7 +122,8 @@
     settled.merge(run.task(), run.run(), Math::max);
     Run running = runs.get(run);
     if (running != null) {
-      running.stopAtMs = Math.min(running.stopAtMs, nowMs + STOP_MS);
+      long stopMs = SHORTEST_STOP_MS + STOP_STEP_MS * (run.task().index() % STOP_STEPS);
+      running.stopAtMs = Math.min(running.stopAtMs, nowMs + stopMs);
     }
     return true;
   }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobSchedulerTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobSchedulerTest.java
@@ -193,6 +193,24 @@
       assertTrue(rig.completed() >= 19, () -> "completed " + rig.completed());
     }
 
+    @Test
+    void ignoresRunsInAListThatIsOlderThanTheirEnd() {
+      // The run in such a list was stopped again and kept its place occupied meanwhile.
+      SchedulerRig rig = rig(2);
+      rig.listDelayMs = 400;
+      for (int i = 0; i < 20; i++) {
+        rig.submit("job" + i, 1, 700, tasks(4, 1));
+        rig.submit("cancelled" + i, 1, 5_000, tasks(4, 1));
+        rig.run(300);
+        rig.cancel("cancelled" + i);
+      }
+      rig.run(10_000);
+      rig.assertAllFinal();
+      List<String> again =
+          rig.decisions.stream().filter(line -> line.contains("not expected")).toList();
+      assertTrue(again.isEmpty(), () -> String.join("\n", again));
+    }
+
     @Test
     void movesRunsThatMakeNoProgress() {
       SchedulerRig rig = rig(2);
@@ -257,6 +275,23 @@
       assertEquals(JobPhase.COMPLETED, rig.phase("urgent"));
     }
 
+    @Test
+    void meetsAGuaranteeBeforeThoseOfLaterJobs() {
+      // Later jobs of more value for their work took the places as the stopped runs ended.
+      SchedulerRig rig = new SchedulerRig(1).workers(4, 8, WORKER).guarantee("ws", 32);
+      rig.takeOver();
+      rig.run(200);
+      rig.submit("long", 2, 60_000, tasks(32, 1));
+      rig.run(1_000);
+      rig.submit("urgent", 0, 1_000, gang(2, 8));
+      for (int i = 0; i < 8; i++) {
+        rig.run(100);
+        rig.submit("later" + i, 0, 20_000, tasks(1, 1));
+      }
+      rig.run(500);
+      assertTrue(rig.firstStartMs.keySet().stream().anyMatch(task -> task.job().equals("urgent")));
+    }
+
     @Test
     void startsAGuaranteedGangOnTwoRacksWhenNoRackCanBeReclaimed() {
       // Both racks hold work of the guarantee, so waiting for one of them took until it ended.
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/SchedulerRig.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/SchedulerRig.java
@@ -70,6 +70,9 @@
   /** Share of calls to workers whose answer is lost, and that are carried out late. */
   double lateShare;
 
+  /** Longest additional time that the list of a worker is on its way. */
+  int listDelayMs;
+
   long nowMs = 1_000;
   int starts;
 
@@ -309,8 +312,9 @@
       later(STEP_MS, () -> hold(hold, sentEpoch, sentMs, waitUntilMs));
       return;
     }
+    long wayMs = WAY_MS + (listDelayMs == 0 ? 0 : random.nextInt(listDelayMs));
     later(
-        WAY_MS, () -> answer(sentEpoch, new JobEvent.HoldAnswered(id, reply, sentMs, hold.look())));
+        wayMs, () -> answer(sentEpoch, new JobEvent.HoldAnswered(id, reply, sentMs, hold.look())));
   }
 
   /** Notes the ends that the worker may forget; they stand for good. */
