--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/DrainPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/DrainPlan.java
@@ -11,11 +11,8 @@
  * take every place that comes free and a wide gang waits for ever.
  */
 final class DrainPlan {
-  /**
-   * A gang whose value is at risk within this time gets workers kept free. The longest tasks run
-   * for 11 s, and a whole rack has to come free.
-   */
-  private static final long RISK_HORIZON_MS = 30_000;
+  /** A gang whose value is at risk within this time gets workers kept free. */
+  private static final long RISK_HORIZON_MS = 9_000;
 
   private final RunTimes runTimes;
 
