Count a batch as written only if the applied commit carried it

Cause: a renewal of the lease whose answer was lost and the next attempt, which carried a batch of records, had the same sequence. If the renewal had been applied, the attempt met a conflict with its own sequence and the batch counted as written. Its ends were acknowledged to the workers, and the next owner started finished tasks again.

Ruled out: tables read before the claim (the claim is written first, and late commits of earlier owners fail their condition), batches cut by the limit of a transaction, lists of workers that overtake each other.

Change: each attempt has a sequence of its own, and the batch remembers the first attempt that carried it.

Test, seen failing first: writesABatchThatFollowsARenewalWhoseAnswerWasLost.

--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
@@ -93,6 +93,19 @@
         GUARANTEED_SHARE);
   }
 
+  /** Returns the same deployment with another number of workers and as many times the arrivals. */
+  JobDeployment resized(int newWorkers) {
+    double factor = (double) newWorkers / workers;
+    return new JobDeployment(
+        name + " x " + newWorkers,
+        newWorkers,
+        perRack,
+        capacity,
+        kinds.stream().map(kind -> kind.times(factor)).toList(),
+        workspaces,
+        guaranteedShare);
+  }
+
   /** Wide gangs of the second priority. */
   private static JobKind plan(
       double perS,
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobKind.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobKind.java
@@ -53,4 +53,29 @@
   JobKind {
     accelerators = List.copyOf(accelerators);
   }
+
+  /** Returns the same kind with its arrivals multiplied. */
+  JobKind times(double factor) {
+    return new JobKind(
+        name,
+        objective,
+        worth,
+        lateShare,
+        perS * factor,
+        width,
+        widest,
+        workMs,
+        workSpread,
+        longestMs,
+        each,
+        accelerators,
+        gang,
+        sameRackShare,
+        checkpointShare,
+        secondStepShare,
+        wrongEstimateShare,
+        failureShare,
+        poisonShare,
+        cancelShare);
+  }
 }
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.HdrHistogram.Histogram;
 
 /** Plays one load against one policy and adds up what its jobs are worth. */
 final class JobReplay implements PoolModel.Observer {
@@ -45,6 +46,7 @@
   private final Map<String, Double> earned = new HashMap<>();
   private final Set<String> begun = new HashSet<>();
   private final Set<String> gaveUp = new HashSet<>();
+  private final Histogram handleNanos = new Histogram(3);
   private long slowestGuaranteeMs;
   private double lostCoreSeconds;
 
@@ -58,17 +60,25 @@
 
   static JobReplayResult play(
       JobDeployment deployment, LoadPattern pattern, SchedulingPolicy policy, long seed) {
-    return new JobReplay(deployment, pattern, policy, seed).play();
+    return new JobReplay(deployment, pattern, policy, seed).play(FINISH_MS);
   }
 
-  private JobReplayResult play() {
+  /** Plays the usual load without the time for work to end and returns the times of all events. */
+  static Histogram times(JobDeployment deployment, long seed) {
+    JobReplay replay =
+        new JobReplay(deployment, LoadPattern.USUAL, SchedulingPolicy.STANDARD, seed);
+    replay.play(0);
+    return replay.handleNanos;
+  }
+
+  private JobReplayResult play(long finishMs) {
     addWorkers();
     declareGuarantees();
     pool.takeOver();
     pool.run(LEAD_MS);
     long startMs = pool.nowMs();
     int next = 0;
-    while (pool.nowMs() - startMs < JobLoad.ARRIVALS_MS + FINISH_MS) {
+    while (pool.nowMs() - startMs < JobLoad.ARRIVALS_MS + finishMs) {
       long atMs = pool.nowMs() - startMs;
       while (next < arrivals.size() && arrivals.get(next).atMs() <= atMs) {
         submit(arrivals.get(next), next);
@@ -145,6 +155,11 @@
     }
   }
 
+  @Override
+  public void onHandled(long nanos) {
+    handleNanos.recordValue(nanos);
+  }
+
   @Override
   public void onFinal(String job, JobPhase phase) {
     JobArrival arrival = byId.get(job);
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -43,7 +43,15 @@
 
   private long version;
   private long epoch;
+
+  /** Sequence of the newest commit that is known to be applied, and of the newest attempt. */
   private long sequence;
+
+  private long attemptedSequence;
+
+  /** Sequence of the first attempt that carried the batch; earlier ones were without it. */
+  private long batchFromSequence;
+
   private boolean committing;
   private boolean releasing;
   private @Nullable OwnerRecord attempted;
@@ -160,6 +168,7 @@
     committing = true;
     epoch = last == null ? 1 : last.epoch() + 1;
     sequence = 1;
+    attemptedSequence = 1;
     version = expectedVersion;
     // Until this node has read the jobs, the figures of the owner before it hold.
     pending = last == null ? Map.of() : last.pending();
@@ -169,11 +178,15 @@
 
   private void commit() {
     committing = true;
-    if (attemptedBatch == null) {
+    // Each attempt has a sequence of its own: one without an answer may have been applied without
+    // the batch that a later one carries.
+    attemptedSequence++;
+    if (attemptedBatch == null && waitingBatch != null) {
       attemptedBatch = waitingBatch;
       waitingBatch = null;
+      batchFromSequence = attemptedSequence;
     }
-    attempted = new OwnerRecord(holder, epoch, sequence + 1, releasing, pending);
+    attempted = new OwnerRecord(holder, epoch, attemptedSequence, releasing, pending);
     effects.add(new LeaseEffect.Commit(version, attempted, attemptedBatch));
   }
 
@@ -190,13 +203,18 @@
     if (role != Role.OWNER) {
       return;
     }
-    sequence++;
-    JobEffect.Persist done = attemptedBatch;
-    attemptedBatch = null;
-    if (done != null) {
-      effects.add(new LeaseEffect.BatchDurable(done.batch()));
+    applied(attemptedSequence, attempted != null && attempted.released(), nowMs);
+  }
+
+  /** Notes that the attempt with a sequence was applied, and with it what it carried. */
+  private void applied(long appliedSequence, boolean released, long nowMs) {
+    sequence = appliedSequence;
+    JobEffect.Persist batch = attemptedBatch;
+    if (batch != null && appliedSequence >= batchFromSequence) {
+      attemptedBatch = null;
+      effects.add(new LeaseEffect.BatchDurable(batch.batch()));
     }
-    if (attempted != null && attempted.released()) {
+    if (released) {
       lose("released", nowMs);
     }
   }
@@ -215,9 +233,12 @@
     if (role != Role.OWNER) {
       return;
     }
-    if (owner != null && ours && owner.sequence() == sequence + 1) {
-      // An attempt whose answer was lost had been applied.
-      onCommitted(foundVersion, nowMs);
+    if (owner != null && ours && owner.sequence() > sequence) {
+      // An attempt whose answer was lost had been applied; it need not be the newest.
+      version = foundVersion;
+      lastSuccessMs = nowMs;
+      nextCommitMs = 0;
+      applied(owner.sequence(), owner.released(), nowMs);
     } else if (owner != null && ours && owner.sequence() == sequence) {
       version = foundVersion;
     } else {
--- a/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
@@ -132,6 +132,35 @@
       assertEquals(new LeaseEffect.BatchDurable(7), found.get(0));
     }
 
+    @Test
+    void writesABatchThatFollowsARenewalWhoseAnswerWasLost() {
+      // The renewal was applied; the batch counted as written with it, and its records were lost.
+      win(1_000);
+      List<LeaseEffect> renewal = lease.handle(new LeaseEvent.Tick(), 1_000 + TIMES.renewMs());
+      LeaseEffect.Commit lost = assertInstanceOf(LeaseEffect.Commit.class, renewal.get(0));
+      lease.handle(new LeaseEvent.Persist(BATCH), 1_500);
+      lease.handle(new LeaseEvent.CommitFailed(true), 2_000);
+      List<LeaseEffect> found = lease.handle(new LeaseEvent.Conflicted(lost.owner(), 9), 2_050);
+      LeaseEffect.Commit again = assertInstanceOf(LeaseEffect.Commit.class, found.get(0));
+      assertEquals(9, again.expectedVersion());
+      assertEquals(BATCH, again.batch());
+      assertEquals(
+          List.of(new LeaseEffect.BatchDurable(7)),
+          lease.handle(new LeaseEvent.Committed(10), 2_080));
+    }
+
+    @Test
+    void findsABatchAppliedThatWasSentTwiceAfterALostRenewal() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Tick(), 1_000 + TIMES.renewMs());
+      lease.handle(new LeaseEvent.Persist(BATCH), 1_500);
+      List<LeaseEffect> first = lease.handle(new LeaseEvent.CommitFailed(true), 2_000);
+      LeaseEffect.Commit batch = assertInstanceOf(LeaseEffect.Commit.class, first.get(0));
+      lease.handle(new LeaseEvent.CommitFailed(true), 3_000);
+      List<LeaseEffect> found = lease.handle(new LeaseEvent.Conflicted(batch.owner(), 9), 3_050);
+      assertEquals(new LeaseEffect.BatchDurable(7), found.get(0));
+    }
+
     @Test
     void repeatsABatchThatWasNotApplied() {
       win(1_000);
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
@@ -80,6 +80,9 @@
     /** A worker had no room for a run. */
     default void onNoRoom(WorkerModel worker, RunName run) {}
 
+    /** The scheduler has handled an event; the time is real, not that of the pool. */
+    default void onHandled(long nanos) {}
+
     /** A job became final. */
     default void onFinal(String job, JobPhase phase) {}
   }
@@ -273,9 +276,10 @@
   }
 
   private void post(JobEvent event) {
-    for (JobEffect effect : owner().handle(event, new Now(nowMs, wallMs()))) {
-      carryOut(effect);
-    }
+    long startNanos = System.nanoTime();
+    List<JobEffect> effects = owner().handle(event, new Now(nowMs, wallMs()));
+    observer.onHandled(System.nanoTime() - startNanos);
+    effects.forEach(this::carryOut);
   }
 
   private void later(long delayMs, Runnable action) {
