--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -16,6 +16,9 @@
   private static final double NANOS_PER_S = 1_000_000_000.0;
   private static final int FIRST_TEXT_BYTES = 8_192;
 
+  /** From a store that is well to the longest call of a caller. */
+  private static final double[] LATENCY_BOUNDS_S = {0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5};
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter calls =
       Counter.builder()
@@ -28,14 +31,14 @@
           .name("bambootray_job_call_seconds")
           .help("Time to answer a call.")
           .labelNames("kind")
-          .classicUpperBounds(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+          .classicUpperBounds(LATENCY_BOUNDS_S)
           .classicOnly()
           .register(registry);
   private final Histogram commitSeconds =
       Histogram.builder()
           .name("bambootray_job_commit_seconds")
           .help("Time of the owner's transactions.")
-          .classicUpperBounds(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+          .classicUpperBounds(LATENCY_BOUNDS_S)
           .classicOnly()
           .register(registry);
   private final Counter starts =
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -42,7 +42,8 @@
   private final SchedulerState state;
   private final RunTracker runs;
   private final SchedulingPolicy policy;
-  private final ValueDensityOrder order;
+  private final OrderPolicy order;
+  private final ValueDensityOrder values;
   private final PackingPlacement placement;
   private final DrainPlan drains;
   private final ValuePreemption preemption;
@@ -53,9 +54,10 @@
     this.runs = runs;
     this.policy = policy;
     placement = new PackingPlacement(!policy.isStrict());
-    order = new ValueDensityOrder(state.runTimes);
+    values = new ValueDensityOrder(state.runTimes);
+    order = policy.isStandard() ? values : OrderPolicy.ARRIVAL;
     drains = new DrainPlan(state.runTimes);
-    preemption = new ValuePreemption(state.runTimes, order);
+    preemption = new ValuePreemption(state.runTimes, values);
   }
 
   /**
@@ -96,8 +98,7 @@
           continue;
         }
         step.readySinceMs = step.readySinceMs < 0 ? now.ms() : step.readySinceMs;
-        double urgency = policy.isStandard() ? order.urgency(step, now.ms()) : 0;
-        urgencies.put(step, rank(step) + urgency);
+        urgencies.put(step, rank(step) + order.urgency(step, now.ms()));
       }
     }
     List<StepRun> steps = new ArrayList<>(urgencies.keySet());
@@ -132,10 +133,7 @@
       state.reservations.takeFrom(room, step);
       return;
     }
-    if (!policy.isStandard()) {
-      return;
-    }
-    if (claims.covers(step.job) || preemption.isWorthwhile(step, now.ms())) {
+    if (isUrgent(step, claims, now)) {
       reclaim(step, ready.size(), room, claims, now);
     }
     if (!state.reservations.has(step) && state.reservations.drains() < mostDrains()) {
@@ -143,7 +141,16 @@
     }
   }
 
+  /** Returns whether a step that does not fit may stop runs of others. */
+  private boolean isUrgent(StepRun step, Claims claims, Now now) {
+    return policy.isStandard()
+        && (claims.covers(step.job) || preemption.isWorthwhile(step, now.ms()));
+  }
+
   private int mostDrains() {
+    if (!policy.isStandard()) {
+      return 0;
+    }
     return Math.max(LEAST_DRAINS, state.workers.size() / WORKERS_PER_DRAIN);
   }
 
@@ -163,13 +170,11 @@
     if (placed > 0) {
       notePlaced(step, placed, used, now);
     }
-    boolean urgent =
-        policy.isStandard() && (claims.covers(step.job) || preemption.isWorthwhile(step, now.ms()));
     if (placed == ready.size()) {
       state.reservations.remove(step);
     } else if (state.reservations.has(step)) {
       state.reservations.takeFrom(room, step);
-    } else if (urgent) {
+    } else if (isUrgent(step, claims, now)) {
       reclaim(step, ready.size() - placed, room, claims, now);
     }
   }
@@ -232,7 +237,7 @@
   }
 
   private void reserve(StepRun step, int count, Room room, Now now) {
-    Optional<Map<WorkerState, Integer>> places = drains.find(step, count, room, order, now.ms());
+    Optional<Map<WorkerState, Integer>> places = drains.find(step, count, room, values, now.ms());
     if (places.isPresent()) {
       state.decided(
           step.job.spec.id(),
--- a/ports/src/main/java/dev/bambootray/ports/JobWorkers.java
+++ b/ports/src/main/java/dev/bambootray/ports/JobWorkers.java
@@ -21,7 +21,4 @@
 
   /** Extends leases, acknowledges ends and lists runs. */
   CompletableFuture<HoldReply> hold(HoldWorker order, long epoch, long timeoutMs);
-
-  /** Closes the connections to a worker that has left. */
-  void forget(String address);
 }
