--- a/bench/src/main/java/dev/bambootray/bench/BenchMain.java
+++ b/bench/src/main/java/dev/bambootray/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package dev.bambootray.bench;
 
 import dev.bambootray.bench.control.ControlCommand;
+import dev.bambootray.bench.jobs.JobCost;
 import dev.bambootray.bench.jobs.JobsBench;
 import dev.bambootray.bench.routing.RoutingBench;
 import dev.bambootray.bench.scheduling.SchedulingBench;
@@ -15,6 +16,7 @@
     mixinStandardHelpOptions = true,
     subcommands = {
       ControlCommand.class,
+      JobCost.class,
       JobsBench.class,
       RoutingBench.class,
       SchedulingBench.class,
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobKind.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobKind.java
@@ -9,73 +9,82 @@
  *
  * @param name its name
  * @param objective what its template promises
- * @param worth value of a job of mean size that completes in time
- * @param lateShare share of the value that a late completion keeps
+ * @param value value of a job in time and late
  * @param perS mean arrivals a second
- * @param width mean number of tasks of a step; the distribution is log-normal
- * @param widest largest number of tasks of a step
- * @param workMs mean work of a task in milliseconds
- * @param workSpread standard deviation of the logarithm of the work
- * @param longestMs longest work of a task in milliseconds
- * @param each cores and memory of a task; the accelerators are drawn
- * @param accelerators numbers of accelerators of a task, drawn with equal weight
- * @param gang whether the tasks of a step work only together
- * @param sameRackShare share of gangs that are slower across racks
- * @param checkpointShare share of steps that save their progress
- * @param secondStepShare share of jobs with a second step after the first
- * @param wrongEstimateShare share of steps whose estimate is wrong by up to ten times
- * @param failureShare share of runs that fail
- * @param poisonShare share of jobs that always fail
- * @param cancelShare share of jobs that are cancelled after their estimate
+ * @param size how large its jobs are
+ * @param shape how its steps work together
+ * @param trouble how often something goes wrong with a job
  */
 record JobKind(
     String name,
     Objective objective,
-    double worth,
-    double lateShare,
+    Value value,
     double perS,
-    double width,
-    int widest,
-    double workMs,
-    double workSpread,
-    double longestMs,
-    Resources each,
-    List<Integer> accelerators,
-    boolean gang,
-    double sameRackShare,
-    double checkpointShare,
-    double secondStepShare,
-    double wrongEstimateShare,
-    double failureShare,
-    double poisonShare,
-    double cancelShare) {
+    Size size,
+    Shape shape,
+    Trouble trouble) {
 
-  JobKind {
-    accelerators = List.copyOf(accelerators);
+  /**
+   * Value of a job.
+   *
+   * @param worth value of a job of mean size that completes in time
+   * @param lateShare share of the value that a late completion keeps
+   */
+  record Value(double worth, double lateShare) {}
+
+  /**
+   * Size of a job; widths and work are drawn from log-normal distributions.
+   *
+   * @param width mean number of tasks of a step
+   * @param workMs mean work of a task in milliseconds
+   * @param workSpread standard deviation of the logarithm of the work
+   * @param longestMs longest work of a task in milliseconds
+   * @param each cores and memory of a task
+   * @param accelerators numbers of accelerators of a task, drawn with equal weight
+   */
+  record Size(
+      double width,
+      double workMs,
+      double workSpread,
+      double longestMs,
+      Resources each,
+      List<Integer> accelerators) {
+    /** The widest step has this many times the mean width, as on the sheets. */
+    private static final int WIDEST_FACTOR = 6;
+
+    Size {
+      accelerators = List.copyOf(accelerators);
+    }
+
+    int widest() {
+      return (int) (WIDEST_FACTOR * width);
+    }
   }
 
+  /**
+   * How the steps of a job work together.
+   *
+   * @param gang whether the tasks of a step work only together
+   * @param sameRackShare share of gangs that are slower across racks
+   * @param checkpointShare share of steps that save their progress
+   * @param secondStepShare share of jobs with a second step after the first
+   */
+  record Shape(
+      boolean gang, double sameRackShare, double checkpointShare, double secondStepShare) {}
+
+  /**
+   * How often something goes wrong with a job.
+   *
+   * @param wrongEstimateShare share of steps whose estimate is wrong by up to ten times
+   * @param failureShare share of runs that fail
+   * @param poisonShare share of jobs that always fail
+   * @param cancelShare share of jobs that are cancelled after their mean work
+   */
+  record Trouble(
+      double wrongEstimateShare, double failureShare, double poisonShare, double cancelShare) {}
+
   /** Returns the same kind with its arrivals multiplied. */
   JobKind times(double factor) {
-    return new JobKind(
-        name,
-        objective,
-        worth,
-        lateShare,
-        perS * factor,
-        width,
-        widest,
-        workMs,
-        workSpread,
-        longestMs,
-        each,
-        accelerators,
-        gang,
-        sameRackShare,
-        checkpointShare,
-        secondStepShare,
-        wrongEstimateShare,
-        failureShare,
-        poisonShare,
-        cancelShare);
+    return new JobKind(name, objective, value, perS * factor, size, shape, trouble);
   }
 }
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobLoad.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobLoad.java
@@ -71,20 +71,22 @@
   }
 
   private JobArrival arrival(JobKind kind, long atMs) {
-    int count = random.nextDouble() < kind.secondStepShare() ? 2 : 1;
+    int count = random.nextDouble() < kind.shape().secondStepShare() ? 2 : 1;
     List<StepSpec> steps = new ArrayList<>();
     List<List<Long>> work = new ArrayList<>();
     List<List<Integer>> failures = new ArrayList<>();
     for (int index = 0; index < count; index++) {
-      int width = (int) Math.max(1, Math.round(logNormal(kind.width(), 0.8, kind.widest())));
-      double meanMs = logNormal(kind.workMs(), kind.workSpread(), kind.longestMs());
+      int width =
+          (int) Math.max(1, Math.round(logNormal(kind.size().width(), 0.8, kind.size().widest())));
+      double meanMs =
+          logNormal(kind.size().workMs(), kind.size().workSpread(), kind.size().longestMs());
       steps.add(step(kind, index, width, meanMs));
       work.add(work(kind, width, meanMs));
       failures.add(failures(kind, width));
     }
     boolean poisonTime = atMs >= BURST_FROM_MS && atMs < BURST_FROM_MS + POISON_MS;
     double poisonShare =
-        pattern == LoadPattern.POISON && poisonTime ? POISON_SHARE : kind.poisonShare();
+        pattern == LoadPattern.POISON && poisonTime ? POISON_SHARE : kind.trouble().poisonShare();
     boolean poisoned = random.nextDouble() < poisonShare;
     String workspace = "workspace" + workspace();
     return new JobArrival(
@@ -106,32 +108,32 @@
     if (pattern == LoadPattern.CANCELLING && draw < CANCEL_SHARE) {
       return atMs + EARLY_CANCEL_MS;
     }
-    return draw < kind.cancelShare() ? atMs + (long) kind.workMs() : -1;
+    return draw < kind.trouble().cancelShare() ? atMs + (long) kind.size().workMs() : -1;
   }
 
   private StepSpec step(JobKind kind, int index, int width, double meanMs) {
-    List<Integer> choices = kind.accelerators();
+    List<Integer> choices = kind.size().accelerators();
     Resources each =
         new Resources(
             choices.get(random.nextInt(choices.size())),
-            kind.each().millicores(),
-            kind.each().memoryMib());
-    boolean wrong = random.nextDouble() < kind.wrongEstimateShare();
+            kind.size().each().millicores(),
+            kind.size().each().memoryMib());
+    boolean wrong = random.nextDouble() < kind.trouble().wrongEstimateShare();
     double error = wrong ? Math.exp((2 * random.nextDouble() - 1) * WORST_ESTIMATE) : 1;
-    boolean gang = kind.gang() && width > 1;
+    boolean gang = kind.shape().gang() && width > 1;
     return StepSpec.builder(width, each)
         .after(index == 0 ? List.of() : List.of(index - 1))
         .estimateMs(Math.max(100, (long) (meanMs * error)))
         .gang(gang)
-        .sameRack(random.nextDouble() < kind.sameRackShare() && gang)
-        .checkpointing(random.nextDouble() < kind.checkpointShare())
+        .sameRack(random.nextDouble() < kind.shape().sameRackShare() && gang)
+        .checkpointing(random.nextDouble() < kind.shape().checkpointShare())
         .build();
   }
 
   private List<Long> work(JobKind kind, int width, double meanMs) {
     List<Long> work = new ArrayList<>();
     for (int i = 0; i < width; i++) {
-      double factor = kind.gang() ? 1 : 1 + UNEVEN * (2 * random.nextDouble() - 1);
+      double factor = kind.shape().gang() ? 1 : 1 + UNEVEN * (2 * random.nextDouble() - 1);
       work.add(Math.max(100, (long) (meanMs * factor)));
     }
     return work;
@@ -140,10 +142,10 @@
   /** Draws how often each task fails; the members of a gang fail together. */
   private List<Integer> failures(JobKind kind, int width) {
     List<Integer> failures = new ArrayList<>();
-    int ofGang = random.nextDouble() < kind.failureShare() ? 1 : 0;
+    int ofGang = random.nextDouble() < kind.trouble().failureShare() ? 1 : 0;
     for (int i = 0; i < width; i++) {
-      int own = random.nextDouble() < kind.failureShare() ? 1 : 0;
-      failures.add(kind.gang() ? ofGang : own);
+      int own = random.nextDouble() < kind.trouble().failureShare() ? 1 : 0;
+      failures.add(kind.shape().gang() ? ofGang : own);
     }
     return failures;
   }
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
@@ -92,17 +92,17 @@
   }
 
   private void addWorkers() {
-    int slow = pattern == LoadPattern.SLOW_WORKERS ? deployment.workers() / SLOW_OF : 0;
+    int slow = pattern == LoadPattern.SLOW_WORKERS ? deployment.pool().workers() / SLOW_OF : 0;
     // Slow workers are spread over the racks.
-    for (int i = 0; i < deployment.workers(); i++) {
+    for (int i = 0; i < deployment.pool().workers(); i++) {
       boolean isSlow = slow > 0 && i % SLOW_OF == 0;
-      pool.addWorkers(1, deployment.perRack(), deployment.capacity(), isSlow ? SLOW_SPEED : 1);
+      pool.addWorkers(
+          1, deployment.pool().perRack(), deployment.pool().capacity(), isSlow ? SLOW_SPEED : 1);
     }
   }
 
   private void declareGuarantees() {
-    int accelerators = deployment.workers() * deployment.capacity().accelerators();
-    int each = (int) (accelerators * deployment.guaranteedShare() / deployment.workspaces());
+    int each = deployment.guaranteedEach();
     List<Workspace> workspaces = new ArrayList<>();
     for (int i = 0; i < deployment.workspaces(); i++) {
       workspaces.add(new Workspace("workspace" + i, List.of(), each));
@@ -174,7 +174,7 @@
     if (tookMs <= allowedMs) {
       earned.put(job, value(arrival));
     } else if (tookMs <= LATE_FACTOR * allowedMs) {
-      earned.put(job, arrival.kind().lateShare() * value(arrival));
+      earned.put(job, arrival.kind().value().lateShare() * value(arrival));
     }
   }
 
@@ -230,15 +230,19 @@
   static double value(JobArrival arrival) {
     JobKind kind = arrival.kind();
     double relative = Math.min(4, 0.3 + 0.7 * arrival.coreSeconds() / meanWork(kind));
-    return kind.worth() * relative;
+    return kind.value().worth() * relative;
   }
 
   private static double meanWork(JobKind kind) {
     double accelerators = 0;
-    for (int choice : kind.accelerators()) {
-      accelerators += (double) choice / kind.accelerators().size();
+    for (int choice : kind.size().accelerators()) {
+      accelerators += (double) choice / kind.size().accelerators().size();
     }
-    double cores = kind.each().millicores() / 1_000.0 + 8 * accelerators;
-    return cores * kind.width() * kind.workMs() / 1_000 * (1 + kind.secondStepShare());
+    double cores = kind.size().each().millicores() / 1_000.0 + 8 * accelerators;
+    return cores
+        * kind.size().width()
+        * kind.size().workMs()
+        / 1_000
+        * (1 + kind.shape().secondStepShare());
   }
 }
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobsBench.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobsBench.java
@@ -37,9 +37,6 @@
   @Option(names = "--standard-only", description = "Leave out the baselines.")
   private boolean standardOnly;
 
-  @Option(names = "--cost", description = "Measure the time of decisions by size of the pool.")
-  private boolean cost;
-
   /** Creates the command with its default options. */
   public JobsBench() {}
 
@@ -51,9 +48,6 @@
 
   @Override
   public Integer call() {
-    if (cost) {
-      return JobCost.measure(System.out);
-    }
     BenchReport report =
         BenchReport.create(
             "jobs",
--- a/bench/src/main/java/dev/bambootray/bench/jobs/OfflineBound.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/OfflineBound.java
@@ -16,8 +16,9 @@
   /** Returns the share of the value of all jobs that no schedule exceeds. */
   static double of(JobDeployment deployment, List<JobArrival> arrivals, long finishMs) {
     double seconds = (JobLoad.ARRIVALS_MS + finishMs) / 1_000.0;
-    double accelerators = deployment.workers() * deployment.capacity().accelerators() * seconds;
-    double cores = deployment.workers() * deployment.capacity().millicores() / 1_000.0 * seconds;
+    double accelerators = deployment.pool().accelerators() * seconds;
+    double cores =
+        deployment.pool().workers() * deployment.pool().capacity().millicores() / 1_000.0 * seconds;
     // Each limit alone bounds the value; the smaller bound holds.
     return Math.min(fill(arrivals, accelerators, true), fill(arrivals, cores, false));
   }
--- a/bench/src/main/java/dev/bambootray/bench/sockets/SocketRig.java
+++ b/bench/src/main/java/dev/bambootray/bench/sockets/SocketRig.java
@@ -25,15 +25,13 @@
 import dev.bambootray.documents.PeerSettings;
 import dev.bambootray.documents.PlatformSettings;
 import dev.bambootray.documents.Settings;
+import dev.bambootray.standins.FreePorts;
 import dev.bambootray.standins.RunLedger;
 import dev.bambootray.standins.StandInPlatform;
 import dev.bambootray.standins.StandInWorker;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -177,18 +175,10 @@
   private Settings settings() {
     int port = platform.server().port();
     return Settings.builder(NodeId.of("n1"), REGION, DOMAIN)
-        .http(new HttpSettings("127.0.0.1", freePort(), null))
-        .peer(new PeerSettings("127.0.0.1", freePort(), null))
+        .http(new HttpSettings("127.0.0.1", FreePorts.next(), null))
+        .peer(new PeerSettings("127.0.0.1", FreePorts.next(), null))
         .platform(
             new PlatformSettings("127.0.0.1", port, "127.0.0.1", port, "127.0.0.1", port, 1_000))
         .build();
   }
-
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("no free port on loopback", e);
-    }
-  }
 }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -5,13 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
-import dev.bambootray.jobs.model.JobDeclaration;
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.scheduling.JobEvent;
-import dev.bambootray.jobs.store.Row;
 import dev.bambootray.jobs.worker.WorkerEntry;
-import dev.bambootray.ports.PlatformDocuments;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,14 +17,14 @@
 import org.junit.jupiter.api.Test;
 
 final class PoolLoaderTest {
-  private static final String WORKERS = "workers";
+  private static final String WORKERS = VersionDocuments.WORKERS;
 
   private final ScriptedStore store = new ScriptedStore();
   private final ManualExecutor executor = new ManualExecutor();
   private final JobRowCodec codec = new JobRowCodec();
   private final List<JobEvent> events = new ArrayList<>();
   private final PoolLoader loader =
-      new PoolLoader(store, executor, new Documents(), codec, DecisionLog.start());
+      new PoolLoader(store, executor, new VersionDocuments(), codec, DecisionLog.start());
 
   private static JobSpec job(String id) {
     return new JobSpec(
@@ -119,33 +116,4 @@
     executor.runLater();
     assertEquals(1, tookOver().jobs().size());
   }
-
-  private static final class Documents implements PlatformDocuments {
-    @Override
-    public String declarationTable() {
-      return "declarations";
-    }
-
-    @Override
-    public String declarationKey() {
-      return "current";
-    }
-
-    @Override
-    public String workerTable() {
-      return WORKERS;
-    }
-
-    @Override
-    public Optional<JobDeclaration> declaration(Row row) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<WorkerEntry> worker(Row row) {
-      return Optional.of(
-          new WorkerEntry(
-              row.key(), "s", "10.0.0.1:80", "z", "r", Set.of(), new Resources(8, 8, 8), 1, false));
-    }
-  }
 }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/VersionDocuments.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/VersionDocuments.java
@@ -1,5 +1,6 @@
 package dev.bambootray.daemon.jobs;
 
+import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.JobDeclaration;
 import dev.bambootray.jobs.store.Row;
 import dev.bambootray.jobs.worker.WorkerEntry;
@@ -7,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
-/** Documents of tests: a row of declarations holds its version as text. */
+/** Documents of tests: a declaration holds its version as text, and every worker is alike. */
 final class VersionDocuments implements PlatformDocuments {
+  static final String WORKERS = "workers";
+
   @Override
   public String declarationTable() {
     return "declarations";
@@ -22,7 +26,7 @@
 
   @Override
   public String workerTable() {
-    return "workers";
+    return WORKERS;
   }
 
   @Override
@@ -35,6 +39,8 @@
 
   @Override
   public Optional<WorkerEntry> worker(Row row) {
-    return Optional.empty();
+    return Optional.of(
+        new WorkerEntry(
+            row.key(), "s", "10.0.0.1:80", "z", "r", Set.of(), new Resources(8, 8, 8), 1, false));
   }
 }
--- a/demo/src/main/java/dev/bambootray/demo/Deployment.java
+++ b/demo/src/main/java/dev/bambootray/demo/Deployment.java
@@ -13,6 +13,7 @@
 import dev.bambootray.documents.PeerSettings;
 import dev.bambootray.documents.PlatformSettings;
 import dev.bambootray.documents.Settings;
+import dev.bambootray.standins.FreePorts;
 import dev.bambootray.standins.RunLedger;
 import dev.bambootray.standins.StandInPlatform;
 import dev.bambootray.standins.StandInWorker;
@@ -20,9 +21,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -171,8 +169,8 @@
     FailureDomainId domain = region.failureDomains().get(index % region.failureDomains().size());
     int platformPort = platform.server().port();
     return Settings.builder(NodeId.of(region.id() + "-" + (index + 1)), region.id(), domain)
-        .http(new HttpSettings("127.0.0.1", freePort(), null))
-        .peer(new PeerSettings("127.0.0.1", freePort(), null))
+        .http(new HttpSettings("127.0.0.1", FreePorts.next(), null))
+        .peer(new PeerSettings("127.0.0.1", FreePorts.next(), null))
         .platform(
             new PlatformSettings(
                 "127.0.0.1",
@@ -186,12 +184,4 @@
         .linkDelay(DELAYS)
         .build();
   }
-
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("no free port on loopback", e);
-    }
-  }
 }
--- /dev/null
+++ b/jobs/src/test/java/dev/bambootray/jobs/PurityTest.java
@@ -0,0 +1,59 @@
+package dev.bambootray.jobs;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Guards against decisions that read a clock, start a thread, open a socket or write a log. */
+final class PurityTest {
+  private final JavaClasses pure =
+      new ClassFileImporter()
+          .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+          .importPackages("dev.bambootray.core", "dev.bambootray.jobs");
+
+  @Test
+  void bothModulesAreChecked() {
+    assertTrue(pure.contain("dev.bambootray.core.model.Resources"));
+    assertTrue(pure.contain("dev.bambootray.jobs.scheduling.JobScheduler"));
+  }
+
+  @Test
+  void decisionsUseNoThreadsSocketsFilesOrLoggers() {
+    noClasses()
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "java.net..",
+            "java.nio.channels..",
+            "java.nio.file..",
+            "java.util.concurrent..",
+            "java.util.logging..",
+            "java.time..",
+            "org.tinylog..",
+            "io.netty..",
+            "com.lmax..")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .check(pure);
+  }
+
+  @Test
+  void decisionsReadNoClockAndNoHiddenRandomness() {
+    noClasses()
+        .should()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(Math.class, "random")
+        .orShould()
+        .dependOnClassesThat()
+        .haveFullyQualifiedName("java.util.Random")
+        .check(pure);
+  }
+}
--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -1,7 +1,8 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import dev.bambootray.platform.soak.LoopbackProxy.Mode;
-import dev.bambootray.platform.soak.StandInStore.Failure;
+import dev.bambootray.soak.LoopbackProxy.Mode;
+import dev.bambootray.soak.wire.StandInStore;
+import dev.bambootray.soak.wire.StandInStore.Failure;
 import io.netty.channel.EventLoop;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -121,7 +122,12 @@
 
   private void kill(NodeProcess node, long forMs) {
     if (node.isUp()) {
-      node.kill();
+      try {
+        node.kill();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
       var unusedTimer = signals.schedule(node::start, forMs, TimeUnit.MILLISECONDS);
     }
   }
@@ -173,13 +179,13 @@
   }
 
   private void fail(int worker, long forMs) {
-    var model = workers.model(worker);
+    var model = workers.life(worker);
     model.setFailing(true);
     later(forMs, () -> model.setFailing(false));
   }
 
   private void hang(int worker, long forMs) {
-    var model = workers.model(worker);
+    var model = workers.life(worker);
     model.setHanging(true);
     later(forMs, () -> model.setHanging(false));
   }
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -1,6 +1,8 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
+import dev.bambootray.soak.FaultKind.Scope;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -16,10 +18,6 @@
   /** Share of faults that repeat the kind and target of the one before. */
   private static final double SERIES_SHARE = 0.2;
 
-  /** Work that operators do on a healthy system; no answer may be lost by it. */
-  private static final List<FaultKind> PLANNED =
-      List.of(FaultKind.NODE_STOP, FaultKind.NODE_RELOAD, FaultKind.DECLARATION);
-
   /** Every so many seeds a run has planned work only. */
   private static final int PLANNED_EVERY = 5;
 
@@ -40,7 +38,10 @@
    */
   static List<Fault> draw(long seed, int nodes, int workers, long lengthMs) {
     SplittableRandom random = new SplittableRandom(seed);
-    List<FaultKind> kinds = isPlannedOnly(seed) ? PLANNED : List.of(FaultKind.values());
+    List<FaultKind> kinds =
+        Arrays.stream(FaultKind.values())
+            .filter(one -> one.isPlanned() || !isPlannedOnly(seed))
+            .toList();
     List<Fault> faults = new ArrayList<>();
     double atMs = 0;
     FaultKind kind = kinds.get(0);
@@ -52,7 +53,7 @@
       }
       if (faults.isEmpty() || random.nextDouble() >= SERIES_SHARE) {
         kind = kinds.get(random.nextInt(kinds.size()));
-        target = random.nextInt(isAtWorker(kind) ? workers : nodes);
+        target = random.nextInt(kind.scope() == Scope.WORKER ? workers : nodes);
       }
       long forMs = random.nextLong(SHORTEST_FAULT_MS, LONGEST_FAULT_MS);
       faults.add(new Fault((long) atMs, kind, target, forMs));
@@ -60,34 +61,4 @@
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
   }
-
-  static boolean isAtWorker(FaultKind kind) {
-    return switch (kind) {
-      case WORKER_CUT,
-          WORKER_CUT_BACK,
-          WORKER_DELAY,
-          WORKER_CRASH,
-          WORKER_FAILS,
-          WORKER_HANGS,
-          WORKER_LEAVES ->
-          true;
-      case NODE_KILL,
-          NODE_STOP,
-          NODE_PAUSE,
-          NODE_RELOAD,
-          ALL_KILL,
-          STORE_LINK_RESET,
-          STORE_LINK_CUT_THERE,
-          STORE_LINK_CUT_BACK,
-          STORE_LINK_DELAY,
-          STORE_REFUSES,
-          STORE_SLOW,
-          STORE_LOSES_ANSWERS,
-          STORE_LATE,
-          STORE_COMPACTS,
-          CALLERS_RESET,
-          DECLARATION ->
-          false;
-    };
-  }
 }
--- a/soak/src/main/java/dev/bambootray/soak/LoopbackProxy.java
+++ b/soak/src/main/java/dev/bambootray/soak/LoopbackProxy.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
--- a/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
+++ b/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
@@ -1,6 +1,7 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.bambootray.soak.wire.Documents;
+import dev.bambootray.standins.FreePorts;
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -13,11 +14,6 @@
 
 /** A node as a process of its own; used by one thread. */
 final class NodeProcess {
-  private static final String HOST = "127.0.0.1";
-
-  /** Ports that a node derives from its first internal port. */
-  private static final int METRICS_OFFSET = 10;
-
   private static final int KILLED = 137;
   private static final int TERMINATED = 143;
 
@@ -53,18 +49,10 @@
     int frontPort = FreePorts.next();
     int readyPort = FreePorts.next();
     int metricsPort = FreePorts.next();
-    ObjectNode settings = StandInStore.JSON.createObjectNode().put("node_name", name);
-    settings
-        .putObject("listen")
-        .put("front", HOST + ":" + frontPort)
-        .put("ready", HOST + ":" + readyPort);
-    settings.putArray("internal_ports").add(metricsPort - METRICS_OFFSET);
-    settings.putObject("platform").put("address", HOST + ":" + storePort);
-    settings.putObject("bounds").put("hold_max_ms", 10_000).put("grace_s", GRACE_S);
-    settings.putObject("limits").put("cpu_share", 1);
-    settings.put("orders", "rpc");
+    byte[] settings =
+        Documents.settings(name, frontPort, readyPort, metricsPort, storePort, GRACE_S);
     try {
-      Files.write(directory.resolve(name + ".json"), StandInStore.bytes(settings));
+      Files.write(directory.resolve(name + ".json"), settings);
     } catch (IOException e) {
       throw new UncheckedIOException("cannot write the settings of " + name, e);
     }
@@ -83,7 +71,11 @@
     return process != null && process.isAlive();
   }
 
+  /** Starts the node, if it is down: two processes of one node would share its name and ports. */
   void start() {
+    if (isUp()) {
+      return;
+    }
     stopping = false;
     killed = false;
     paused = false;
@@ -110,11 +102,12 @@
     signal("TERM");
   }
 
-  void kill() {
+  /** Sends SIGKILL and waits for the end. */
+  void kill() throws InterruptedException {
     killed = true;
     Process running = process;
     if (running != null) {
-      running.destroyForcibly();
+      running.destroyForcibly().waitFor();
     }
   }
 
@@ -157,7 +150,6 @@
         book.violate(name, "did not end within " + GRACE_S + " s of SIGTERM");
       }
       kill();
-      running.waitFor();
     }
   }
 
--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
--- a/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
@@ -1,8 +1,5 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-import com.fasterxml.jackson.databind.JsonNode;
 import dev.bambootray.adapters.httpclient.ConnectionPool;
 import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
 import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
@@ -11,6 +8,7 @@
 import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
 import dev.bambootray.adapters.httpclient.HttpExchange.Request;
 import dev.bambootray.adapters.httpclient.LinkDelay;
+import dev.bambootray.soak.wire.Documents;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,8 +23,6 @@
  * what got no answer. Confined to one event loop.
  */
 final class SoakCallers {
-  private static final String HOST = "127.0.0.1";
-  private static final String PREFIX = "/jobs/";
   private static final long TIMEOUT_MS = 3_000;
   private static final long RETRY_MS = 700;
   private static final long POLL_MS = 700;
@@ -76,7 +72,7 @@
     ConnectionPool.Limits limits =
         new ConnectionPool.Limits(0, 0, CONNECTIONS, LARGEST_RESPONSE_BYTES);
     for (int port : ports) {
-      nodes.add(new ConnectionPool(loop, HOST, port, limits, LinkDelay.NONE));
+      nodes.add(new ConnectionPool(loop, Documents.HOST, port, limits, LinkDelay.NONE));
     }
   }
 
@@ -103,7 +99,12 @@
   }
 
   private void submit(SoakJob job, int attempt) {
-    Request request = Request.of("POST", PREFIX + job.id(), job.body(), Lane.COMMAND);
+    Request request =
+        Request.of(
+            "POST",
+            Documents.path(job.id()),
+            Documents.submission(job.payload(), job.steps()),
+            Lane.COMMAND);
     send(request, outcome -> onSubmitted(job, attempt, outcome));
   }
 
@@ -128,7 +129,7 @@
 
   private void cancel(SoakJob job) {
     send(
-        Request.of("DELETE", PREFIX + job.id(), new byte[0], Lane.COMMAND),
+        Request.of("DELETE", Documents.path(job.id()), new byte[0], Lane.COMMAND),
         outcome -> {
           int status = outcome instanceof Answered answered ? answered.status() : 0;
           if (status == ACCEPTED || status == GONE) {
@@ -141,11 +142,10 @@
 
   private void watch(SoakJob job) {
     send(
-        Request.get(PREFIX + job.id()),
+        Request.get(Documents.path(job.id())),
         outcome -> {
           if (outcome instanceof Answered answered && answered.status() == ACCEPTED) {
-            JsonNode body = StandInStore.read(new String(answered.body().bytes(), UTF_8));
-            book.shown(job.id(), body.path("state").asText());
+            book.shown(job.id(), Documents.state(answered.body().bytes()));
           } else if (outcome instanceof Answered answered && answered.status() == GONE) {
             book.shown(job.id(), "gone");
           }
@@ -155,9 +155,7 @@
 
   private void send(Request request, Consumer<Outcome> then) {
     int node = random.nextInt(nodes.size());
-    Request full =
-        request.withHeaders(
-            Map.of("Authorization", "Bearer key", "Bambootray-Deadline-Ms", "" + TIMEOUT_MS));
+    Request full = request.withHeaders(Documents.callerHeaders(TIMEOUT_MS));
     long sentMs = clock.getAsLong();
     var unusedThen =
         nodes
--- a/soak/src/main/java/dev/bambootray/soak/SoakJob.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakJob.java
@@ -1,7 +1,5 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.standins.jobs.JobWork;
@@ -63,25 +61,4 @@
         poisoned,
         random.nextDouble() < CANCEL_SHARE);
   }
-
-  /** Returns the body of its submission. */
-  byte[] body() {
-    ObjectNode body = StandInStore.JSON.createObjectNode().put("spec", payload);
-    ArrayNode list = body.putArray("steps");
-    for (StepSpec step : steps) {
-      ObjectNode one =
-          list.addObject()
-              .put("count", step.count())
-              .put("gpu", step.each().accelerators())
-              .put("cpu", step.each().millicores())
-              .put("mem_mb", step.each().memoryMib())
-              .put("estimate_ms", step.estimateMs())
-              .put("gang", step.gang())
-              .put("same_rack", step.sameRack())
-              .put("checkpointing", step.checkpointing());
-      ArrayNode after = one.putArray("after");
-      step.after().forEach(after::add);
-    }
-    return StandInStore.bytes(body);
-  }
 }
--- a/soak/src/main/java/dev/bambootray/soak/SoakResult.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakResult.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import java.util.List;
 import java.util.Map;
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -1,9 +1,9 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.bambootray.adapters.http.HttpApiServer;
 import dev.bambootray.adapters.http.HttpLimits;
+import dev.bambootray.soak.wire.Documents;
+import dev.bambootray.soak.wire.StandInStore;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -22,7 +22,6 @@
 
 /** One run of the soak: real nodes, stand-ins around them, faults, and checks. */
 final class SoakRun {
-  private static final String HOST = "127.0.0.1";
   private static final long CHECK_MS = 500;
 
   /** Time for the nodes to start and to agree on an owner before callers arrive. */
@@ -31,6 +30,9 @@
   /** Runs that nobody wants are gone this long after the last job has ended. */
   private static final long QUIET_MS = 3_000;
 
+  /** A signal thread that is interrupted ends at once; this is only not to wait for ever. */
+  private static final long SIGNALS_END_S = 10;
+
   private static final int LARGEST_BODY_BYTES = 2 * 1024 * 1024;
 
   private final long seed;
@@ -83,7 +85,7 @@
             defaults.receiveMs(),
             defaults.idleMs(),
             defaults.waitMs());
-    HttpApiServer storeServer = HttpApiServer.start(group, HOST, 0, store, limits);
+    HttpApiServer storeServer = HttpApiServer.start(group, Documents.HOST, 0, store, limits);
     SoakWorkers workers =
         new SoakWorkers(group, loop, store, book, this::nowMs, jobs, options.workers());
     for (int i = 0; i < options.nodes(); i++) {
@@ -96,7 +98,7 @@
     }
     SoakCallers callers = new SoakCallers(loop, book, this::nowMs, jobs, callerPorts(), seed);
     // Nodes must not outlive a soak that is interrupted.
-    Thread cleanUp = new Thread(() -> nodes.forEach(NodeProcess::kill), "clean-up");
+    Thread cleanUp = new Thread(this::killNodes, "clean-up");
     Runtime.getRuntime().addShutdownHook(cleanUp);
     try {
       onLoop(
@@ -120,7 +122,9 @@
       return onLoop(() -> new SoakResult(seed, book.violations(), book.counts()));
     } finally {
       signals.shutdownNow();
-      nodes.forEach(NodeProcess::kill);
+      // A node that is started after the others were killed would stay for ever.
+      signals.awaitTermination(SIGNALS_END_S, TimeUnit.SECONDS);
+      killNodes();
       loop.submit(callers::close).get();
       storeLinks.forEach(LoopbackProxy::close);
       callerLinks.forEach(LoopbackProxy::close);
@@ -131,6 +135,16 @@
     }
   }
 
+  private void killNodes() {
+    for (NodeProcess node : nodes) {
+      try {
+        node.kill();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
   /** A proxy accepts connections for a node that is down, which would look like lost answers. */
   private List<Integer> callerPorts() {
     return FaultPlan.isPlannedOnly(seed)
@@ -203,33 +217,6 @@
   /** Publishes the next version of the configuration. */
   private void declare() {
     version += 1 + version % 3; // Versions rise in uneven steps.
-    ObjectNode document = StandInStore.JSON.createObjectNode().put("version", version);
-    ArrayNode routes = document.putArray("routes");
-    routes
-        .addObject()
-        .put("name", "jobs")
-        .put("host", HOST)
-        .put("path_prefix", "/jobs/")
-        .put("service", SoakWorkers.SERVICE)
-        .put("priority", 1)
-        .put("max_attempts", 3)
-        .put("stretch", 3)
-        .put("target_latency_ms", 1_000);
-    routes
-        .addObject()
-        .put("name", "added" + version)
-        .put("host", HOST)
-        .put("path_prefix", "/added" + version + "/")
-        .put("service", SoakWorkers.SERVICE);
-    document
-        .putArray("services")
-        .addObject()
-        .put("name", SoakWorkers.SERVICE)
-        .put("enforces_capacity", true);
-    ObjectNode workspace = document.putArray("tenants").addObject().put("name", "callers");
-    workspace.putArray("api_keys").add("key");
-    workspace.putObject("guaranteed").put("gpu", 8);
-    document.putObject("limits").put("max_body_bytes", 262_144);
-    store.put("op", "config", document);
+    store.declare(version);
   }
 }
--- a/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
@@ -1,41 +1,29 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.bambootray.adapters.http.ApiRequest;
-import dev.bambootray.adapters.http.ApiResponse;
 import dev.bambootray.adapters.http.HttpApiServer;
 import dev.bambootray.adapters.http.HttpLimits;
-import dev.bambootray.adapters.http.PendingResponse;
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.model.TaskName;
-import dev.bambootray.jobs.worker.HoldReply;
 import dev.bambootray.jobs.worker.RunEnd;
-import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import dev.bambootray.soak.wire.Documents;
+import dev.bambootray.soak.wire.StandInStore;
+import dev.bambootray.soak.wire.WorkerEndpoint;
 import dev.bambootray.standins.jobs.WorkerModel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-
-/** Workers that speak the platform's protocol over HTTP; confined to one event loop. */
-final class SoakWorkers implements WorkerModel.Pool, AutoCloseable {
-  static final String SERVICE = "soaked";
-  private static final String TABLE = "servers";
-  private static final Pattern TASK = Pattern.compile("(.+)\\.(\\d+)\\.(\\d+)\\.(\\d+)");
+
+/** Workers with their lives, behind HTTP; confined to one event loop. */
+final class SoakWorkers implements WorkerModel.Pool, WorkerEndpoint.Observer, AutoCloseable {
   private static final Resources CAPACITY = new Resources(8, 32_000, 65_536);
   private static final int PER_RACK = 4;
   private static final long STEP_MS = 20;
@@ -46,212 +34,69 @@
   /** Every second worker has a clock that is 2% slow, which the platform allows. */
   private static final double SLOW_CLOCK = 0.98;
 
-  private static final HttpLimits LIMITS = HttpLimits.defaults();
-
-  private record Waiting(
-      JsonNode order, long untilMs, CompletableFuture<ApiResponse> answer, WorkerModel model) {}
-
-  /** One worker: an address with one life after the other. */
+  /** One address with one life after the other. */
   private final class Seat {
     private final int number;
+    private final WorkerEndpoint endpoint;
     private final HttpApiServer server;
     private final LoopbackProxy proxy;
-    private final List<Waiting> waiting = new ArrayList<>();
-    private WorkerModel model;
+    private WorkerModel life;
     private boolean present = true;
     private boolean draining;
     private int lives;
-    private long lastMs;
 
-    private Seat(int number, EventLoopGroup group, EventLoop loop) {
+    private Seat(int number, EventLoopGroup group) {
       this.number = number;
-      server = HttpApiServer.start(group, "127.0.0.1", 0, this::route, LIMITS);
+      endpoint = new WorkerEndpoint(loop, this::nowMs, SoakWorkers.this);
+      server = HttpApiServer.start(group, Documents.HOST, 0, endpoint, HttpLimits.defaults());
       proxy = LoopbackProxy.start(loop, server.port());
-      model = newLife("w" + number);
-    }
-
-    private WorkerModel newLife(String id) {
-      lives++;
-      String rack = "rack" + number / PER_RACK;
-      return new WorkerModel(
-          new WorkerEntry(
-              id,
-              SERVICE,
-              "127.0.0.1:" + proxy.port(),
-              "z",
-              rack,
-              Set.of("kind", rack),
-              CAPACITY,
-              System.currentTimeMillis(),
-              false),
-          SoakWorkers.this);
+      life = begin("w" + number);
     }
 
     private long nowMs() {
       return number % 2 == 0 ? clock.getAsLong() : (long) (clock.getAsLong() * SLOW_CLOCK);
     }
 
-    private void register() {
-      ObjectNode entry =
-          StandInStore.JSON
-              .createObjectNode()
-              .put("service", SERVICE)
-              .put("address", model.entry().address())
-              .put("zone", "z")
-              .put("version", "1")
-              .put("slots", 8)
-              .put("state", draining ? "draining" : "ready")
-              .put("seq", lives)
-              .put("born", model.entry().bornMs());
-      entry
-          .putObject("capacity")
-          .put("gpu", CAPACITY.accelerators())
-          .put("cpu", CAPACITY.millicores())
-          .put("mem_mb", CAPACITY.memoryMib());
-      entry.putArray("labels").add("kind").add(model.entry().rack());
-      store.put(TABLE, model.entry().id(), entry);
-    }
-
-    private PendingResponse route(ApiRequest request) {
-      CompletableFuture<ApiResponse> answer = new CompletableFuture<>();
-      loop.execute(() -> serve(request, answer));
-      return PendingResponse.of(answer, response -> response);
-    }
-
-    private void serve(ApiRequest request, CompletableFuture<ApiResponse> answer) {
-      String meant = request.header("Bambootray-Expect-Instance");
-      if (!present) {
-        return; // A VM that is down answers nothing.
-      }
-      if (!meant.isEmpty() && !meant.equals(model.entry().id())) {
-        answer.complete(response(421, ""));
-        return;
-      }
-      JsonNode order = StandInStore.read(request.body());
-      switch (request.rawPath()) {
-        case "/api/run-start" -> answer.complete(start(order));
-        case "/api/run-stop" -> answer.complete(stop(order));
-        case "/api/hold" -> hold(order, answer);
-        default -> answer.complete(response(404, ""));
-      }
-    }
-
-    private ApiResponse start(JsonNode order) {
-      RunName run = run(order);
-      String checkpoint = order.path("checkpoint").asText("");
-      if (!jobs.containsKey(run.task().job())) {
-        book.violate(run.task().job(), run + " is ordered, but nobody submitted the job");
-        return response(400, "");
-      }
-      boolean before = model.runs().contains(run);
-      StartReply reply =
-          model.start(
-              run,
-              order.path("until_ms").asLong(),
-              checkpoint,
-              order.path("fencing_token").asLong(),
-              nowMs());
-      if (reply instanceof StartReply.Started && !before) {
-        book.started(
-            model.entry().id(),
-            run,
-            order.path("spec").asText(),
-            checkpoint,
-            running(),
-            clock.getAsLong());
-      }
-      return reply instanceof StartReply.Refused refused
-          ? response(409, word(refused.reason()))
-          : response(200, "");
-    }
-
-    private ApiResponse stop(JsonNode order) {
-      boolean taken = model.stop(run(order), order.path("fencing_token").asLong(), nowMs());
-      return taken ? response(200, "") : response(409, "fence");
-    }
-
-    private void hold(JsonNode order, CompletableFuture<ApiResponse> answer) {
-      long untilMs = clock.getAsLong() + order.path("wait_ms").asLong();
-      model.acknowledged(order.path("last_seen").asLong()).forEach(book::noted);
-      waiting.add(new Waiting(order, untilMs, answer, model));
-      answerWaiting();
-    }
-
-    private void answerWaiting() {
-      for (Waiting one : List.copyOf(waiting)) {
-        if (one.model() != model || !present) {
-          waiting.remove(one); // Its life is over, and with it the connection.
-          continue;
-        }
-        HoldReply reply =
-            model.hold(
-                one.order().path("last_seen").asLong(),
-                one.order().path("until_ms").asLong(),
-                one.order().path("fencing_token").asLong(),
-                nowMs());
-        boolean news = reply instanceof HoldReply.Listed listed && !listed.ended().isEmpty();
-        boolean fenced = !(reply instanceof HoldReply.Listed);
-        if (news || fenced || clock.getAsLong() >= one.untilMs()) {
-          waiting.remove(one);
-          one.answer().complete(list(reply));
-        }
-      }
+    private WorkerModel begin(String id) {
+      lives++;
+      String rack = "rack" + number / PER_RACK;
+      WorkerModel begun =
+          new WorkerModel(
+              new WorkerEntry(
+                  id,
+                  Documents.SERVICE,
+                  Documents.HOST + ":" + proxy.port(),
+                  "z",
+                  rack,
+                  Set.of("kind", rack),
+                  CAPACITY,
+                  System.currentTimeMillis(),
+                  false),
+              SoakWorkers.this);
+      endpoint.setLife(begun);
+      return begun;
     }
 
-    private ApiResponse list(HoldReply reply) {
-      if (!(reply instanceof HoldReply.Listed listed)) {
-        return response(409, "fence");
-      }
-      ObjectNode body = body().put("born", listed.bornMs());
-      ArrayNode running = body.putArray("running");
-      listed
-          .running()
-          .forEach(
-              one -> {
-                book.saved(one.run(), one.checkpoint());
-                running
-                    .addArray()
-                    .add(text(one.run().task()))
-                    .add(one.run().run())
-                    .add(one.checkpoint())
-                    .add(one.percent());
-              });
-      ArrayNode ended = body.putArray("ended");
-      listed
-          .ended()
-          .forEach(
-              end -> {
-                book.saved(end.run(), end.checkpoint());
-                ended
-                    .addArray()
-                    .add(end.number())
-                    .add(text(end.run().task()))
-                    .add(end.run().run())
-                    .add(end.cause().name().toLowerCase(Locale.ROOT))
-                    .add(end.checkpoint());
-              });
-      return ApiResponse.json(200, body);
+    private void register() {
+      store.register(life.entry(), draining, lives);
     }
 
-    private ObjectNode body() {
-      return StandInStore.JSON.createObjectNode().put("clock_ms", WorkerModel.clock(nowMs()));
+    private String nextName() {
+      return "w" + number + "-" + lives;
     }
 
-    private ApiResponse response(int status, String reason) {
-      ObjectNode body = body();
-      if (!reason.isEmpty()) {
-        body.put("reason", reason);
-      }
-      return ApiResponse.json(status, body);
+    private void leave() {
+      present = false;
+      endpoint.setLife(null);
+      life.vanish();
+      proxy.resetAll();
     }
 
-    private void advance() {
-      long now = nowMs();
-      if (present) {
-        model.advance(lastMs, now);
-        answerWaiting();
-      }
-      lastMs = now;
+    private void comeBack(String id) {
+      life = begin(id);
+      draining = false;
+      present = true;
+      register();
     }
   }
 
@@ -265,8 +110,8 @@
   /**
    * Starts workers. Must not be called on the loop.
    *
-   * @param count number of workers
    * @param jobs jobs by identifier, filled by the callers
+   * @param count number of workers
    */
   SoakWorkers(
       EventLoopGroup group,
@@ -282,11 +127,14 @@
     this.clock = clock;
     this.jobs = jobs;
     for (int i = 0; i < count; i++) {
-      seats.add(new Seat(i, group, loop));
+      seats.add(new Seat(i, group));
     }
     var unusedTimer =
         loop.scheduleAtFixedRate(
-            () -> seats.forEach(Seat::advance), STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
+            () -> seats.forEach(seat -> seat.endpoint.advance()),
+            STEP_MS,
+            STEP_MS,
+            TimeUnit.MILLISECONDS);
   }
 
   /** Writes the entries of all workers. */
@@ -298,8 +146,9 @@
     return seats.get(worker).proxy;
   }
 
-  WorkerModel model(int worker) {
-    return seats.get(worker).model;
+  /** Returns the present or last life of a worker. */
+  WorkerModel life(int worker) {
+    return seats.get(worker).life;
   }
 
   /** Ends a life without a word; the next one begins after a time, by turns under the same name. */
@@ -308,13 +157,13 @@
     if (!seat.present) {
       return;
     }
-    leave(seat);
+    seat.leave();
     boolean sameName = seat.lives % 2 == 0;
-    String old = seat.model.entry().id();
+    String old = seat.life.entry().id();
     if (!sameName) {
-      later(REMOVED_AFTER_MS, () -> store.remove(TABLE, old));
+      later(REMOVED_AFTER_MS, () -> store.unregister(old));
     }
-    later(forMs, () -> comeBack(seat, sameName ? old : "w" + seat.number + "-" + seat.lives));
+    later(forMs, () -> seat.comeBack(sameName ? old : seat.nextName()));
   }
 
   /** Announces that a worker leaves, and lets it go after a time. */
@@ -325,38 +174,49 @@
     }
     seat.draining = true;
     seat.register();
-    WorkerModel leaving = seat.model;
+    WorkerModel leaving = seat.life;
     later(
         forMs,
         () -> {
-          if (seat.present && Objects.equals(seat.model.entry(), leaving.entry())) {
-            leave(seat);
-            store.remove(TABLE, leaving.entry().id());
-            later(forMs, () -> comeBack(seat, "w" + seat.number + "-" + seat.lives));
+          if (seat.present && seat.life == leaving) {
+            seat.leave();
+            store.unregister(leaving.entry().id());
+            later(forMs, () -> seat.comeBack(seat.nextName()));
           }
         });
   }
 
-  private void leave(Seat seat) {
-    seat.present = false;
-    seat.model.vanish();
-    seat.proxy.resetAll();
-  }
-
-  private void comeBack(Seat seat, String id) {
-    seat.model = seat.newLife(id);
-    seat.draining = false;
-    seat.present = true;
-    seat.register();
-  }
-
   private void later(long delayMs, Runnable action) {
     var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
 
   /** Returns the runs at all workers. */
   List<RunName> running() {
-    return seats.stream().flatMap(seat -> seat.model.runs().stream()).toList();
+    return seats.stream().flatMap(seat -> seat.life.runs().stream()).toList();
+  }
+
+  @Override
+  public boolean isKnown(RunName run) {
+    boolean known = jobs.containsKey(run.task().job());
+    if (!known) {
+      book.violate(run.task().job(), run + " is ordered, but nobody submitted the job");
+    }
+    return known;
+  }
+
+  @Override
+  public void onStart(String worker, RunName run, String payload, String checkpoint) {
+    book.started(worker, run, payload, checkpoint, running(), clock.getAsLong());
+  }
+
+  @Override
+  public void onCheckpoint(RunName run, String checkpoint) {
+    book.saved(run, checkpoint);
+  }
+
+  @Override
+  public void onNoted(RunEnd end) {
+    book.noted(end);
   }
 
   private SoakJob job(TaskName task) {
@@ -394,41 +254,15 @@
   }
 
   @Override
-  public void onStart(WorkerModel worker, RunName run) {}
+  public void onStart(WorkerModel worker, RunName run) {
+    // The endpoint tells the book, with what the order said.
+  }
 
   @Override
   public void onEnd(WorkerModel worker, RunEnd end, double unsavedMs) {
     book.ended(end);
   }
 
-  private static RunName run(JsonNode order) {
-    Matcher matcher = TASK.matcher(order.path("task").asText());
-    if (!matcher.matches()) {
-      throw new IllegalStateException("a task's name has an unknown form: " + order);
-    }
-    TaskName task =
-        new TaskName(
-            matcher.group(1),
-            Integer.parseInt(matcher.group(2)),
-            Integer.parseInt(matcher.group(3)),
-            Integer.parseInt(matcher.group(4)));
-    return new RunName(task, order.path("run").asInt());
-  }
-
-  private static String text(TaskName task) {
-    return task.job() + "." + task.occurrence() + "." + task.step() + "." + task.index();
-  }
-
-  private static String word(StartReply.Reason reason) {
-    return switch (reason) {
-      case FENCED -> "fence";
-      case OLD_RUN -> "old";
-      case EXPIRED -> "late";
-      case NO_ROOM -> "room";
-      case UNHEALTHY, NOT_SENT -> "unhealthy";
-    };
-  }
-
   @Override
   public void close() {
     for (Seat seat : seats) {
--- a/soak/src/main/java/dev/bambootray/soak/package-info.java
+++ b/soak/src/main/java/dev/bambootray/soak/package-info.java
@@ -1,5 +1,5 @@
 /** Fault soak: real nodes as processes, with faults from outside. */
 @NullMarked
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import org.jspecify.annotations.NullMarked;
--- a/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
@@ -1,16 +1,13 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak.wire;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.bambootray.adapters.http.ApiRequest;
 import dev.bambootray.adapters.http.ApiResponse;
 import dev.bambootray.adapters.http.PendingResponse;
 import dev.bambootray.adapters.http.RequestRouter;
-import java.io.IOException;
-import java.io.UncheckedIOException;
+import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -29,8 +26,8 @@
  * The platform's store, by its published protocol: conditional transactions, ranges, a feed of
  * changes with a bounded history. Confined to one event loop.
  */
-final class StandInStore implements RequestRouter {
-  static final ObjectMapper JSON = new ObjectMapper();
+public final class StandInStore implements RequestRouter {
+  private static final String REGISTRY = "servers";
   private static final int HISTORY = 5_000;
   private static final int PAGE = 500;
   private static final int DEFAULT_WAIT_MS = 0;
@@ -62,10 +59,14 @@
       String table, long after, long untilMs, CompletableFuture<ApiResponse> answer) {}
 
   /** How the store misbehaves. */
-  enum Failure {
+  public enum Failure {
+    /** Every call is answered with 503. */
     REFUSES,
+    /** Every call is answered late. */
     SLOW,
+    /** Some transactions are carried out without an answer. */
     LOSES_ANSWERS,
+    /** Some transactions are carried out seconds later, without an answer. */
     LATE
   }
 
@@ -86,19 +87,19 @@
    * @param later runs an action on the loop after some milliseconds
    * @param clock a steady clock in milliseconds
    */
-  StandInStore(long seed, BiConsumer<Long, Runnable> later, LongSupplier clock) {
+  public StandInStore(long seed, BiConsumer<Long, Runnable> later, LongSupplier clock) {
     this.later = later;
     this.clock = clock;
     random = new SplittableRandom(seed);
   }
 
   /** Begins a fault; the same one may begin again before it has ended. */
-  void begin(Failure failure) {
+  public void begin(Failure failure) {
     failures.merge(failure, 1, Integer::sum);
   }
 
   /** Ends a fault that has begun. */
-  void end(Failure failure) {
+  public void end(Failure failure) {
     failures.merge(failure, -1, Integer::sum);
   }
 
@@ -107,22 +108,36 @@
   }
 
   /** Drops the history; feeds that are behind have to begin anew. */
-  void compact() {
+  public void compact() {
     history.clear();
     historyFrom = version;
   }
 
-  /** Writes a row as the operator or a worker does. */
-  void put(String table, String key, JsonNode value) {
+  /** Publishes a version of the configuration, as the operator does. */
+  public void declare(int declarationVersion) {
+    put(new Key("op", "", "config"), Documents.declaration(declarationVersion));
+  }
+
+  /**
+   * Writes a worker's entry in the registry.
+   *
+   * @param draining whether it is leaving
+   * @param sequence number of the report
+   */
+  public void register(WorkerEntry worker, boolean draining, int sequence) {
+    put(new Key(REGISTRY, "", worker.id()), Documents.entry(worker, draining, sequence));
+  }
+
+  /** Removes a worker's entry, as the platform does when it has left. */
+  public void unregister(String worker) {
     version++;
-    apply(new Key(table, "", key), Base64.getEncoder().encodeToString(bytes(value)));
+    drop(new Key(REGISTRY, "", worker));
     wake();
   }
 
-  /** Removes a row as the platform does when a worker has left. */
-  void remove(String table, String key) {
+  private void put(Key key, JsonNode value) {
     version++;
-    drop(new Key(table, "", key));
+    apply(key, Base64.getEncoder().encodeToString(Json.bytes(value)));
     wake();
   }
 
@@ -136,19 +151,19 @@
 
   private void serve(ApiRequest request, CompletableFuture<ApiResponse> answer) {
     if (has(Failure.REFUSES)) {
-      answer.complete(ApiResponse.json(503, JSON.createObjectNode()));
+      answer.complete(ApiResponse.json(503, Json.object()));
       return;
     }
     switch (request.rawPath()) {
       case "/api/rows-tx" -> transaction(request, answer);
       case "/api/rows-get" -> answer.complete(range(request));
       case "/api/rows-feed" -> feed(request, answer);
-      default -> answer.complete(ApiResponse.json(404, JSON.createObjectNode()));
+      default -> answer.complete(ApiResponse.json(404, Json.object()));
     }
   }
 
   private void transaction(ApiRequest request, CompletableFuture<ApiResponse> answer) {
-    JsonNode body = read(request.body());
+    JsonNode body = Json.read(request.body());
     if (has(Failure.LATE) && random.nextDouble() < LOST_SHARE) {
       later.accept(LATE_MS, () -> commit(body)); // Nobody hears of it.
       return;
@@ -217,7 +232,7 @@
   private void feed(ApiRequest request, CompletableFuture<ApiResponse> answer) {
     long after = number(request, "after", 0);
     if (after < historyFrom) {
-      answer.complete(ApiResponse.json(410, JSON.createObjectNode()));
+      answer.complete(ApiResponse.json(410, Json.object()));
       return;
     }
     long untilMs = clock.getAsLong() + number(request, "wait_ms", DEFAULT_WAIT_MS);
@@ -266,7 +281,7 @@
   }
 
   private ObjectNode head() {
-    return JSON.createObjectNode().put("ver", version).put("now_ms", clock.getAsLong());
+    return Json.object().put("ver", version).put("now_ms", clock.getAsLong());
   }
 
   private static void add(ArrayNode list, Change change) {
@@ -296,20 +311,4 @@
     String value = request.queryText(name);
     return value == null ? fallback : (int) Long.parseLong(value);
   }
-
-  static byte[] bytes(JsonNode node) {
-    try {
-      return JSON.writeValueAsBytes(node);
-    } catch (JsonProcessingException e) {
-      throw new UncheckedIOException("a message cannot be written", e);
-    }
-  }
-
-  static JsonNode read(String body) {
-    try {
-      return JSON.readTree(body);
-    } catch (IOException e) {
-      throw new UncheckedIOException("a node sent a body that is not JSON: " + body, e);
-    }
-  }
 }
--- a/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -25,7 +25,7 @@
       for (Fault fault : FaultPlan.draw(seed, NODES, WORKERS, 15_000)) {
         assertTrue(fault.atMs() >= 0 && fault.atMs() < 15_000, fault::toString);
         assertTrue(
-            fault.target() < (FaultPlan.isAtWorker(fault.kind()) ? WORKERS : NODES),
+            fault.target() < (fault.kind().scope() == FaultKind.Scope.WORKER ? WORKERS : NODES),
             fault::toString);
       }
     }
--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
@@ -1,4 +1,4 @@
-package dev.bambootray.platform.soak;
+package dev.bambootray.soak.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,7 +8,7 @@
 import dev.bambootray.adapters.http.ApiRequest;
 import dev.bambootray.adapters.http.ApiResponse;
 import dev.bambootray.adapters.http.PendingResponse;
-import dev.bambootray.platform.soak.StandInStore.Failure;
+import dev.bambootray.soak.wire.StandInStore.Failure;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -78,7 +78,7 @@
   private JsonNode rows(String path, Map<String, String> query) {
     PendingResponse pending = call(path, query, "");
     pass(10);
-    return StandInStore.read(answer(pending).body()).path("rows");
+    return Json.read(answer(pending).body()).path("rows");
   }
 
   @Nested
@@ -130,7 +130,7 @@
       pass(100);
       assertFalse(feed.response().isDone());
       assertEquals(200, commit(0, "YQ==").status());
-      assertEquals(1, StandInStore.read(answer(feed).body()).path("rows").size());
+      assertEquals(1, Json.read(answer(feed).body()).path("rows").size());
     }
 
     @Test
@@ -138,7 +138,7 @@
       PendingResponse feed =
           call("/api/rows-feed", Map.of("table", "t", "after", "0", "wait_ms", "1000"), "");
       pass(1_100);
-      assertTrue(StandInStore.read(answer(feed).body()).path("rows").isEmpty());
+      assertTrue(Json.read(answer(feed).body()).path("rows").isEmpty());
     }
 
     @Test
--- /dev/null
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/EventQueue.java
@@ -0,0 +1,24 @@
+package dev.bambootray.standins.jobs;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Actions in the order of their virtual times; those of one time in the order of their adding. */
+final class EventQueue {
+  private record Due(long atMs, long order, Runnable action) {}
+
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparingLong(Due::atMs).thenComparingLong(Due::order));
+  private long order;
+
+  void add(long atMs, Runnable action) {
+    due.add(new Due(atMs, order++, action));
+  }
+
+  /** Runs all actions whose time has come. */
+  void runUntil(long nowMs) {
+    while (!due.isEmpty() && due.peek().atMs() <= nowMs) {
+      due.remove().action().run();
+    }
+  }
+}
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
@@ -14,10 +14,7 @@
 import dev.bambootray.jobs.scheduling.JobTimes;
 import dev.bambootray.jobs.scheduling.Now;
 import dev.bambootray.jobs.scheduling.SchedulingPolicy;
-import dev.bambootray.jobs.worker.HoldReply;
 import dev.bambootray.jobs.worker.RunEnd;
-import dev.bambootray.jobs.worker.StartReply;
-import dev.bambootray.jobs.worker.StartReply.Reason;
 import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -27,8 +24,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.PriorityQueue;
-import java.util.Random;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -42,13 +37,7 @@
   private static final long STEP_MS = 10;
   private static final long TICK_MS = 50;
 
-  /** Way of a message to a worker of another region. */
-  private static final long WAY_MS = 20;
-
-  private static final long CALL_TIMEOUT_MS = 700;
   private static final long COMMIT_MS = 30;
-  private static final long SHORTEST_DELAY_MS = 2_000;
-  private static final int LONGEST_MORE_DELAY_MS = 8_000;
   private static final long LEASE_LIMIT_MS = 10_000;
 
   /** Time of day at the start, in milliseconds since the epoch. */
@@ -57,14 +46,6 @@
   /** Speed of a gang on several racks and of a task away from its data, as on the platform. */
   private static final double FAR_SPEED = 1 / 3.0;
 
-  private record Due(long atMs, long order, Runnable action) {}
-
-  private record GangRun(String job, int occurrence, int step, int run) {
-    private static GangRun of(RunName run) {
-      return new GangRun(run.task().job(), run.task().occurrence(), run.task().step(), run.run());
-    }
-  }
-
   /** Sees what happens. */
   public interface Observer {
 
@@ -87,38 +68,29 @@
     default void onFinal(String job, JobPhase phase) {}
   }
 
-  private final Random random;
   private final Observer observer;
   private final SchedulingPolicy policy;
-  private final PriorityQueue<Due> due =
-      new PriorityQueue<>(
-          (a, b) ->
-              a.atMs() != b.atMs()
-                  ? Long.compare(a.atMs(), b.atMs())
-                  : Long.compare(a.order(), b.order()));
+  private final EventQueue queue = new EventQueue();
+  private final GangPresence gangs = new GangPresence();
+  private final WorkerLinks links;
   private final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   private final Map<String, Double> speeds = new HashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, JobWork> work = new HashMap<>();
   private final Map<String, JobRecord> records = new HashMap<>();
   private final Set<String> cancelled = new HashSet<>();
-  private final Map<GangRun, Map<String, Integer>> presentByRack = new HashMap<>();
   private final List<String> decisions = new ArrayList<>();
   private JobDeclaration declaration = new JobDeclaration(1, List.of(), Map.of(), List.of(), 1_000);
   private @Nullable JobScheduler scheduler;
   private long nowMs = 1_000;
   private long epoch;
-  private long order;
   private long storeAwayUntilMs;
-  private double lateShare;
-  private int listDelayMs;
-  private long lastFaultMs = Long.MIN_VALUE / 2;
 
   /** Creates a pool without workers. */
   public PoolModel(long seed, SchedulingPolicy policy, Observer observer) {
-    random = new Random(seed);
     this.policy = policy;
     this.observer = observer;
+    links = new WorkerLinks(seed, workers, this, observer);
   }
 
   /** Adds workers that are listed from the next takeover on, named in order. */
@@ -180,12 +152,12 @@
 
   /** Sets the share of calls whose answer is lost and that are carried out seconds later. */
   public void setLateShare(double value) {
-    lateShare = value;
+    links.setLateShare(value);
   }
 
   /** Sets the longest additional time that the list of a worker is on its way. */
   public void setListDelayMs(int value) {
-    listDelayMs = value;
+    links.setListDelayMs(value);
   }
 
   /** Lets time pass. */
@@ -197,9 +169,7 @@
       for (WorkerModel worker : workers.values()) {
         worker.advance(from, nowMs);
       }
-      while (!due.isEmpty() && due.peek().atMs() <= nowMs) {
-        due.remove().action().run();
-      }
+      queue.runUntil(nowMs);
       if (nowMs % TICK_MS == 0) {
         post(new JobEvent.Tick());
       }
@@ -223,7 +193,7 @@
 
   /** Returns when a call was last lost or a worker was out of reach. */
   public long lastFaultMs() {
-    return lastFaultMs;
+    return links.lastFaultMs();
   }
 
   /** Returns all workers, also those that have left. */
@@ -282,8 +252,8 @@
     effects.forEach(this::carryOut);
   }
 
-  private void later(long delayMs, Runnable action) {
-    due.add(new Due(nowMs + delayMs, order++, action));
+  void later(long delayMs, Runnable action) {
+    queue.add(nowMs + delayMs, action);
   }
 
   /** Posts an event to the owner that sent the call, if it still is the owner. */
@@ -298,12 +268,11 @@
     if (effect instanceof JobEffect.Persist persist) {
       later(Math.max(COMMIT_MS, storeAwayUntilMs - nowMs), () -> persist(persist, sentEpoch));
     } else if (effect instanceof JobEffect.StartRun start) {
-      later(WAY_MS, () -> start(start, sentEpoch));
+      links.start(start, sentEpoch, event -> answer(sentEpoch, event));
     } else if (effect instanceof JobEffect.StopRun stop) {
-      later(WAY_MS, () -> stop(stop, sentEpoch));
+      links.stop(stop, sentEpoch, event -> answer(sentEpoch, event));
     } else if (effect instanceof JobEffect.HoldWorker hold) {
-      long sentMs = nowMs;
-      later(WAY_MS, () -> hold(hold, sentEpoch, sentMs, nowMs + hold.waitMs()));
+      links.hold(hold, sentEpoch, event -> answer(sentEpoch, event));
     } else if (effect instanceof JobEffect.Decided decided) {
       decisions.add(nowMs + " " + decided.subject() + " " + decided.text());
     }
@@ -322,81 +291,6 @@
     answer(sentEpoch, new JobEvent.Durable(persist.batch()));
   }
 
-  private boolean isUnreachable(String worker) {
-    WorkerModel target = workers.get(worker);
-    boolean unreachable = target == null || target.isCut() || target.isGone();
-    lastFaultMs = unreachable ? nowMs : lastFaultMs;
-    return unreachable;
-  }
-
-  private boolean isLate() {
-    boolean late = lateShare > 0 && random.nextDouble() < lateShare;
-    lastFaultMs = late ? nowMs : lastFaultMs;
-    return late;
-  }
-
-  private void start(JobEffect.StartRun start, long sentEpoch) {
-    String id = start.worker().id();
-    if (isUnreachable(id)) {
-      answerLater(sentEpoch, id, start.run(), "silent");
-      return;
-    }
-    if (isLate()) {
-      later(
-          SHORTEST_DELAY_MS + random.nextInt(LONGEST_MORE_DELAY_MS),
-          () ->
-              worker(id).start(start.run(), start.untilMs(), start.checkpoint(), sentEpoch, nowMs));
-      answerLater(sentEpoch, id, start.run(), "late");
-      return;
-    }
-    StartReply reply =
-        worker(id).start(start.run(), start.untilMs(), start.checkpoint(), sentEpoch, nowMs);
-    if (reply instanceof StartReply.Refused refused && refused.reason() == Reason.NO_ROOM) {
-      observer.onNoRoom(worker(id), start.run());
-    }
-    later(WAY_MS, () -> answer(sentEpoch, new JobEvent.StartAnswered(id, start.run(), reply)));
-  }
-
-  private void answerLater(long sentEpoch, String worker, RunName run, String detail) {
-    later(
-        CALL_TIMEOUT_MS,
-        () ->
-            answer(
-                sentEpoch,
-                new JobEvent.StartAnswered(worker, run, new StartReply.Unknown(detail))));
-  }
-
-  private void stop(JobEffect.StopRun stop, long sentEpoch) {
-    String id = stop.worker().id();
-    boolean confirmed =
-        !isUnreachable(id) && !isLate() && worker(id).stop(stop.run(), sentEpoch, nowMs);
-    later(
-        confirmed ? WAY_MS : CALL_TIMEOUT_MS,
-        () -> answer(sentEpoch, new JobEvent.StopAnswered(id, stop.run(), confirmed)));
-  }
-
-  private void hold(JobEffect.HoldWorker hold, long sentEpoch, long sentMs, long waitUntilMs) {
-    String id = hold.worker().id();
-    if (isUnreachable(id)) {
-      HoldReply silent = new HoldReply.Failed("silent");
-      later(
-          CALL_TIMEOUT_MS,
-          () -> answer(sentEpoch, new JobEvent.HoldAnswered(id, silent, sentMs, hold.look())));
-      return;
-    }
-    WorkerModel worker = worker(id);
-    worker.acknowledged(hold.acknowledged()).forEach(observer::onNoted);
-    HoldReply reply = worker.hold(hold.acknowledged(), hold.untilMs(), sentEpoch, nowMs);
-    boolean ended = reply instanceof HoldReply.Listed listed && !listed.ended().isEmpty();
-    if (!ended && nowMs < waitUntilMs) {
-      later(STEP_MS, () -> hold(hold, sentEpoch, sentMs, waitUntilMs));
-      return;
-    }
-    long wayMs = WAY_MS + (listDelayMs == 0 ? 0 : random.nextInt(listDelayMs));
-    later(
-        wayMs, () -> answer(sentEpoch, new JobEvent.HoldAnswered(id, reply, sentMs, hold.look())));
-  }
-
   @Override
   public StepSpec step(TaskName task) {
     return job(task.job()).steps().get(task.step());
@@ -418,36 +312,26 @@
 
   @Override
   public int present(RunName run) {
-    return racksOf(run).values().stream().mapToInt(Integer::intValue).sum();
-  }
-
-  private Map<String, Integer> racksOf(RunName run) {
-    return presentByRack.getOrDefault(GangRun.of(run), Map.of());
+    return gangs.members(run);
   }
 
   @Override
   public double speed(RunName run, WorkerModel worker) {
     StepSpec step = step(run.task());
     boolean away = !step.dataRack().isEmpty() && !step.dataRack().equals(worker.entry().rack());
-    boolean spread = step.gang() && step.sameRack() && racksOf(run).size() > 1;
+    boolean spread = step.gang() && step.sameRack() && gangs.isSpread(run);
     return speeds.getOrDefault(worker.entry().id(), 1.0) * (away || spread ? FAR_SPEED : 1);
   }
 
   @Override
   public void onStart(WorkerModel worker, RunName run) {
-    presentByRack
-        .computeIfAbsent(GangRun.of(run), key -> new HashMap<>())
-        .merge(worker.entry().rack(), 1, Integer::sum);
+    gangs.add(run, worker.entry().rack());
     observer.onStart(worker, run);
   }
 
   @Override
   public void onEnd(WorkerModel worker, RunEnd end, double unsavedMs) {
-    Map<String, Integer> racks = presentByRack.getOrDefault(GangRun.of(end.run()), new HashMap<>());
-    racks.computeIfPresent(worker.entry().rack(), (rack, count) -> count > 1 ? count - 1 : null);
-    if (racks.isEmpty()) {
-      presentByRack.remove(GangRun.of(end.run()));
-    }
+    gangs.remove(end.run(), worker.entry().rack());
     observer.onEnd(worker, end, unsavedMs);
   }
 }
--- /dev/null
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerLinks.java
@@ -0,0 +1,153 @@
+package dev.bambootray.standins.jobs;
+
+import dev.bambootray.jobs.model.RunName;
+import dev.bambootray.jobs.scheduling.JobEffect;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.worker.HoldReply;
+import dev.bambootray.jobs.worker.StartReply;
+import dev.bambootray.jobs.worker.StartReply.Reason;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Carries an owner's calls to workers in memory, with the time they take and the ways in which they
+ * go wrong: workers out of reach, answers that are lost while the call is carried out seconds
+ * later, lists that overtake each other.
+ */
+final class WorkerLinks {
+  private static final long STEP_MS = 10;
+
+  /** Way of a message to a worker of another region. */
+  private static final long WAY_MS = 20;
+
+  private static final long CALL_TIMEOUT_MS = 700;
+  private static final long SHORTEST_DELAY_MS = 2_000;
+  private static final int LONGEST_MORE_DELAY_MS = 8_000;
+
+  private final Random random;
+  private final Map<String, WorkerModel> workers;
+  private final PoolModel pool;
+  private final PoolModel.Observer observer;
+  private double lateShare;
+  private int listDelayMs;
+  private long lastFaultMs = Long.MIN_VALUE / 2;
+
+  /**
+   * Creates links.
+   *
+   * @param workers workers by identifier; others may be added
+   * @param pool has the time and carries out what is due later
+   */
+  WorkerLinks(
+      long seed, Map<String, WorkerModel> workers, PoolModel pool, PoolModel.Observer observer) {
+    random = new Random(seed);
+    this.workers = workers;
+    this.pool = pool;
+    this.observer = observer;
+  }
+
+  void setLateShare(double value) {
+    lateShare = value;
+  }
+
+  void setListDelayMs(int value) {
+    listDelayMs = value;
+  }
+
+  /** Returns when a call was last lost or a worker was out of reach. */
+  long lastFaultMs() {
+    return lastFaultMs;
+  }
+
+  /** Sends an order to start; the answer follows. */
+  void start(JobEffect.StartRun start, long epoch, Consumer<JobEvent> answer) {
+    pool.later(WAY_MS, () -> arrive(start, epoch, answer));
+  }
+
+  /** Sends an order to stop; the answer follows. */
+  void stop(JobEffect.StopRun stop, long epoch, Consumer<JobEvent> answer) {
+    pool.later(WAY_MS, () -> arrive(stop, epoch, answer));
+  }
+
+  /** Sends a hold; the answer follows an end or its time. */
+  void hold(JobEffect.HoldWorker hold, long epoch, Consumer<JobEvent> answer) {
+    long sentMs = pool.nowMs();
+    BiConsumer<Long, HoldReply> reply =
+        (delayMs, list) ->
+            pool.later(
+                delayMs,
+                () ->
+                    answer.accept(
+                        new JobEvent.HoldAnswered(hold.worker().id(), list, sentMs, hold.look())));
+    pool.later(WAY_MS, () -> arrive(hold, epoch, pool.nowMs() + hold.waitMs(), reply));
+  }
+
+  private void arrive(JobEffect.StartRun start, long epoch, Consumer<JobEvent> answer) {
+    String id = start.worker().id();
+    RunName run = start.run();
+    if (isUnreachable(id)) {
+      StartReply silent = new StartReply.Unknown("silent");
+      pool.later(CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, silent)));
+      return;
+    }
+    if (isLate()) {
+      pool.later(
+          SHORTEST_DELAY_MS + random.nextInt(LONGEST_MORE_DELAY_MS), () -> carryOut(start, epoch));
+      StartReply late = new StartReply.Unknown("late");
+      pool.later(CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, late)));
+      return;
+    }
+    StartReply reply = carryOut(start, epoch);
+    if (reply instanceof StartReply.Refused refused && refused.reason() == Reason.NO_ROOM) {
+      observer.onNoRoom(pool.worker(id), run);
+    }
+    pool.later(WAY_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, reply)));
+  }
+
+  private StartReply carryOut(JobEffect.StartRun start, long epoch) {
+    return pool.worker(start.worker().id())
+        .start(start.run(), start.untilMs(), start.checkpoint(), epoch, pool.nowMs());
+  }
+
+  private void arrive(JobEffect.StopRun stop, long epoch, Consumer<JobEvent> answer) {
+    String id = stop.worker().id();
+    boolean confirmed =
+        !isUnreachable(id) && !isLate() && pool.worker(id).stop(stop.run(), epoch, pool.nowMs());
+    pool.later(
+        confirmed ? WAY_MS : CALL_TIMEOUT_MS,
+        () -> answer.accept(new JobEvent.StopAnswered(id, stop.run(), confirmed)));
+  }
+
+  private void arrive(
+      JobEffect.HoldWorker hold, long epoch, long waitUntilMs, BiConsumer<Long, HoldReply> answer) {
+    String id = hold.worker().id();
+    if (isUnreachable(id)) {
+      answer.accept(CALL_TIMEOUT_MS, new HoldReply.Failed("silent"));
+      return;
+    }
+    WorkerModel worker = pool.worker(id);
+    worker.acknowledged(hold.acknowledged()).forEach(observer::onNoted);
+    HoldReply reply = worker.hold(hold.acknowledged(), hold.untilMs(), epoch, pool.nowMs());
+    boolean ended = reply instanceof HoldReply.Listed listed && !listed.ended().isEmpty();
+    if (!ended && pool.nowMs() < waitUntilMs) {
+      pool.later(STEP_MS, () -> arrive(hold, epoch, waitUntilMs, answer));
+      return;
+    }
+    answer.accept(WAY_MS + (listDelayMs == 0 ? 0 : random.nextInt(listDelayMs)), reply);
+  }
+
+  private boolean isUnreachable(String worker) {
+    WorkerModel target = workers.get(worker);
+    boolean unreachable = target == null || target.isCut() || target.isGone();
+    lastFaultMs = unreachable ? pool.nowMs() : lastFaultMs;
+    return unreachable;
+  }
+
+  private boolean isLate() {
+    boolean late = lateShare > 0 && random.nextDouble() < lateShare;
+    lastFaultMs = late ? pool.nowMs() : lastFaultMs;
+    return late;
+  }
+}
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -31,7 +31,12 @@
   }
 
   private static SchedulerRig rig(int workers) {
-    SchedulerRig rig = new SchedulerRig(1).workers(workers, 8, WORKER);
+    return rig(workers, 8, 0);
+  }
+
+  private static SchedulerRig rig(int workers, int perRack, int guaranteed) {
+    SchedulerRig rig =
+        new SchedulerRig(1).workers(workers, perRack, WORKER).guarantee("ws", guaranteed);
     rig.pool.takeOver();
     rig.run(200);
     return rig;
@@ -243,9 +248,7 @@
   final class Placing {
     @Test
     void keepsGangOnOneRack() {
-      SchedulerRig rig = new SchedulerRig(1).workers(8, 4, WORKER);
-      rig.pool.takeOver();
-      rig.run(200);
+      SchedulerRig rig = rig(8, 4, 0);
       rig.submit("small", 1, 1_000, tasks(8, 1));
       rig.run(100);
       rig.submit("a", 1, 1_000, gang(4, 8));
@@ -262,9 +265,7 @@
 
     @Test
     void reclaimsAGuaranteeInTime() {
-      SchedulerRig rig = new SchedulerRig(1).workers(4, 8, WORKER).guarantee("ws", 16);
-      rig.pool.takeOver();
-      rig.run(200);
+      SchedulerRig rig = rig(4, 8, 16);
       rig.submit("long", 2, 60_000, tasks(32, 1));
       rig.run(1_000);
       rig.submit("urgent", 0, 1_000, gang(2, 8));
@@ -277,9 +278,7 @@
     @Test
     void meetsAGuaranteeBeforeThoseOfLaterJobs() {
       // Later jobs of more value for their work took the places as the stopped runs ended.
-      SchedulerRig rig = new SchedulerRig(1).workers(4, 8, WORKER).guarantee("ws", 32);
-      rig.pool.takeOver();
-      rig.run(200);
+      SchedulerRig rig = rig(4, 8, 32);
       rig.submit("long", 2, 60_000, tasks(32, 1));
       rig.run(1_000);
       rig.submit("urgent", 0, 1_000, gang(2, 8));
@@ -294,9 +293,7 @@
     @Test
     void startsAGuaranteedGangOnTwoRacksWhenNoRackCanBeReclaimed() {
       // Both racks hold work of the guarantee, so waiting for one of them took until it ended.
-      SchedulerRig rig = new SchedulerRig(1).workers(8, 4, WORKER).guarantee("ws", 64);
-      rig.pool.takeOver();
-      rig.run(200);
+      SchedulerRig rig = rig(8, 4, 64);
       rig.submit("first", 0, 20_000, gang(3, 8));
       rig.run(500);
       rig.submit("second", 0, 20_000, gang(3, 8));
