Bind reclaimed places to their step, repeat unanswered starts, pass over bad rows

A start without an answer in 0.3 s was stopped together with its gang. An error with one row ended the following of its table, and a call that failed unexpectedly left its worker waiting for ever.

Change: places are kept one by one, taken out of the room before any step is looked at, and only a lost place is replaced; a step whose reclaims do not lead to a start waits longer each time; runs that were stopped before are spared. A start is repeated under its run number, which a worker starts once, for 1.5 s. Followers go on after an error with a row; failed calls count as calls without an answer; entries with impossible addresses are passed over. A counter shows stops by cause.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
@@ -51,7 +51,7 @@
   }
 
   /** Writes a line about a fault of the program, with the place where it arose. */
-  public void failure(String part, String subject, String text, RuntimeException fault) {
+  public void failure(String part, String subject, String text, Throwable fault) {
     StackTraceElement[] trace = fault.getStackTrace();
     line(part, subject, text + " error=" + fault + " at=" + (trace.length > 0 ? trace[0] : "?"));
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
@@ -67,6 +67,11 @@
     log.line("store:", documents.declarationTable(), value ? "regained" : "lost " + detail);
   }
 
+  @Override
+  public void onFault(RuntimeException fault) {
+    log.failure("config:", documents.declarationTable(), "rows were not handled", fault);
+  }
+
   private void accept(JobDeclaration declaration) {
     JobDeclaration current = newest;
     if (current != null && declaration.version() <= current.version()) {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -1,6 +1,7 @@
 package dev.bambootray.daemon.jobs;
 
 import dev.bambootray.jobs.scheduling.JobScheduler;
+import dev.bambootray.jobs.scheduling.StopCause;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -46,6 +47,12 @@
           .name("bambootray_job_starts")
           .help("Orders to start a run.")
           .register(registry);
+  private final Counter stops =
+      Counter.builder()
+          .name("bambootray_job_stops")
+          .help("Runs that were stopped, by cause; repeated orders are not counted.")
+          .labelNames("cause")
+          .register(registry);
   private final Counter controlSeconds =
       Counter.builder()
           .name("bambootray_job_control_seconds")
@@ -99,6 +106,10 @@
     starts.inc();
   }
 
+  void stopped(StopCause cause) {
+    stops.labelValues(cause.label()).inc();
+  }
+
   void controlEvent(long durationNanos) {
     controlSeconds.inc((double) durationNanos / NANOS_PER_S);
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -12,6 +12,8 @@
 import dev.bambootray.jobs.scheduling.JobScheduler;
 import dev.bambootray.jobs.scheduling.JobTimes;
 import dev.bambootray.jobs.scheduling.Now;
+import dev.bambootray.jobs.worker.HoldReply;
+import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.ports.JobWorkers;
 import dev.bambootray.ports.PlatformDocuments;
 import dev.bambootray.ports.RowStore;
@@ -250,6 +252,7 @@
     var unused =
         workers
             .start(start, sentEpoch, CallTimeouts.ORDER_MS)
+            .exceptionally(e -> new StartReply.Unknown(failed("start", start.worker().id(), e)))
             .thenAccept(
                 reply ->
                     answer(
@@ -259,9 +262,17 @@
 
   private void stop(JobEffect.StopRun stop) {
     long sentEpoch = epoch;
+    if (!stop.repeated()) {
+      metrics.stopped(stop.cause());
+    }
     var unused =
         workers
             .stop(stop, sentEpoch, CallTimeouts.ORDER_MS)
+            .exceptionally(
+                e -> {
+                  failed("stop", stop.worker().id(), e);
+                  return false;
+                })
             .thenAccept(
                 taken ->
                     answer(
@@ -275,6 +286,7 @@
     var unused =
         workers
             .hold(hold, sentEpoch, hold.waitMs() + CallTimeouts.HOLD_MS)
+            .exceptionally(e -> new HoldReply.Failed(failed("hold", hold.worker().id(), e)))
             .thenAccept(
                 reply ->
                     answer(
@@ -282,6 +294,12 @@
                         new JobEvent.HoldAnswered(hold.worker().id(), reply, sentMs, hold.look())));
   }
 
+  /** Logs an unexpected error of a call, which then counts as a call without an answer. */
+  private String failed(String call, String worker, Throwable error) {
+    log.failure("worker:", worker, call + " failed unexpectedly", error);
+    return "unexpected error " + error;
+  }
+
   private void answer(long sentEpoch, JobEvent event) {
     loop.post(
         () -> {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -115,6 +115,11 @@
             public void onReachable(boolean reachable, String detail) {
               log.line("store:", table, reachable ? "regained" : "lost " + detail);
             }
+
+            @Override
+            public void onFault(RuntimeException fault) {
+              log.failure("store:", table, "rows were not handled", fault);
+            }
           });
     }
 
@@ -177,8 +182,7 @@
       }
       List<WorkerEntry> entries = new ArrayList<>();
       for (Row row : workersRead.values()) {
-        documents
-            .worker(row)
+        worker(row)
             .ifPresent(
                 entry -> {
                   listed.add(entry.id());
@@ -246,7 +250,7 @@
         unlist(row.key());
         return;
       }
-      Optional<WorkerEntry> entry = documents.worker(row);
+      Optional<WorkerEntry> entry = worker(row);
       if (entry.isEmpty()) {
         log.line("worker:", row.key(), "entry names no worker to use");
         unlist(row.key());
@@ -256,6 +260,16 @@
       events.accept(new JobEvent.WorkerListed(entry.get()));
     }
 
+    /** Reads an entry; one that cannot be read names no worker, whatever is wrong with it. */
+    private Optional<WorkerEntry> worker(Row row) {
+      try {
+        return documents.worker(row);
+      } catch (RuntimeException e) {
+        log.failure("worker:", row.key(), "entry cannot be read", e);
+        return Optional.empty();
+      }
+    }
+
     private void unlist(String id) {
       if (listed.remove(id)) {
         events.accept(new JobEvent.WorkerUnlisted(id));
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -1,9 +1,11 @@
 package dev.bambootray.daemon.jobs;
 
+import dev.bambootray.core.store.StoreError;
 import dev.bambootray.jobs.store.ChangePage;
 import dev.bambootray.jobs.store.Row;
 import dev.bambootray.jobs.store.RowPage;
 import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,6 +26,9 @@
 
     /** Whether the store answers. */
     void onReachable(boolean reachable, String detail);
+
+    /** Rows were not handled because of an error; the following goes on. */
+    void onFault(RuntimeException fault);
   }
 
   /**
@@ -65,6 +70,7 @@
     var unused =
         store
             .read(table, from, "", PAGE_ROWS)
+            .exceptionally(e -> Either.left(new StoreError(table, "unexpected error " + e, false)))
             .thenAcceptAsync(
                 result -> {
                   if (result.isLeft()) {
@@ -87,7 +93,7 @@
     }
     reached();
     if (!stopped) {
-      listener.onContent(rows);
+      guarded(() -> listener.onContent(rows));
       follow(first);
     }
   }
@@ -99,6 +105,7 @@
     var unused =
         store
             .changes(table, version, WAIT_MS)
+            .exceptionally(e -> new ChangePage.Failed("unexpected error " + e))
             .thenAcceptAsync(page -> onChanges(page, version), executor);
   }
 
@@ -109,7 +116,8 @@
     if (page instanceof ChangePage.Changes changes) {
       reached();
       if (!changes.rows().isEmpty()) {
-        listener.onChanges(changes.rows());
+        // One by one, so that an error with one row does not keep the others away.
+        changes.rows().forEach(row -> guarded(() -> listener.onChanges(List.of(row))));
       }
       follow(Math.max(version, changes.version()));
     } else if (page instanceof ChangePage.HistoryLost) {
@@ -120,6 +128,15 @@
     }
   }
 
+  /** Runs a listener; an error of it must not end the following of the table. */
+  private void guarded(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      listener.onFault(e);
+    }
+  }
+
   private void later(Runnable action) {
     var unused = executor.schedule(action, RETRY_MS, TimeUnit.MILLISECONDS);
   }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
@@ -56,6 +56,16 @@
     assertEquals(List.of(7L), versions);
   }
 
+  @Test
+  void goesOnAfterARowWhoseReadingFails() {
+    declarations.start();
+    executor.runAll();
+    store.put("declarations", "current", "no number".getBytes(UTF_8));
+    executor.runAll();
+    publish(7);
+    assertEquals(List.of(7L), versions);
+  }
+
   @Test
   void tellsWhenTheStoreCannotBeReached() {
     store.away = true;
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -98,6 +98,53 @@
     assertTrue(events.contains(new JobEvent.WorkerUnlisted("w1")));
   }
 
+  @Test
+  void passesOverAnEntryThatCannotBeRead() {
+    // An error with one row ended the following of its table without a word.
+    store.put(WORKERS, "w0", VersionDocuments.BROKEN.getBytes(UTF_8));
+    start();
+    assertEquals(List.of("w1"), tookOver().workers().stream().map(WorkerEntry::id).toList());
+    store.put(WORKERS, "w2", VersionDocuments.BROKEN.getBytes(UTF_8));
+    store.put(WORKERS, "w3", "ready".getBytes(UTF_8));
+    executor.runAll();
+    store.put(WORKERS, "w1", VersionDocuments.BROKEN.getBytes(UTF_8));
+    executor.runAll();
+    assertTrue(
+        events.stream()
+            .anyMatch(
+                event ->
+                    event instanceof JobEvent.WorkerListed listed
+                        && listed.worker().id().equals("w3")));
+    assertTrue(events.contains(new JobEvent.WorkerUnlisted("w1")));
+  }
+
+  @Test
+  void passesOverAJobThatCannotBeRead() {
+    store.put(JobTables.JOBS, "broken", "{\"id\":\"broken\"}".getBytes(UTF_8));
+    start();
+    assertEquals(List.of(job("before")), tookOver().jobs());
+  }
+
+  @Test
+  void goesOnWhenAListenerFails() {
+    events.clear();
+    List<JobEvent> seen = new ArrayList<>();
+    loader.start(
+        event -> {
+          if (event.equals(new JobEvent.Accepted(job("bad")))) {
+            throw new IllegalStateException("an event that cannot be handled");
+          }
+          seen.add(event);
+        },
+        Optional::empty);
+    executor.runAll();
+    accept("bad");
+    executor.runAll();
+    accept("good");
+    executor.runAll();
+    assertTrue(seen.contains(new JobEvent.Accepted(job("good"))));
+  }
+
   @Test
   void readsAnewWhenTheHistoryIsGone() {
     start();
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/VersionDocuments.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/VersionDocuments.java
@@ -14,6 +14,9 @@
 final class VersionDocuments implements PlatformDocuments {
   static final String WORKERS = "workers";
 
+  /** Value of an entry whose reading fails in a way that nobody foresaw. */
+  static final String BROKEN = "broken";
+
   @Override
   public String declarationTable() {
     return "declarations";
@@ -39,6 +42,9 @@
 
   @Override
   public Optional<WorkerEntry> worker(Row row) {
+    if (new String(row.value(), java.nio.charset.StandardCharsets.UTF_8).equals(BROKEN)) {
+      throw new IllegalStateException("an entry that cannot be read");
+    }
     return Optional.of(
         new WorkerEntry(
             row.key(), "s", "10.0.0.1:80", "z", "r", Set.of(), new Resources(8, 8, 8), 1, false));
--- a/jobs/src/main/java/dev/bambootray/jobs/model/JobSpec.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/model/JobSpec.java
@@ -1,5 +1,7 @@
 package dev.bambootray.jobs.model;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.List;
 
 /**
@@ -26,8 +28,15 @@
     Schedule schedule,
     long acceptedWallMs) {
 
-  /** Copies the list. */
+  /** Copies the list; a stored job without one of its parts cannot be read. */
   public JobSpec {
+    requireNonNull(id, "id");
+    requireNonNull(workspace, "workspace");
+    requireNonNull(template, "template");
+    requireNonNull(service, "service");
+    requireNonNull(payload, "payload");
+    requireNonNull(objective, "objective");
+    requireNonNull(schedule, "schedule");
     steps = List.copyOf(steps);
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
@@ -36,8 +36,16 @@
   record StartRun(WorkerEntry worker, RunName run, String payload, long untilMs, String checkpoint)
       implements JobEffect {}
 
-  /** Stop a run. */
-  record StopRun(WorkerEntry worker, RunName run) implements JobEffect {}
+  /**
+   * Stop a run.
+   *
+   * @param worker the worker
+   * @param run the run
+   * @param cause why
+   * @param repeated whether an earlier order had no answer
+   */
+  record StopRun(WorkerEntry worker, RunName run, StopCause cause, boolean repeated)
+      implements JobEffect {}
 
   /**
    * List the runs of a worker and extend their lease.
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -65,6 +65,7 @@
       nextCheckMs = now.ms() + CHECK_MS;
       calls.lapse(now);
       stalls.check(now);
+      runs.giveUpUnansweredStarts(now);
       state.planWanted = true;
     }
     if (now.ms() >= nextForgetMs) {
@@ -126,7 +127,7 @@
                     .append(" ready=")
                     .append(step.readyTasks().size())
                     .append(" live=")
-                    .append(step.tasks.stream().mapToInt(task -> task.live).sum())
+                    .append(step.tasks.stream().mapToInt(task -> task.placements.size()).sum())
                     .append(" reserved=")
                     .append(state.reservations.has(step))
                     .append('\n'));
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
@@ -34,6 +34,10 @@
   /** Batch of records that must be in the store before the start is sent. */
   long batch;
 
+  /** Number of orders to start that were sent. */
+  int startOrders;
+
+  StopCause stopCause = StopCause.NOT_EXPECTED;
   boolean stopConfirmed;
   boolean stopInFlight;
   long stopSentMs = Long.MIN_VALUE / 2;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -2,7 +2,7 @@
 
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.TaskRecord.State;
-import dev.bambootray.jobs.scheduling.Reservations.Reservation;
+import dev.bambootray.jobs.scheduling.Reservations.Kind;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -36,6 +36,17 @@
    */
   private static final int MOST_ATTEMPTS = 4;
 
+  /** Reclaims that a step may make without a pause; a guarantee leaves time for about two. */
+  private static final int RECLAIMS_WITHOUT_PAUSE = 2;
+
+  /** Pause before the next reclaim of a step, doubled each time. */
+  private static final long RECLAIM_PAUSE_MS = 1_000;
+
+  private static final long LONGEST_RECLAIM_PAUSE_MS = 8_000;
+
+  /** A step that has only a part of its places keeps them this long after its last reclaim. */
+  private static final long PARTIAL_KEEPS_MS = 3_000;
+
   /** Far above any urgency, which is a value for a core-second. */
   private static final double RESERVED_RANK = 1e9;
 
@@ -70,6 +81,7 @@
     preemption.beginRound();
     Room room = new Room(state.workers.values(), now.ms());
     state.reservations.prune(room, now.ms());
+    state.reservations.takeReclaimed(room);
     Claims claims = policy.isStandard() ? Claims.of(state) : Claims.none();
     List<StepRun> waiting = waiting(claims, now);
     for (StepRun step : waiting) {
@@ -118,6 +130,9 @@
   }
 
   private void placeGang(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+    if (state.reservations.isReclaim(step)) {
+      state.reservations.giveBack(room, step);
+    }
     if (placeReserved(step, ready, room, now)) {
       return;
     }
@@ -128,14 +143,16 @@
       place(step, ready, places.get(), room, now);
       return;
     }
-    if (state.reservations.has(step)) {
-      // Only what is less urgent than this step has to leave its places alone.
-      state.reservations.takeFrom(room, step);
+    // What is less urgent than this step has to leave its places alone.
+    state.reservations.takeFrom(room, step);
+    int missing = ready.size() - state.reservations.count(step);
+    if (missing == 0) {
       return;
     }
     if (isUrgent(step, claims, now)) {
-      reclaim(step, ready.size(), room, claims, now);
+      reclaim(step, missing, room, claims, now);
     }
+    releaseIfStuck(step, missing, room, now);
     if (!state.reservations.has(step) && state.reservations.drains() < mostDrains()) {
       reserve(step, ready.size(), room, now);
     }
@@ -155,30 +172,66 @@
   }
 
   private void placeSingles(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+    state.reservations.giveBack(room, step);
+    List<Task> left = new ArrayList<>(ready);
+    Set<WorkerState> used = placeOnReserved(step, left, room, now);
+    // Places that are still kept come free for as many tasks; the others are looked for now.
+    state.reservations.takeFrom(room, step);
     boolean anywhere = mayTakeAnyRack(step, claims, now);
-    int placed = 0;
-    Set<WorkerState> used = new LinkedHashSet<>();
-    for (Task task : ready) {
+    while (left.size() > state.reservations.count(step)) {
       Optional<Map<WorkerState, Integer>> places = placement.find(step, 1, room, anywhere);
       if (places.isEmpty()) {
         break;
       }
-      assign(step, List.of(task), places.get(), room, now);
+      assign(step, List.of(left.remove(0)), places.get(), room, now);
       used.addAll(places.get().keySet());
-      placed++;
     }
-    if (placed > 0) {
-      notePlaced(step, placed, used, now);
+    if (left.size() < ready.size()) {
+      notePlaced(step, ready.size() - left.size(), used, now);
     }
-    if (placed == ready.size()) {
+    int missing = left.size() - state.reservations.count(step);
+    if (missing > 0) {
+      if (isUrgent(step, claims, now)) {
+        reclaim(step, missing, room, claims, now);
+      }
+      releaseIfStuck(step, missing, room, now);
+    }
+  }
+
+  /** Gives places up that a step has kept for long without finding the rest. */
+  private void releaseIfStuck(StepRun step, int missing, Room room, Now now) {
+    if (state.reservations.isReclaim(step) && now.ms() - step.lastReclaimMs > PARTIAL_KEEPS_MS) {
+      state.decided(
+          step.job.spec.id(),
+          "release step="
+              + step.label()
+              + " kept="
+              + state.reservations.count(step)
+              + " missing="
+              + missing);
+      state.reservations.giveBack(room, step);
       state.reservations.remove(step);
-    } else if (state.reservations.has(step)) {
-      state.reservations.takeFrom(room, step);
-    } else if (isUrgent(step, claims, now)) {
-      reclaim(step, ready.size() - placed, room, claims, now);
     }
   }
 
+  /** Places tasks on kept workers as far as these have come free, and returns the workers. */
+  private Set<WorkerState> placeOnReserved(StepRun step, List<Task> left, Room room, Now now) {
+    Set<WorkerState> used = new LinkedHashSet<>();
+    state
+        .reservations
+        .places(step)
+        .forEach(
+            (worker, count) -> {
+              int fitting = Math.min(Math.min(count, left.size()), room.count(step, worker));
+              for (int i = 0; i < fitting; i++) {
+                assign(step, List.of(left.remove(0)), Map.of(worker, 1), room, now);
+                state.reservations.use(step, worker);
+                used.add(worker);
+              }
+            });
+    return used;
+  }
+
   private boolean mayTakeAnyRack(StepRun step, Claims claims, Now now) {
     long waitMs =
         claims.covers(step.job)
@@ -188,36 +241,43 @@
   }
 
   private boolean placeReserved(StepRun step, List<Task> ready, Room room, Now now) {
-    Reservation reservation = state.reservations.all().get(step);
-    if (reservation == null) {
-      return false;
-    }
+    Map<WorkerState, Integer> places = state.reservations.places(step);
     boolean fits =
-        reservation.places().entrySet().stream()
-            .allMatch(place -> room.count(step, place.getKey()) >= place.getValue());
+        state.reservations.count(step) == ready.size()
+            && places.entrySet().stream()
+                .allMatch(place -> room.count(step, place.getKey()) >= place.getValue());
     if (!fits) {
       return false;
     }
     state.reservations.remove(step);
-    place(step, ready, reservation.places(), room, now);
+    place(step, ready, places, room, now);
     return true;
   }
 
   private void reclaim(StepRun step, int count, Room room, Claims claims, Now now) {
     boolean covered = claims.covers(step.job);
-    if (!covered && --attemptsLeft < 0) {
+    if (now.ms() < step.nextReclaimMs || (!covered && --attemptsLeft < 0)) {
       return;
     }
+    boolean bound = step.isGang() && step.spec.sameRack() && state.reservations.isReclaim(step);
+    List<String> racks = bound ? state.reservations.racks(step) : List.of();
     Optional<ReclaimPlan> found =
         ReclaimPlan.find(
             step,
             count,
             room,
+            racks,
             mayTakeAnyRack(step, claims, now),
             placed ->
                 !claims.covers(placed.task.step.job)
                     && (covered || preemption.mayStop(step, placed, now.ms())),
             now.ms());
+    if (found.isEmpty() && bound) {
+      // Its rack cannot hold it any more.
+      state.reservations.giveBack(room, step);
+      state.reservations.remove(step);
+      return;
+    }
     if (found.isEmpty() || (!covered && !preemption.pays(step, found.get(), now.ms()))) {
       return;
     }
@@ -230,10 +290,31 @@
             + count
             + " stopped="
             + plan.victims().size()
+            + " reclaims="
+            + step.reclaims
+            + " kept="
+            + state.reservations.count(step)
+            + " covered="
+            + covered
             + " workspace="
             + step.job.spec.workspace());
-    keep(step, plan.places(), true, room, now);
-    plan.victims().forEach(victim -> runs.stopWithGang(victim, "reclaimed", now));
+    keep(step, Kind.RECLAIM, plan.places(), room, now);
+    step.lastReclaimMs = now.ms();
+    if (!plan.victims().isEmpty()) {
+      pauseReclaims(step, now);
+    }
+    plan.victims()
+        .forEach(victim -> runs.stopWithGang(victim, StopCause.RECLAIMED, "reclaimed", now));
+  }
+
+  /** A step whose reclaims do not lead to a start waits longer each time. */
+  private static void pauseReclaims(StepRun step, Now now) {
+    step.reclaims++;
+    int pauses = step.reclaims - RECLAIMS_WITHOUT_PAUSE;
+    if (pauses >= 0) {
+      step.nextReclaimMs =
+          now.ms() + Math.min(LONGEST_RECLAIM_PAUSE_MS, RECLAIM_PAUSE_MS << Math.min(pauses, 10));
+    }
   }
 
   private void reserve(StepRun step, int count, Room room, Now now) {
@@ -242,13 +323,12 @@
       state.decided(
           step.job.spec.id(),
           "reserve step=" + step.label() + " tasks=" + count + " workers=" + places.get().size());
-      keep(step, places.get(), false, room, now);
+      keep(step, Kind.DRAIN, places.get(), room, now);
     }
   }
 
-  private void keep(
-      StepRun step, Map<WorkerState, Integer> places, boolean reclaim, Room room, Now now) {
-    state.reservations.put(step, new Reservation(places, reclaim, now.ms()));
+  private void keep(StepRun step, Kind kind, Map<WorkerState, Integer> places, Room room, Now now) {
+    state.reservations.add(step, kind, places, now.ms());
     places.forEach((worker, count) -> room.take(worker, step.spec.each(), count));
   }
 
@@ -272,6 +352,7 @@
     int gangRun = step.isGang() ? step.nextRun() : 0;
     for (int i = 0; i < tasks.size(); i++) {
       Task task = tasks.get(i);
+      step.reclaims = 0;
       task.run = gangRun > 0 ? gangRun : task.run + 1;
       task.state = State.PLACED;
       task.worker = targets.get(i).id();
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
@@ -35,6 +35,7 @@
    * @param step the step to place
    * @param count number of its tasks
    * @param room what is free, without places that are reserved for others
+   * @param racks racks that its other places are on, empty if any will do
    * @param anywhere whether several racks are better than further waiting
    * @param mayStop whether a run may be stopped for it
    * @param nowMs the time
@@ -43,10 +44,15 @@
       StepRun step,
       int count,
       Room room,
+      List<String> racks,
       boolean anywhere,
       Predicate<Placement> mayStop,
       long nowMs) {
     List<WorkerState> candidates = room.candidates(step);
+    if (!racks.isEmpty()) {
+      candidates.removeIf(worker -> !racks.contains(worker.rack()));
+      return planIn(step, count, candidates, room, mayStop, nowMs);
+    }
     Collection<List<WorkerState>> groups =
         step.spec.sameRack() && step.isGang()
             ? new ArrayList<>(PackingPlacement.byRack(candidates).values())
@@ -177,6 +183,8 @@
       seconds = Math.min(seconds, CHECKPOINT_LOSS_S);
     }
     int members = step.isGang() ? step.spec.count() : 1;
-    return members * (seconds + STOP_AND_START_S) * Amounts.cores(step.spec.each());
+    // Work that was stopped before is spared.
+    int times = 1 + victim.task.reclaims;
+    return times * members * (seconds + STOP_AND_START_S) * Amounts.cores(step.spec.each());
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -18,6 +18,12 @@
   /** A worker that had less room than expected is asked for its runs before it is used again. */
   private static final long NO_ROOM_PAUSE_MS = 300;
 
+  /**
+   * Time for which a start without an answer is repeated. The shortest wait of a gang for its
+   * members is 3 s on the platform; the members that are there must be stopped before.
+   */
+  private static final long START_SETTLE_MS = 1_500;
+
   private final SchedulerState state;
   private final WorkerHealth health;
   private final List<Placement> ordered = new ArrayList<>();
@@ -45,7 +51,7 @@
   void stopForeign(Task task, RunName run, WorkerState worker, Now now) {
     Placement placement = new Placement(task, run, worker, Phase.RUNNING, now.ms());
     add(placement);
-    stop(placement, "not expected", now);
+    stop(placement, StopCause.NOT_EXPECTED, "not expected", now);
   }
 
   /** Sends the starts whose decision is in the store. */
@@ -73,6 +79,12 @@
       return;
     }
     placement.enter(Phase.STARTING, now.ms());
+    sendStart(placement, now);
+  }
+
+  private void sendStart(Placement placement, Now now) {
+    WorkerState worker = placement.worker;
+    placement.startOrders++;
     worker.leaseEndMs = Math.max(worker.leaseEndMs, now.ms() + state.times.leaseBoundMs());
     state.emit(
         new JobEffect.StartRun(
@@ -83,6 +95,21 @@
             placement.task.checkpoint));
   }
 
+  /**
+   * Gives up starts whose answers are overdue, which happens only if no call about them ends in
+   * time.
+   */
+  void giveUpUnansweredStarts(Now now) {
+    for (WorkerState worker : state.workers.values()) {
+      for (Placement placement : List.copyOf(worker.placements.values())) {
+        if (placement.phase == Phase.STARTING
+            && now.ms() - placement.phaseSinceMs > 2 * START_SETTLE_MS) {
+          stopWithGang(placement, StopCause.START_UNANSWERED, "start not settled", now);
+        }
+      }
+    }
+  }
+
   void onStartAnswered(WorkerState worker, RunName run, StartReply reply, Now now) {
     Placement placement = worker.placements.get(run);
     if (placement == null || placement.phase == Phase.ORDERED) {
@@ -100,12 +127,48 @@
     } else if (reply instanceof StartReply.Refused refused) {
       onRefused(placement, refused.reason(), now);
     } else if (reply instanceof StartReply.Unknown unknown) {
-      // It may run, or be started seconds later; a stop settles both. The rest of its gang would
-      // wait for it in vain.
-      stopWithGang(placement, "start not answered: " + unknown.detail(), now);
+      onStartUnanswered(placement, unknown.detail(), now);
     }
   }
 
+  /**
+   * Repeats a start that got no answer. The worker may run it, or carry it out seconds later; it
+   * starts a run number once, so a repeated order is safe where a run under another number is not.
+   */
+  private void onStartUnanswered(Placement placement, String detail, Now now) {
+    if (placement.phase != Phase.STARTING) {
+      return; // The worker's list has shown it already, or it is being stopped.
+    }
+    placement.worker.lookWanted = true;
+    if (mayRepeatStart(placement, now)) {
+      state.decided(
+          placement.run.task().job(),
+          "repeat start run="
+              + text(placement)
+              + " worker="
+              + placement.worker.id()
+              + " orders="
+              + placement.startOrders
+              + " detail="
+              + detail);
+      sendStart(placement, now);
+    } else {
+      stopWithGang(placement, StopCause.START_UNANSWERED, "start not answered: " + detail, now);
+    }
+  }
+
+  private boolean mayRepeatStart(Placement placement, Now now) {
+    WorkerState worker = placement.worker;
+    return placement.isCurrent()
+        && worker.listed
+        && !worker.entry.draining()
+        && !isStartOverdue(placement, now);
+  }
+
+  private static boolean isStartOverdue(Placement placement, Now now) {
+    return now.ms() - placement.phaseSinceMs > START_SETTLE_MS;
+  }
+
   private void onStarted(Placement placement) {
     Job job = placement.task.step.job;
     if (job.phase == JobPhase.QUEUED) {
@@ -127,6 +190,14 @@
       worker.pausedUntilMs = now.ms() + NO_ROOM_PAUSE_MS;
       worker.lookWanted = true;
     }
+    if (placement.phase == Phase.RUNNING) {
+      return; // An earlier order was carried out, as the worker's list has shown.
+    }
+    if (placement.startOrders > 1) {
+      // An earlier order may still be carried out; a stop excludes that.
+      stopWithGang(placement, StopCause.START_UNANSWERED, "refused later: " + reason, now);
+      return;
+    }
     state.decided(
         placement.run.task().job(),
         "refused run=" + text(placement) + " worker=" + worker.id() + " reason=" + reason);
@@ -134,23 +205,23 @@
   }
 
   /** Stops a run, and with it the other members of its gang. */
-  void stopWithGang(Placement placement, String why, Now now) {
+  void stopWithGang(Placement placement, StopCause cause, String why, Now now) {
     StepRun step = placement.task.step;
     if (!step.isGang()) {
-      stop(placement, why, now);
+      stop(placement, cause, why, now);
       return;
     }
-    for (WorkerState worker : state.workers.values()) {
-      for (Placement member : List.copyOf(worker.placements.values())) {
-        if (member.task.step == step && member.run.run() == placement.run.run()) {
-          stop(member, why, now);
+    for (Task task : step.tasks) {
+      for (Placement member : List.copyOf(task.placements)) {
+        if (member.run.run() == placement.run.run()) {
+          stop(member, cause, why, now);
         }
       }
     }
   }
 
   /** Stops a run, or drops it if its start was not sent yet. */
-  void stop(Placement placement, String why, Now now) {
+  void stop(Placement placement, StopCause cause, String why, Now now) {
     if (placement.phase == Phase.ORDERED) {
       finish(placement, Cause.STOPPED, "", now);
       return;
@@ -159,10 +230,12 @@
       return;
     }
     placement.enter(Phase.STOPPING, now.ms());
+    placement.stopCause = cause;
+    placement.task.reclaims += cause == StopCause.RECLAIMED ? 1 : 0;
     state.decided(
         placement.run.task().job(),
         "stop run=" + text(placement) + " worker=" + placement.worker.id() + " why=" + why);
-    sendStop(placement, now);
+    sendStop(placement, false, now);
   }
 
   /** Repeats stops that were not confirmed. */
@@ -172,18 +245,20 @@
           && !placement.stopConfirmed
           && !placement.stopInFlight
           && now.ms() - placement.stopSentMs >= state.times.retryMs()) {
-        sendStop(placement, now);
+        sendStop(placement, true, now);
       }
     }
   }
 
-  private void sendStop(Placement placement, Now now) {
+  private void sendStop(Placement placement, boolean repeated, Now now) {
     if (!placement.worker.hasAddress()) {
       return; // It ends with its lease, or is stopped when the worker is listed again.
     }
     placement.stopInFlight = true;
     placement.stopSentMs = now.ms();
-    state.emit(new JobEffect.StopRun(placement.worker.entry, placement.run));
+    state.emit(
+        new JobEffect.StopRun(
+            placement.worker.entry, placement.run, placement.stopCause, repeated));
   }
 
   void onStopAnswered(WorkerState worker, RunName run, boolean confirmed, Now now) {
@@ -213,7 +288,7 @@
       return; // The end of another member of its gang has ended it already.
     }
     Task task = placement.task;
-    task.live--;
+    task.placements.remove(placement);
     state.planWanted = true;
     if (!checkpoint.isEmpty()) {
       keepCheckpoint(task, checkpoint);
@@ -288,7 +363,7 @@
           "requeue run=" + text(placement) + " worker=" + placement.worker.id() + " end=" + cause);
     }
     if (placement.task.step.isGang()) {
-      stopWithGang(placement, "a member ended: " + cause, now);
+      stopWithGang(placement, StopCause.MEMBER_ENDED, "a member ended: " + cause, now);
     }
   }
 
@@ -298,18 +373,17 @@
     state.batches.change(job);
     state.planWanted = true;
     state.decided(job.spec.id(), "job phase=" + phase + " age_ms=" + (now.ms() - job.acceptedMs));
-    for (WorkerState worker : state.workers.values()) {
-      for (Placement placement : List.copyOf(worker.placements.values())) {
-        if (placement.task.step.job == job && phase != JobPhase.COMPLETED) {
-          stop(placement, "job " + phase, now);
-        }
-      }
+    if (phase == JobPhase.COMPLETED) {
+      return;
     }
+    job.tasks()
+        .flatMap(task -> List.copyOf(task.placements).stream())
+        .forEach(placement -> stop(placement, StopCause.JOB_ENDED, "job " + phase, now));
   }
 
   private void add(Placement placement) {
     placement.worker.add(placement);
-    placement.task.live++;
+    placement.task.placements.add(placement);
   }
 
   private static void keepCheckpoint(Task task, String checkpoint) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StallCheck.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StallCheck.java
@@ -24,7 +24,8 @@
       for (Placement placement : List.copyOf(worker.placements.values())) {
         if (isStalled(placement, now.ms())) {
           worker.pausedUntilMs = Math.max(worker.pausedUntilMs, now.ms() + WORKER_PAUSE_MS);
-          runs.stopWithGang(placement, "no progress at percent=" + placement.percent, now);
+          runs.stopWithGang(
+              placement, StopCause.NO_PROGRESS, "no progress at percent=" + placement.percent, now);
         }
       }
     }
@@ -40,9 +41,8 @@
     // Members of a gang wait for each other; the one with the least progress is at fault.
     StepRun step = placement.task.step;
     return !step.isGang()
-        || state.workers.values().stream()
-            .flatMap(worker -> worker.placements.values().stream())
-            .filter(other -> other.task.step == step)
+        || step.tasks.stream()
+            .flatMap(task -> task.placements.stream())
             .allMatch(other -> other.percent >= placement.percent);
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepRun.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepRun.java
@@ -16,6 +16,15 @@
   /** Newest run number whose failure was counted, so that a gang fails once for a run. */
   int countedFailure;
 
+  /** How often runs of others were stopped for it since it last began. */
+  int reclaims;
+
+  /** Nothing is stopped for it before this time. */
+  long nextReclaimMs;
+
+  /** When runs of others were last stopped for it. */
+  long lastReclaimMs;
+
   /** When its tasks could first be placed, or -1. */
   long readySinceMs = -1;
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
@@ -3,6 +3,8 @@
 import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.model.TaskRecord;
 import dev.bambootray.jobs.model.TaskRecord.State;
+import java.util.ArrayList;
+import java.util.List;
 
 /** A task of a job that is not final. */
 final class Task {
@@ -15,7 +17,10 @@
   String checkpoint;
 
   /** Live runs of this task, also of earlier numbers whose end is not known yet. */
-  int live;
+  final List<Placement> placements = new ArrayList<>(1);
+
+  /** How often a run of this task was stopped for another step. */
+  int reclaims;
 
   Task(StepRun step, TaskName name, TaskRecord saved) {
     this.step = step;
@@ -32,6 +37,6 @@
   }
 
   boolean isReady() {
-    return state == State.WAITING && live == 0;
+    return state == State.WAITING && placements.isEmpty();
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolModel.java
@@ -145,6 +145,28 @@
     post(new JobEvent.WorkerUnlisted(id));
   }
 
+  /** Announces that a worker leaves; it goes on with what it runs. */
+  public void drain(String id) {
+    WorkerEntry entry = worker(id).entry();
+    post(
+        new JobEvent.WorkerListed(
+            new WorkerEntry(
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                entry.zone(),
+                entry.rack(),
+                entry.labels(),
+                entry.capacity(),
+                entry.bornMs(),
+                true)));
+  }
+
+  /** Loses the answers of the next starts, which are carried out at once. */
+  public void loseNextStartAnswers(int count) {
+    links.loseNextStartAnswers(count);
+  }
+
   /** Makes the store unavailable for a time. */
   public void storeAway(long forMs) {
     storeAwayUntilMs = nowMs + forMs;
--- a/standins/src/main/java/dev/bambootray/standins/jobs/WorkerLinks.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerLinks.java
@@ -22,7 +22,7 @@
   /** Way of a message to a worker of another region. */
   private static final long WAY_MS = 20;
 
-  private static final long CALL_TIMEOUT_MS = 700;
+  private static final long CALL_TIMEOUT_MS = 300;
   private static final long SHORTEST_DELAY_MS = 2_000;
   private static final int LONGEST_MORE_DELAY_MS = 8_000;
 
@@ -31,6 +31,7 @@
   private final PoolModel pool;
   private final PoolModel.Observer observer;
   private double lateShare;
+  private int startAnswersToLose;
   private int listDelayMs;
   private long lastFaultMs = Long.MIN_VALUE / 2;
 
@@ -52,6 +53,10 @@
     lateShare = value;
   }
 
+  void loseNextStartAnswers(int count) {
+    startAnswersToLose = count;
+  }
+
   void setListDelayMs(int value) {
     listDelayMs = value;
   }
@@ -100,6 +105,12 @@
       return;
     }
     StartReply reply = carryOut(start, epoch);
+    if (startAnswersToLose > 0) {
+      startAnswersToLose--;
+      StartReply lost = new StartReply.Unknown("lost");
+      pool.later(CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, lost)));
+      return;
+    }
     if (reply instanceof StartReply.Refused refused && refused.reason() == Reason.NO_ROOM) {
       observer.onNoRoom(pool.worker(id), run);
     }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -94,6 +94,26 @@
     return started.contains(job);
   }
 
+  /** Announces that a worker leaves; it goes on with what it runs. */
+  void drain(String worker) {
+    pool.drain(worker);
+  }
+
+  /** Returns a worker whose runs were stopped by the newest reclaim. */
+  String workerToBeFreed() {
+    String line =
+        pool.decisions().stream()
+            .filter(decision -> decision.contains(" why=reclaimed"))
+            .reduce((first, second) -> second)
+            .orElseThrow();
+    return line.replaceAll(".*worker=(\\S+).*", "$1");
+  }
+
+  /** Returns how many runs were stopped for a reason. */
+  long stops(String why) {
+    return pool.decisions().stream().filter(line -> line.contains(" why=" + why)).count();
+  }
+
   void assertAllFinal() {
     for (JobSpec job : pool.jobs()) {
       assertTrue(
