Keep the free resources of workers in order from round to round

Change: Room lasts over rounds, moves only workers whose room changed, and compares a step with workers that have accelerators for one of its tasks; the time at which a worker will be empty is worked out once a round. Orders of workers and decisions stay as they were, but for the order of racks that are equally tight.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/DrainPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/DrainPlan.java
@@ -1,6 +1,7 @@
 package dev.bambootray.jobs.scheduling;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,11 +16,22 @@
   private static final long RISK_HORIZON_MS = 9_000;
 
   private final RunTimes runTimes;
+  private final Map<WorkerState, Long> emptyMs = new HashMap<>();
 
   DrainPlan(RunTimes runTimes) {
     this.runTimes = runTimes;
   }
 
+  /** Begins a round of placement, in which it is worked out once when a worker will be empty. */
+  void beginRound() {
+    emptyMs.clear();
+  }
+
+  /** Notes that a worker got a further run in this round. */
+  void onPlaced(WorkerState worker) {
+    emptyMs.remove(worker);
+  }
+
   /** Returns the workers that come free first, if the gang's value is at risk. */
   Optional<Map<WorkerState, Integer>> find(
       StepRun step, int count, Room room, ValueDensityOrder order, long nowMs) {
@@ -70,6 +82,10 @@
 
   /** Returns when the runs of a worker are expected to have ended. */
   private long emptyMs(WorkerState worker, long nowMs) {
+    return emptyMs.computeIfAbsent(worker, key -> lastEndMs(key, nowMs));
+  }
+
+  private long lastEndMs(WorkerState worker, long nowMs) {
     return worker.placements.values().stream()
         .mapToLong(placement -> placement.startedMs + runTimes.expectedMs(placement.task.step))
         .max()
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/PackingPlacement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/PackingPlacement.java
@@ -39,23 +39,27 @@
     if (!room.mayHold(step, count)) {
       return Optional.empty();
     }
-    List<WorkerState> candidates = fullestFirst ? room.candidates(step) : room.inOrder(step);
+    List<WorkerState> fitting = fullestFirst ? room.fitting(step) : room.inOrder(step);
     if (!step.spec.dataRack().isEmpty() && !anywhere) {
-      List<WorkerState> near = onRack(candidates, step.spec.dataRack());
-      Optional<Map<WorkerState, Integer>> found = fill(step, count, room, near);
-      if (found.isPresent() || couldHold(step, count, near)) {
+      String rack = step.spec.dataRack();
+      Optional<Map<WorkerState, Integer>> found = fill(step, count, room, onRack(fitting, rack));
+      if (found.isPresent() || couldHold(step, count, onRack(room.inOrder(step), rack))) {
         return found;
       }
     }
     if (step.spec.sameRack() && step.isGang()) {
-      Map<String, List<WorkerState>> racks = byRack(candidates);
-      Optional<Map<WorkerState, Integer>> found = tightestRack(step, count, room, racks.values());
-      boolean possible = racks.values().stream().anyMatch(rack -> couldHold(step, count, rack));
-      if (found.isPresent() || (possible && !anywhere)) {
+      Optional<Map<WorkerState, Integer>> found =
+          tightestRack(step, count, room, byRack(fitting).values());
+      if (found.isPresent() || (!anywhere && oneRackCouldHold(step, count, room))) {
         return found;
       }
     }
-    return fill(step, count, room, candidates);
+    return fill(step, count, room, fitting);
+  }
+
+  private static boolean oneRackCouldHold(StepRun step, int count, Room room) {
+    return byRack(room.inOrder(step)).values().stream()
+        .anyMatch(rack -> couldHold(step, count, rack));
   }
 
   /** Returns whether the workers could hold a number of tasks if nothing else ran on them. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -56,6 +56,7 @@
   private final OrderPolicy order;
   private final ValueDensityOrder values;
   private final PackingPlacement placement;
+  private final Room room = new Room();
   private final DrainPlan drains;
   private final ValuePreemption preemption;
   private int attemptsLeft;
@@ -79,7 +80,8 @@
   int plan(Now now) {
     attemptsLeft = MOST_ATTEMPTS;
     preemption.beginRound();
-    Room room = new Room(state.workers.values(), now.ms());
+    room.update(state.workers.values(), now.ms());
+    drains.beginRound();
     state.reservations.prune(room, now.ms());
     state.reservations.takeReclaimed(room);
     Claims claims = policy.isStandard() ? Claims.of(state) : Claims.none();
@@ -87,9 +89,9 @@
     for (StepRun step : waiting) {
       List<Task> ready = step.readyTasks();
       if (step.isGang()) {
-        placeGang(step, ready, room, claims, now);
+        placeGang(step, ready, claims, now);
       } else {
-        placeSingles(step, ready, room, claims, now);
+        placeSingles(step, ready, claims, now);
       }
       if (policy.isStrict() && step.hasReadyTasks()) {
         break;
@@ -129,18 +131,18 @@
     return state.reservations.has(step) ? RESERVED_RANK : 0;
   }
 
-  private void placeGang(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+  private void placeGang(StepRun step, List<Task> ready, Claims claims, Now now) {
     if (state.reservations.isReclaim(step)) {
       state.reservations.giveBack(room, step);
     }
-    if (placeReserved(step, ready, room, now)) {
+    if (placeReserved(step, ready, now)) {
       return;
     }
     boolean anywhere = mayTakeAnyRack(step, claims, now);
     Optional<Map<WorkerState, Integer>> places = placement.find(step, ready.size(), room, anywhere);
     if (places.isPresent()) {
       state.reservations.remove(step);
-      place(step, ready, places.get(), room, now);
+      place(step, ready, places.get(), now);
       return;
     }
     // What is less urgent than this step has to leave its places alone.
@@ -150,11 +152,11 @@
       return;
     }
     if (isUrgent(step, claims, now)) {
-      reclaim(step, missing, room, claims, now);
+      reclaim(step, missing, claims, now);
     }
-    releaseIfStuck(step, missing, room, now);
+    releaseIfStuck(step, missing, now);
     if (!state.reservations.has(step) && state.reservations.drains() < mostDrains()) {
-      reserve(step, ready.size(), room, now);
+      reserve(step, ready.size(), now);
     }
   }
 
@@ -171,10 +173,10 @@
     return Math.max(LEAST_DRAINS, state.workers.size() / WORKERS_PER_DRAIN);
   }
 
-  private void placeSingles(StepRun step, List<Task> ready, Room room, Claims claims, Now now) {
+  private void placeSingles(StepRun step, List<Task> ready, Claims claims, Now now) {
     state.reservations.giveBack(room, step);
     List<Task> left = new ArrayList<>(ready);
-    Set<WorkerState> used = placeOnReserved(step, left, room, now);
+    Set<WorkerState> used = placeOnReserved(step, left, now);
     // Places that are still kept come free for as many tasks; the others are looked for now.
     state.reservations.takeFrom(room, step);
     boolean anywhere = mayTakeAnyRack(step, claims, now);
@@ -183,7 +185,7 @@
       if (places.isEmpty()) {
         break;
       }
-      assign(step, List.of(left.remove(0)), places.get(), room, now);
+      assign(step, List.of(left.remove(0)), places.get(), now);
       used.addAll(places.get().keySet());
     }
     if (left.size() < ready.size()) {
@@ -192,14 +194,14 @@
     int missing = left.size() - state.reservations.count(step);
     if (missing > 0) {
       if (isUrgent(step, claims, now)) {
-        reclaim(step, missing, room, claims, now);
+        reclaim(step, missing, claims, now);
       }
-      releaseIfStuck(step, missing, room, now);
+      releaseIfStuck(step, missing, now);
     }
   }
 
   /** Gives places up that a step has kept for long without finding the rest. */
-  private void releaseIfStuck(StepRun step, int missing, Room room, Now now) {
+  private void releaseIfStuck(StepRun step, int missing, Now now) {
     if (state.reservations.isReclaim(step) && now.ms() - step.lastReclaimMs > PARTIAL_KEEPS_MS) {
       state.decided(
           step.job.spec.id(),
@@ -215,7 +217,7 @@
   }
 
   /** Places tasks on kept workers as far as these have come free, and returns the workers. */
-  private Set<WorkerState> placeOnReserved(StepRun step, List<Task> left, Room room, Now now) {
+  private Set<WorkerState> placeOnReserved(StepRun step, List<Task> left, Now now) {
     Set<WorkerState> used = new LinkedHashSet<>();
     state
         .reservations
@@ -224,7 +226,7 @@
             (worker, count) -> {
               int fitting = Math.min(Math.min(count, left.size()), room.count(step, worker));
               for (int i = 0; i < fitting; i++) {
-                assign(step, List.of(left.remove(0)), Map.of(worker, 1), room, now);
+                assign(step, List.of(left.remove(0)), Map.of(worker, 1), now);
                 state.reservations.use(step, worker);
                 used.add(worker);
               }
@@ -240,7 +242,7 @@
     return now.ms() - step.readySinceMs > waitMs;
   }
 
-  private boolean placeReserved(StepRun step, List<Task> ready, Room room, Now now) {
+  private boolean placeReserved(StepRun step, List<Task> ready, Now now) {
     Map<WorkerState, Integer> places = state.reservations.places(step);
     boolean fits =
         state.reservations.count(step) == ready.size()
@@ -250,11 +252,11 @@
       return false;
     }
     state.reservations.remove(step);
-    place(step, ready, places, room, now);
+    place(step, ready, places, now);
     return true;
   }
 
-  private void reclaim(StepRun step, int count, Room room, Claims claims, Now now) {
+  private void reclaim(StepRun step, int count, Claims claims, Now now) {
     boolean covered = claims.covers(step.job);
     if (now.ms() < step.nextReclaimMs || (!covered && --attemptsLeft < 0)) {
       return;
@@ -298,7 +300,7 @@
             + covered
             + " workspace="
             + step.job.spec.workspace());
-    keep(step, Kind.RECLAIM, plan.places(), room, now);
+    keep(step, Kind.RECLAIM, plan.places(), now);
     step.lastReclaimMs = now.ms();
     if (!plan.victims().isEmpty()) {
       pauseReclaims(step, now);
@@ -317,34 +319,33 @@
     }
   }
 
-  private void reserve(StepRun step, int count, Room room, Now now) {
+  private void reserve(StepRun step, int count, Now now) {
     Optional<Map<WorkerState, Integer>> places = drains.find(step, count, room, values, now.ms());
     if (places.isPresent()) {
       state.decided(
           step.job.spec.id(),
           "reserve step=" + step.label() + " tasks=" + count + " workers=" + places.get().size());
-      keep(step, Kind.DRAIN, places.get(), room, now);
+      keep(step, Kind.DRAIN, places.get(), now);
     }
   }
 
-  private void keep(StepRun step, Kind kind, Map<WorkerState, Integer> places, Room room, Now now) {
+  private void keep(StepRun step, Kind kind, Map<WorkerState, Integer> places, Now now) {
     state.reservations.add(step, kind, places, now.ms());
     places.forEach((worker, count) -> room.take(worker, step.spec.each(), count));
   }
 
   /** Orders runs on the given places and writes one line about them. */
-  private void place(
-      StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Room room, Now now) {
-    assign(step, tasks, places, room, now);
+  private void place(StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Now now) {
+    assign(step, tasks, places, now);
     notePlaced(step, tasks.size(), places.keySet(), now);
   }
 
-  private void assign(
-      StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Room room, Now now) {
+  private void assign(StepRun step, List<Task> tasks, Map<WorkerState, Integer> places, Now now) {
     List<WorkerState> targets = new ArrayList<>();
     places.forEach(
         (worker, count) -> {
           room.take(worker, step.spec.each(), count);
+          drains.onPlaced(worker);
           for (int i = 0; i < count; i++) {
             targets.add(worker);
           }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
@@ -3,28 +3,79 @@
 import dev.bambootray.core.model.Resources;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 
-/** Free resources of the usable workers during one round of placement. */
+/**
+ * Free resources of the usable workers, ordered by what is free.
+ *
+ * <p>It lasts from one round of placement to the next, and {@link #update} moves only workers whose
+ * room has changed. A step is compared with workers that have enough free accelerators for one of
+ * its tasks, which are few while the pool is full.
+ */
 final class Room {
-  private final Map<WorkerState, Resources> free = new LinkedHashMap<>();
+  /** Orders the fullest workers first, in a stable order. */
+  private static final Comparator<Slot> FULLEST_FIRST =
+      Comparator.comparingInt((Slot slot) -> slot.free.accelerators())
+          .thenComparingInt(slot -> slot.free.millicores())
+          .thenComparing(slot -> slot.worker.id());
 
-  Room(Collection<WorkerState> workers, long nowMs) {
-    for (WorkerState worker : workers) {
+  /** A usable worker; its place in the order changes only while it is out of the set. */
+  private static final class Slot {
+    private final WorkerState worker;
+    private Resources free;
+    private long round;
+
+    private Slot(WorkerState worker) {
+      this.worker = worker;
+      free = worker.free();
+    }
+  }
+
+  private final Map<WorkerState, Slot> slots = new HashMap<>();
+  private final NavigableSet<Slot> byFree = new TreeSet<>(FULLEST_FIRST);
+  private Collection<WorkerState> inOrder = List.of();
+  private long round;
+
+  /** Begins a round: takes over what is free now, and forgets what was taken in the last round. */
+  void update(Collection<WorkerState> all, long nowMs) {
+    round++;
+    inOrder = all;
+    for (WorkerState worker : all) {
       if (worker.isUsable(nowMs)) {
-        free.put(worker, worker.free());
+        Slot slot = slots.get(worker);
+        if (slot == null) {
+          slot = new Slot(worker);
+          slots.put(worker, slot);
+          byFree.add(slot);
+        } else if (!slot.free.equals(worker.free())) {
+          move(slot, worker.free());
+        }
+        slot.round = round;
       }
     }
+    slots
+        .values()
+        .removeIf(
+            slot -> {
+              boolean unusable = slot.round != round;
+              if (unusable) {
+                byFree.remove(slot);
+              }
+              return unusable;
+            });
   }
 
   /** Returns the usable workers that may run a step, in the order in which they were listed. */
   List<WorkerState> inOrder(StepRun step) {
     List<WorkerState> result = new ArrayList<>();
-    for (WorkerState worker : free.keySet()) {
-      if (mayRun(step, worker)) {
+    for (WorkerState worker : inOrder) {
+      if (slots.containsKey(worker) && mayRun(step, worker)) {
         result.add(worker);
       }
     }
@@ -33,20 +84,39 @@
 
   /** Returns the usable workers that may run a step, fullest first, in a stable order. */
   List<WorkerState> candidates(StepRun step) {
-    List<WorkerState> result = inOrder(step);
-    result.sort(
-        Comparator.comparingInt((WorkerState w) -> free(w).accelerators())
-            .thenComparingInt(w -> free(w).millicores())
-            .thenComparing(WorkerState::id));
+    List<WorkerState> result = new ArrayList<>(byFree.size());
+    for (Slot slot : byFree) {
+      if (mayRun(step, slot.worker)) {
+        result.add(slot.worker);
+      }
+    }
+    return result;
+  }
+
+  /** Returns those of the {@link #candidates} that have room for a task of a step. */
+  List<WorkerState> fitting(StepRun step) {
+    List<WorkerState> result = new ArrayList<>();
+    for (Slot slot : byFree.descendingSet()) {
+      if (slot.free.accelerators() < step.spec.each().accelerators()) {
+        break;
+      }
+      if (mayRun(step, slot.worker) && count(step, slot.worker) > 0) {
+        result.add(slot.worker);
+      }
+    }
+    Collections.reverse(result);
     return result;
   }
 
   /** Returns whether the workers together have room for a number of tasks of a step. */
   boolean mayHold(StepRun step, int count) {
     int places = 0;
-    for (Map.Entry<WorkerState, Resources> entry : free.entrySet()) {
-      if (Amounts.fits(step.spec.each(), entry.getValue()) && mayRun(step, entry.getKey())) {
-        places += Amounts.count(step.spec.each(), entry.getValue());
+    for (Slot slot : byFree.descendingSet()) {
+      if (slot.free.accelerators() < step.spec.each().accelerators()) {
+        return false;
+      }
+      if (Amounts.fits(step.spec.each(), slot.free) && mayRun(step, slot.worker)) {
+        places += Amounts.count(step.spec.each(), slot.free);
         if (places >= count) {
           return true;
         }
@@ -56,15 +126,19 @@
   }
 
   Resources free(WorkerState worker) {
-    return free.getOrDefault(worker, new Resources(0, 0, 0));
+    Slot slot = slots.get(worker);
+    return slot == null ? new Resources(0, 0, 0) : slot.free;
   }
 
   boolean isUsable(WorkerState worker) {
-    return free.containsKey(worker);
+    return slots.containsKey(worker);
   }
 
   void take(WorkerState worker, Resources size, int count) {
-    free.computeIfPresent(worker, (key, room) -> Amounts.plus(room, size, -count));
+    Slot slot = slots.get(worker);
+    if (slot != null) {
+      move(slot, Amounts.plus(slot.free, size, -count));
+    }
   }
 
   /** Returns how many further tasks of a step a worker takes. */
@@ -82,4 +156,10 @@
         && (step.spec.requiredLabel().isEmpty()
             || worker.entry.labels().contains(step.spec.requiredLabel()));
   }
+
+  private void move(Slot slot, Resources free) {
+    byFree.remove(slot);
+    slot.free = free;
+    byFree.add(slot);
+  }
 }
