--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Amounts.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Amounts.java
@@ -9,12 +9,6 @@
 
   private Amounts() {}
 
-  static boolean fits(Resources size, Resources room) {
-    return size.accelerators() <= room.accelerators()
-        && size.millicores() <= room.millicores()
-        && size.memoryMib() <= room.memoryMib();
-  }
-
   /** Returns how many of a size fit into a room. */
   static int count(Resources size, Resources room) {
     int count = Integer.MAX_VALUE;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Room.java
@@ -97,7 +97,7 @@
   List<WorkerState> fitting(StepRun step) {
     List<WorkerState> result = new ArrayList<>();
     for (Slot slot : byFree.descendingSet()) {
-      if (slot.free.accelerators() < step.spec.each().accelerators()) {
+      if (isTooSmall(slot, step)) {
         break;
       }
       if (mayRun(step, slot.worker) && count(step, slot.worker) > 0) {
@@ -112,10 +112,10 @@
   boolean mayHold(StepRun step, int count) {
     int places = 0;
     for (Slot slot : byFree.descendingSet()) {
-      if (slot.free.accelerators() < step.spec.each().accelerators()) {
+      if (isTooSmall(slot, step)) {
         return false;
       }
-      if (Amounts.fits(step.spec.each(), slot.free) && mayRun(step, slot.worker)) {
+      if (mayRun(step, slot.worker)) {
         places += Amounts.count(step.spec.each(), slot.free);
         if (places >= count) {
           return true;
@@ -157,6 +157,15 @@
             || worker.entry.labels().contains(step.spec.requiredLabel()));
   }
 
+  /**
+   * Returns whether a worker and all fuller ones lack accelerators for one task of a step. What is
+   * free may be below zero while more is kept for a step than has come free.
+   */
+  private static boolean isTooSmall(Slot slot, StepRun step) {
+    int needed = step.spec.each().accelerators();
+    return needed > 0 && slot.free.accelerators() < needed;
+  }
+
   private void move(Slot slot, Resources free) {
     byFree.remove(slot);
     slot.free = free;
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -327,7 +327,7 @@
         rig.drain(rig.workerToBeFreed());
       }
       rig.run(10_000);
-      assertEquals(JobPhase.COMPLETED, rig.phase("urgent"));
+      assertEquals(JobPhase.COMPLETED, rig.phase("urgent"), () -> rig.dump("urgent"));
       long stopped = rig.stops("reclaimed");
       assertTrue(stopped <= 12 * 8, () -> stopped + " runs stopped");
     }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -176,7 +176,8 @@
     return dump(run.task().job());
   }
 
-  private String dump(String job) {
+  /** Returns the decisions about a job, for the message of a failed check. */
+  String dump(String job) {
     return "\n"
         + String.join(
             "\n",
