Turn calls away at once while the store is known to be out of reach

Change: a node whose periodic reads or commits have had no answer for 0.6 s answers 503 with Retry-After at once to submissions, readings and cancellations; a submission that may be stored still gets 504. One reset that is followed by a good read changes nothing.

Tests: FrontDeskTest.StoreOutOfReach and StoreReachTest; the first waited for ever without the change.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
@@ -84,7 +84,7 @@
 
   private CompletableFuture<SubmitOutcome> submit(JobSpec job, long endMs, boolean maybeStored) {
     long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.LEAST_MS) {
+    if (leftMs < CallTimeouts.LEAST_MS || owner.isLost()) {
       return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
     }
     RowCondition absent = new RowCondition(JobTables.JOBS, job.id(), 0);
@@ -151,7 +151,7 @@
 
   private CompletableFuture<CancelOutcome> mark(String job, Row accepted, long endMs) {
     long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.LEAST_MS) {
+    if (leftMs < CallTimeouts.LEAST_MS || owner.isLost()) {
       return completedFuture(CancelOutcome.UNAVAILABLE);
     }
     String key = JobTables.cancelKey(job);
@@ -187,6 +187,9 @@
   }
 
   private CompletableFuture<Found> read(String table, String key) {
+    if (owner.isLost()) {
+      return completedFuture(new Found(true, Optional.empty()));
+    }
     return store
         .read(table, key, JobTables.after(key), 1)
         .thenApply(
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRows.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRows.java
@@ -23,6 +23,7 @@
   private final RowStore store;
   private final JobRowCodec codec;
   private final DecisionLog log;
+  private final StoreReach reach = new StoreReach();
   private volatile boolean reachable = true;
   private final AtomicReference<@Nullable OwnerRecord> newest = new AtomicReference<>();
 
@@ -42,16 +43,36 @@
     return reachable;
   }
 
+  /** Returns whether the store is known to be out of reach. */
+  boolean isLost() {
+    return reach.isLost(JobNode.now().ms());
+  }
+
+  /** Notes a call without a usable answer that was sent at a time. */
+  void noteFailure(long sentMs) {
+    note(false, sentMs);
+  }
+
+  private void note(boolean answered, long sentMs) {
+    reachable = answered;
+    if (answered) {
+      reach.answered();
+    } else {
+      reach.failed(sentMs);
+    }
+  }
+
   void remember(OwnerRecord owner) {
     newest.set(owner);
   }
 
   CompletableFuture<LeaseEvent> read() {
+    long sentMs = JobNode.now().ms();
     return store
         .read(JobTables.OWNER, JobTables.OWNER_KEY, JobTables.after(JobTables.OWNER_KEY), 1)
         .thenApply(
             result -> {
-              reachable = result.isRight();
+              note(result.isRight(), sentMs);
               return result.fold(error -> new LeaseEvent.ReadFailed(), this::ownerOf);
             });
   }
@@ -80,12 +101,16 @@
     }
     RowCondition condition =
         new RowCondition(JobTables.OWNER, JobTables.OWNER_KEY, commit.expectedVersion());
-    return store.commit(List.of(condition), changes, CallTimeouts.COMMIT_MS).thenApply(this::event);
+    long sentMs = JobNode.now().ms();
+    return store
+        .commit(List.of(condition), changes, CallTimeouts.COMMIT_MS)
+        .thenApply(outcome -> event(outcome, sentMs));
   }
 
-  private LeaseEvent event(CommitOutcome outcome) {
-    reachable =
-        outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict;
+  private LeaseEvent event(CommitOutcome outcome, long sentMs) {
+    note(
+        outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict,
+        sentMs);
     if (outcome instanceof CommitOutcome.Committed committed) {
       return new LeaseEvent.Committed(committed.version());
     }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FrontDeskTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FrontDeskTest.java
@@ -86,6 +86,34 @@
     }
   }
 
+  @Nested
+  final class StoreOutOfReach {
+    @Test
+    void turnsCallsAwayAtOnce() {
+      // Calls to a node that was cut off from the store waited until their time was over.
+      save(JobPhase.RUNNING);
+      owner.noteFailure(JobNode.now().ms() - 1_000);
+      store.silent = true;
+      assertEquals(SubmitOutcome.NOT_STORED, desk.submit(JOB, TIME_MS).getNow(null));
+      assertEquals(JobView.UNAVAILABLE, desk.state("j").getNow(null));
+      assertEquals(CancelOutcome.UNAVAILABLE, desk.cancel("j", TIME_MS).getNow(null));
+    }
+
+    @Test
+    void doesNotTurnAJobAwayThatMayBeStored() {
+      store.fates.add(Fate.APPLIED_WITHOUT_ANSWER);
+      store.afterCommit = () -> owner.noteFailure(JobNode.now().ms() - 1_000);
+      assertEquals(SubmitOutcome.UNKNOWN, desk.submit(JOB, TIME_MS).getNow(null));
+    }
+
+    @Test
+    void servesAgainAfterAGoodRead() {
+      owner.noteFailure(JobNode.now().ms() - 1_000);
+      owner.read().join();
+      assertEquals(SubmitOutcome.ACCEPTED, desk.submit(JOB, TIME_MS).join());
+    }
+  }
+
   @Nested
   final class Reading {
     @Test
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -38,6 +38,13 @@
   private final List<Watch> watches = new ArrayList<>();
   final Deque<Fate> fates = new ArrayDeque<>();
   boolean away;
+
+  /** Whether calls get no answer at all. */
+  boolean silent;
+
+  /** Runs after each commit that is applied. */
+  Runnable afterCommit = () -> {};
+
   boolean historyLost;
   private long version = 10;
 
@@ -89,6 +96,9 @@
   @Override
   public CompletableFuture<CommitOutcome> commit(
       List<RowCondition> conditions, List<RowChange> changes, long timeoutMs) {
+    if (silent) {
+      return new CompletableFuture<>();
+    }
     Fate fate = fates.isEmpty() ? Fate.APPLIED : fates.remove();
     if (away || fate == Fate.REFUSED) {
       return CompletableFuture.completedFuture(new CommitOutcome.Refused("away"));
@@ -113,6 +123,7 @@
         put(change.table(), change.key(), value);
       }
     }
+    afterCommit.run();
     return CompletableFuture.completedFuture(
         fate == Fate.APPLIED
             ? new CommitOutcome.Committed(version)
@@ -122,6 +133,9 @@
   @Override
   public CompletableFuture<Either<StoreError, RowPage>> read(
       String table, String from, String to, int limit) {
+    if (silent) {
+      return new CompletableFuture<>();
+    }
     if (away) {
       return CompletableFuture.completedFuture(Either.left(new StoreError("store", "away", false)));
     }
--- /dev/null
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/StoreReachTest.java
@@ -0,0 +1,31 @@
+package dev.bambootray.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+final class StoreReachTest {
+  private final StoreReach reach = new StoreReach();
+
+  @Test
+  void knowsAnOutageAfterASilentCall() {
+    reach.failed(1_000);
+    assertTrue(reach.isLost(2_000));
+  }
+
+  @Test
+  void countsFromTheFirstFailedCall() {
+    reach.failed(1_000);
+    reach.failed(1_500);
+    assertFalse(reach.isLost(1_500));
+    assertTrue(reach.isLost(1_700));
+  }
+
+  @Test
+  void passesOverAResetThatIsFollowedByAGoodCall() {
+    reach.failed(1_000);
+    reach.answered();
+    assertFalse(reach.isLost(5_000));
+  }
+}
