Read the configuration again after a pause of the process

Cause: a process that was stopped or suspended for seconds checked callers against the configuration from before, until the feed answered; a key that was withdrawn meanwhile was still good. The steady clock does not count a suspension, so both clocks are compared.

Change: after a pause of more than a second callers get 503 until the table was read again, at once and with repetitions. Tests: DeclarationsTest (pause, store away), and one that a worker which is silent for less than its lease keeps its runs, which held before.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
@@ -1,33 +1,53 @@
 package dev.bambootray.daemon.jobs;
 
+import dev.bambootray.core.store.StoreError;
 import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.scheduling.Now;
 import dev.bambootray.jobs.store.Row;
+import dev.bambootray.jobs.store.RowPage;
 import dev.bambootray.ports.PlatformDocuments;
 import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Follows the operator's configuration. The version in force never goes back. */
 final class Declarations implements TableFollower.Listener {
+  /** Pause before a failed read is repeated. */
+  private static final long RETRY_MS = 250;
+
   private final PlatformDocuments documents;
   private final DecisionLog log;
   private final Consumer<JobDeclaration> listener;
+  private final RowStore store;
+  private final ScheduledExecutorService executor;
   private final TableFollower follower;
+  private final PauseGuard pauses;
   private volatile @Nullable JobDeclaration newest;
   private volatile boolean reachable = true;
 
+  /** Whether the version in force may have been replaced while the process did not run. */
+  private volatile boolean doubtful;
+
+  private final AtomicInteger pauseCount = new AtomicInteger();
+
   Declarations(
       RowStore store,
       ScheduledExecutorService executor,
       PlatformDocuments documents,
       DecisionLog log,
       Consumer<JobDeclaration> listener) {
+    this.store = store;
+    this.executor = executor;
     this.documents = documents;
     this.log = log;
     this.listener = listener;
+    pauses = new PauseGuard(JobNode.now());
     follower = new TableFollower(store, executor, documents.declarationTable(), this);
   }
 
@@ -43,6 +63,41 @@
     return Optional.ofNullable(newest);
   }
 
+  /**
+   * Returns the configuration that callers are checked against. After a pause of the process there
+   * is none until the table was read again: a key may have been withdrawn meanwhile.
+   */
+  Optional<JobDeclaration> inForce(Now now) {
+    if (pauses.pausedSinceLast(now)) {
+      log.line("config:", "-", "read again after a pause of the process");
+      doubtful = true;
+      readAgain(pauseCount.incrementAndGet());
+    }
+    return doubtful ? Optional.empty() : newest();
+  }
+
+  /** Reads until the store answers, unless a later pause has made the answer doubtful as well. */
+  private void readAgain(int pause) {
+    String key = documents.declarationKey();
+    var unused =
+        store
+            .read(documents.declarationTable(), key, JobTables.after(key), 1)
+            .exceptionally(e -> Either.left(new StoreError(key, "unexpected error " + e, false)))
+            .thenAcceptAsync(result -> onReadAgain(result, pause), executor);
+  }
+
+  private void onReadAgain(Either<StoreError, RowPage> result, int pause) {
+    if (pause != pauseCount.get()) {
+      return;
+    }
+    if (result.isLeft()) {
+      var unused = executor.schedule(() -> readAgain(pause), RETRY_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    onChanges(result.get().rows());
+    doubtful = false;
+  }
+
   boolean isReachable() {
     return reachable;
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
@@ -43,7 +43,7 @@
 
   /** Returns the configuration in force. */
   public Optional<JobDeclaration> declaration() {
-    return declarations.newest();
+    return declarations.inForce(JobNode.now());
   }
 
   /** Returns where calls are counted. */
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -121,6 +121,7 @@
   }
 
   private void tick() {
+    var unused = declarations.inForce(now());
     JobScheduler current = scheduler;
     if (current != null) {
       onLease(new LeaseEvent.PendingChanged(current.pending()));
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.jobs.scheduling.Now;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -66,6 +67,37 @@
     assertEquals(List.of(7L), versions);
   }
 
+  @Test
+  void checksNobodyAfterAPauseUntilTheTableWasReadAgain() {
+    declarations.start();
+    executor.runAll();
+    publish(5);
+    Now before = JobNode.now();
+    assertTrue(declarations.inForce(before).isPresent());
+    // Suspended for 3 s: only the time of day has moved on, and the answer of the feed is pending.
+    Now after = new Now(before.ms() + 50, before.wallMs() + 3_000);
+    assertTrue(declarations.inForce(after).isEmpty());
+    executor.runAll();
+    Now later = new Now(after.ms() + 50, after.wallMs() + 50);
+    assertTrue(declarations.inForce(later).isPresent());
+  }
+
+  @Test
+  void checksNobodyAfterAPauseWhileTheStoreIsAway() {
+    declarations.start();
+    executor.runAll();
+    publish(5);
+    Now before = JobNode.now();
+    store.away = true;
+    Now after = new Now(before.ms() + 3_000, before.wallMs() + 3_000);
+    assertTrue(declarations.inForce(after).isEmpty());
+    executor.runAll();
+    assertTrue(declarations.inForce(after).isEmpty());
+    store.away = false;
+    executor.runLater();
+    assertTrue(declarations.inForce(after).isPresent());
+  }
+
   @Test
   void tellsWhenTheStoreCannotBeReached() {
     store.away = true;
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -160,6 +160,19 @@
       assertEquals(5, rig.starts);
     }
 
+    @Test
+    void keepsRunsOfAWorkerThatIsSilentForLessThanTheirLease() {
+      SchedulerRig rig = rig(4);
+      rig.submit("a", 1, 8_000, tasks(4, 8));
+      rig.run(1_500);
+      rig.worker("w0").setCut(true);
+      rig.run(4_000);
+      rig.worker("w0").setCut(false);
+      rig.run(8_000);
+      assertEquals(JobPhase.COMPLETED, rig.phase("a"));
+      assertEquals(4, rig.starts);
+    }
+
     @Test
     void usesAWorkerAgainSoonAfterItAnswers() {
       // A worker without runs was not called again after a failed call, and idled for 30 s.
