--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -148,7 +148,7 @@
     // What is less urgent than this step has to leave its places alone.
     state.reservations.takeFrom(room, step);
     int missing = ready.size() - state.reservations.count(step);
-    if (missing == 0) {
+    if (missing <= 0) {
       return;
     }
     if (isUrgent(step, claims, now)) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -18,19 +18,15 @@
   /** A worker that had less room than expected is asked for its runs before it is used again. */
   private static final long NO_ROOM_PAUSE_MS = 300;
 
-  /**
-   * Time for which a start without an answer is repeated. The shortest wait of a gang for its
-   * members is 3 s on the platform; the members that are there must be stopped before.
-   */
-  private static final long START_SETTLE_MS = 1_500;
-
   private final SchedulerState state;
   private final WorkerHealth health;
+  private final UnansweredStarts unanswered;
   private final List<Placement> ordered = new ArrayList<>();
 
   RunTracker(SchedulerState state) {
     this.state = state;
     health = new WorkerHealth();
+    unanswered = new UnansweredStarts(state, this);
   }
 
   /** Notes a run that is to start once the decision is in the store. */
@@ -82,7 +78,8 @@
     sendStart(placement, now);
   }
 
-  private void sendStart(Placement placement, Now now) {
+  /** Sends an order to start, at first or again. */
+  void sendStart(Placement placement, Now now) {
     WorkerState worker = placement.worker;
     placement.startOrders++;
     worker.leaseEndMs = Math.max(worker.leaseEndMs, now.ms() + state.times.leaseBoundMs());
@@ -95,19 +92,9 @@
             placement.task.checkpoint));
   }
 
-  /**
-   * Gives up starts whose answers are overdue, which happens only if no call about them ends in
-   * time.
-   */
+  /** Gives up starts that no answer has settled in time. */
   void giveUpUnansweredStarts(Now now) {
-    for (WorkerState worker : state.workers.values()) {
-      for (Placement placement : List.copyOf(worker.placements.values())) {
-        if (placement.phase == Phase.STARTING
-            && now.ms() - placement.phaseSinceMs > 2 * START_SETTLE_MS) {
-          stopWithGang(placement, StopCause.START_UNANSWERED, "start not settled", now);
-        }
-      }
-    }
+    unanswered.giveUpOverdue(now);
   }
 
   void onStartAnswered(WorkerState worker, RunName run, StartReply reply, Now now) {
@@ -127,48 +114,10 @@
     } else if (reply instanceof StartReply.Refused refused) {
       onRefused(placement, refused.reason(), now);
     } else if (reply instanceof StartReply.Unknown unknown) {
-      onStartUnanswered(placement, unknown.detail(), now);
+      unanswered.onUnanswered(placement, unknown.detail(), now);
     }
   }
 
-  /**
-   * Repeats a start that got no answer. The worker may run it, or carry it out seconds later; it
-   * starts a run number once, so a repeated order is safe where a run under another number is not.
-   */
-  private void onStartUnanswered(Placement placement, String detail, Now now) {
-    if (placement.phase != Phase.STARTING) {
-      return; // The worker's list has shown it already, or it is being stopped.
-    }
-    placement.worker.lookWanted = true;
-    if (mayRepeatStart(placement, now)) {
-      state.decided(
-          placement.run.task().job(),
-          "repeat start run="
-              + text(placement)
-              + " worker="
-              + placement.worker.id()
-              + " orders="
-              + placement.startOrders
-              + " detail="
-              + detail);
-      sendStart(placement, now);
-    } else {
-      stopWithGang(placement, StopCause.START_UNANSWERED, "start not answered: " + detail, now);
-    }
-  }
-
-  private boolean mayRepeatStart(Placement placement, Now now) {
-    WorkerState worker = placement.worker;
-    return placement.isCurrent()
-        && worker.listed
-        && !worker.entry.draining()
-        && !isStartOverdue(placement, now);
-  }
-
-  private static boolean isStartOverdue(Placement placement, Now now) {
-    return now.ms() - placement.phaseSinceMs > START_SETTLE_MS;
-  }
-
   private void onStarted(Placement placement) {
     Job job = placement.task.step.job;
     if (job.phase == JobPhase.QUEUED) {
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -1,5 +1,7 @@
 package dev.bambootray.standins.jobs;
 
+import static dev.bambootray.standins.jobs.SchedulerRig.gang;
+import static dev.bambootray.standins.jobs.SchedulerRig.tasks;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,34 +14,16 @@
 import org.junit.jupiter.api.Test;
 
 final class JobSchedulerTest {
-  private static final Resources WORKER = new Resources(8, 32_000, 64_000);
-
   private static Resources accelerators(int count) {
     return new Resources(count, 2_000, 1_000);
   }
 
-  private static StepSpec tasks(int count, int accelerators) {
-    return StepSpec.builder(count, accelerators(accelerators)).estimateMs(1_000).build();
-  }
-
-  private static StepSpec gang(int count, int accelerators) {
-    return StepSpec.builder(count, accelerators(accelerators))
-        .estimateMs(1_000)
-        .gang(true)
-        .sameRack(true)
-        .build();
-  }
-
   private static SchedulerRig rig(int workers) {
     return rig(workers, 8, 0);
   }
 
   private static SchedulerRig rig(int workers, int perRack, int guaranteed) {
-    SchedulerRig rig =
-        new SchedulerRig(1).workers(workers, perRack, WORKER).guarantee("ws", guaranteed);
-    rig.pool.takeOver();
-    rig.run(200);
-    return rig;
+    return SchedulerRig.owned(workers, perRack, guaranteed);
   }
 
   @Nested
@@ -257,95 +241,6 @@
     }
   }
 
-  @Nested
-  final class UnansweredOrders {
-    @Test
-    void startsEachTaskOnceWhenAnswersAreLost() {
-      // A start without an answer was stopped together with its gang and made anew elsewhere.
-      SchedulerRig rig = rig(16);
-      rig.pool.setLateShare(0.3);
-      for (int i = 0; i < 20; i++) {
-        rig.submit("job" + i, 1, 700, i % 2 == 0 ? tasks(4, 1) : gang(3, 4));
-        rig.run(600);
-      }
-      rig.run(10_000);
-      rig.assertAllFinal();
-      int asked = 10 * 4 + 10 * 3;
-      assertTrue(rig.starts <= asked * 1.1, () -> rig.starts + " starts for " + asked + " tasks");
-    }
-
-    @Test
-    void keepsARunThatOnlyTheListShows() {
-      SchedulerRig rig = rig(2);
-      rig.pool.loseNextStartAnswers(2);
-      rig.submit("a", 1, 2_000, gang(2, 8));
-      rig.run(4_000);
-      assertEquals(JobPhase.COMPLETED, rig.phase("a"));
-      assertEquals(2, rig.starts);
-    }
-
-    @Test
-    void givesAGangUpWhenOneWorkerStaysSilent() {
-      SchedulerRig rig = rig(4);
-      rig.worker("w0").setCut(true);
-      rig.submit("a", 1, 1_000, gang(3, 8));
-      rig.run(20_000);
-      assertEquals(JobPhase.COMPLETED, rig.phase("a"));
-    }
-  }
-
-  @Nested
-  final class Reclaiming {
-    @Test
-    void keepsWhatIsFreeWhenOneOfItsWorkersLeaves() {
-      // The whole reservation was dropped, and other runs were stopped for all members anew.
-      SchedulerRig rig = rig(12, 12, 64);
-      rig.submit("long", 2, 60_000, tasks(96, 1));
-      rig.run(1_000);
-      rig.submit("urgent", 0, 1_000, gang(6, 8));
-      rig.run(40);
-      rig.drain(rig.workerToBeFreed());
-      rig.run(2_500);
-      assertTrue(rig.hasStarted("urgent"));
-      long stopped = rig.stops("reclaimed");
-      assertTrue(stopped <= 7 * 8, () -> stopped + " runs stopped for 6 workers of 8");
-    }
-
-    @Test
-    void stopsNothingForAReservationOfAnotherStep() {
-      // A reservation was known only from its step's turn on, so others took its places first.
-      SchedulerRig rig = rig(8, 8, 64);
-      rig.submit("long", 2, 60_000, tasks(64, 1));
-      rig.run(1_000);
-      for (int i = 0; i < 4; i++) {
-        rig.submit("urgent" + i, 0, 3_000, gang(2, 8));
-        rig.run(100);
-      }
-      rig.run(2_000);
-      for (int i = 0; i < 4; i++) {
-        assertTrue(rig.hasStarted("urgent" + i), "urgent" + i);
-      }
-      assertEquals(64, rig.stops("reclaimed"));
-    }
-
-    @Test
-    void waitsLongerAfterEachReclaimInVain() {
-      SchedulerRig rig = rig(16, 16, 64);
-      rig.submit("long", 2, 60_000, tasks(128, 1));
-      rig.run(1_000);
-      rig.submit("urgent", 0, 1_000, gang(4, 8));
-      // Each time one of the workers is freed for the gang, it leaves.
-      for (int i = 0; i < 10; i++) {
-        rig.run(300);
-        rig.drain(rig.workerToBeFreed());
-      }
-      rig.run(10_000);
-      assertEquals(JobPhase.COMPLETED, rig.phase("urgent"), () -> rig.dump("urgent"));
-      long stopped = rig.stops("reclaimed");
-      assertTrue(stopped <= 12 * 8, () -> stopped + " runs stopped");
-    }
-  }
-
   @Nested
   final class Placing {
     @Test
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -35,6 +35,31 @@
   private final Map<TaskName, Integer> noted = new HashMap<>();
   int starts;
 
+  /** Returns a rig with an owner and workers of eight accelerators. */
+  static SchedulerRig owned(int workers, int perRack, int guaranteed) {
+    SchedulerRig rig =
+        new SchedulerRig(1)
+            .workers(workers, perRack, new Resources(8, 32_000, 64_000))
+            .guarantee("ws", guaranteed);
+    rig.pool.takeOver();
+    rig.run(200);
+    return rig;
+  }
+
+  /** Returns a step of single tasks of a second. */
+  static StepSpec tasks(int count, int accelerators) {
+    return step(count, accelerators).build();
+  }
+
+  /** Returns a gang on one rack that works for a second. */
+  static StepSpec gang(int count, int accelerators) {
+    return step(count, accelerators).gang(true).sameRack(true).build();
+  }
+
+  private static StepSpec.Builder step(int count, int accelerators) {
+    return StepSpec.builder(count, new Resources(accelerators, 2_000, 1_000)).estimateMs(1_000);
+  }
+
   SchedulerRig(long seed) {
     pool = new PoolModel(seed, SchedulingPolicy.STANDARD, this);
   }
--- /dev/null
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/UnansweredStartsTest.java
@@ -0,0 +1,46 @@
+package dev.bambootray.standins.jobs;
+
+import static dev.bambootray.standins.jobs.SchedulerRig.gang;
+import static dev.bambootray.standins.jobs.SchedulerRig.tasks;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.jobs.model.JobPhase;
+import org.junit.jupiter.api.Test;
+
+/** Replays workers that leave orders unanswered. */
+final class UnansweredStartsTest {
+  @Test
+  void startsEachTaskOnceWhenAnswersAreLost() {
+    // A start without an answer was stopped together with its gang and made anew elsewhere.
+    SchedulerRig rig = SchedulerRig.owned(16, 8, 0);
+    rig.pool.setLateShare(0.3);
+    for (int i = 0; i < 20; i++) {
+      rig.submit("job" + i, 1, 700, i % 2 == 0 ? tasks(4, 1) : gang(3, 4));
+      rig.run(600);
+    }
+    rig.run(10_000);
+    rig.assertAllFinal();
+    int asked = 10 * 4 + 10 * 3;
+    assertTrue(rig.starts <= asked * 1.1, () -> rig.starts + " starts for " + asked + " tasks");
+  }
+
+  @Test
+  void keepsARunThatOnlyTheListShows() {
+    SchedulerRig rig = SchedulerRig.owned(2, 8, 0);
+    rig.pool.loseNextStartAnswers(2);
+    rig.submit("a", 1, 2_000, gang(2, 8));
+    rig.run(4_000);
+    assertEquals(JobPhase.COMPLETED, rig.phase("a"));
+    assertEquals(2, rig.starts);
+  }
+
+  @Test
+  void givesAGangUpWhenOneWorkerStaysSilent() {
+    SchedulerRig rig = SchedulerRig.owned(4, 8, 0);
+    rig.worker("w0").setCut(true);
+    rig.submit("a", 1, 1_000, gang(3, 8));
+    rig.run(20_000);
+    assertEquals(JobPhase.COMPLETED, rig.phase("a"));
+  }
+}
