Serve after a pause although the newest configuration cannot be read

A row that cannot be read replaces nothing, but its error had left the node without a configuration for good after a pause. The new test failed without the change by its last line.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
@@ -94,7 +94,11 @@
       var unused = executor.schedule(() -> readAgain(pause), RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
-    onChanges(result.get().rows());
+    try {
+      onChanges(result.get().rows());
+    } catch (RuntimeException e) {
+      onFault(e); // What cannot be read replaces nothing.
+    }
     doubtful = false;
   }
 
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationsTest.java
@@ -82,6 +82,20 @@
     assertTrue(declarations.inForce(later).isPresent());
   }
 
+  @Test
+  void servesAfterAPauseAlthoughTheNewestRowCannotBeRead() {
+    declarations.start();
+    executor.runAll();
+    publish(5);
+    store.put("declarations", "current", "no number".getBytes(UTF_8));
+    executor.runAll();
+    Now before = JobNode.now();
+    Now after = new Now(before.ms() + 3_000, before.wallMs() + 3_000);
+    assertTrue(declarations.inForce(after).isEmpty());
+    executor.runAll();
+    assertTrue(declarations.inForce(after).isPresent());
+  }
+
   @Test
   void checksNobodyAfterAPauseWhileTheStoreIsAway() {
     declarations.start();
