Keep whether the store answers in one place, and log calls that are turned away

Cause, from reading the change as a whole: OwnerRows held whether the newest call was answered beside StoreReach, which knows it as well; Declarations had a copy of the pause of TableFollower; a reading or cancelling that was turned away left no line, so its cause could not be found from its id.

Change: StoreReach answers both questions, the pause stands once, and each call that is turned away is logged. No check was changed.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/Declarations.java
@@ -18,9 +18,6 @@
 
 /** Follows the operator's configuration. The version in force never goes back. */
 final class Declarations implements TableFollower.Listener {
-  /** Pause before a failed read is repeated. */
-  private static final long RETRY_MS = 250;
-
   private final PlatformDocuments documents;
   private final DecisionLog log;
   private final Consumer<JobDeclaration> listener;
@@ -91,7 +88,8 @@
       return;
     }
     if (result.isLeft()) {
-      var unused = executor.schedule(() -> readAgain(pause), RETRY_MS, TimeUnit.MILLISECONDS);
+      var unused =
+          executor.schedule(() -> readAgain(pause), TableFollower.RETRY_MS, TimeUnit.MILLISECONDS);
       return;
     }
     try {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
@@ -84,7 +84,7 @@
 
   private CompletableFuture<SubmitOutcome> submit(JobSpec job, long endMs, boolean maybeStored) {
     long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.LEAST_MS || owner.isLost()) {
+    if (leftMs < CallTimeouts.LEAST_MS || isTurnedAway(job.id())) {
       return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
     }
     RowCondition absent = new RowCondition(JobTables.JOBS, job.id(), 0);
@@ -151,7 +151,7 @@
 
   private CompletableFuture<CancelOutcome> mark(String job, Row accepted, long endMs) {
     long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.LEAST_MS || owner.isLost()) {
+    if (leftMs < CallTimeouts.LEAST_MS || isTurnedAway(job)) {
       return completedFuture(CancelOutcome.UNAVAILABLE);
     }
     String key = JobTables.cancelKey(job);
@@ -187,7 +187,7 @@
   }
 
   private CompletableFuture<Found> read(String table, String key) {
-    if (owner.isLost()) {
+    if (isTurnedAway(key)) {
       return completedFuture(new Found(true, Optional.empty()));
     }
     return store
@@ -202,6 +202,15 @@
                     page -> new Found(false, page.rows().stream().findFirst())));
   }
 
+  /** Returns whether a call is turned away because the store is known to be out of reach. */
+  private boolean isTurnedAway(String job) {
+    if (!owner.isLost()) {
+      return false;
+    }
+    log.line("front:", job, "turned away, the store is out of reach");
+    return true;
+  }
+
   private static JobView unbegun(Found found) {
     if (found.unreachable()) {
       return JobView.UNAVAILABLE;
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRows.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRows.java
@@ -24,7 +24,6 @@
   private final JobRowCodec codec;
   private final DecisionLog log;
   private final StoreReach reach = new StoreReach();
-  private volatile boolean reachable = true;
   private final AtomicReference<@Nullable OwnerRecord> newest = new AtomicReference<>();
 
   OwnerRows(RowStore store, JobRowCodec codec, DecisionLog log) {
@@ -40,7 +39,7 @@
 
   /** Returns whether the newest call got a usable answer. */
   boolean isReachable() {
-    return reachable;
+    return reach.isAnswering();
   }
 
   /** Returns whether the store is known to be out of reach. */
@@ -54,7 +53,6 @@
   }
 
   private void note(boolean answered, long sentMs) {
-    reachable = answered;
     if (answered) {
       reach.answered();
     } else {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreReach.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreReach.java
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Returns whether the newest call had a usable answer. */
+  synchronized boolean isAnswering() {
+    return failingSinceMs == NONE;
+  }
+
   /** Returns whether no call has had a usable answer for some time. */
   synchronized boolean isLost(long nowMs) {
     return failingSinceMs != NONE && nowMs - failingSinceMs > KNOWN_AFTER_MS;
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -37,7 +37,9 @@
    */
   private static final long WAIT_MS = 1_500;
 
-  private static final long RETRY_MS = 250;
+  /** Pause before a failed read is repeated. */
+  static final long RETRY_MS = 250;
+
   private static final int PAGE_ROWS = 500;
 
   private final RowStore store;
