Reach the store through other nodes when it turns this one away

Cause: while the store turned a third of the nodes away, or was cut off from them, their callers got 503 for submissions, readings and cancellations although other nodes were served. Ruled out: the queue (median wait 33 ms, none beyond its slack).

Change: a node makes a call of the store that it gets no answer to through another node, one hop at most. Nodes find each other by rows that they renew every 10 s. StoreRoute and PeerOrder decide; RelayedRowStore races the ways. A commit that may be applied is never called refused. A follower asks without a wait after a failure.

--- a/platform/src/main/java/dev/bambootray/platform/Peers.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/Peers.java
@@ -1,9 +1,7 @@
-package dev.bambootray.platform;
+package dev.bambootray.adapters.httpclient;
 
-import dev.bambootray.adapters.httpclient.ConnectionPool;
 import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
 import dev.bambootray.adapters.httpclient.HttpExchange.Request;
-import dev.bambootray.adapters.httpclient.LinkDelay;
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -11,16 +9,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
-/** Connections to the store and to workers, by address. */
-final class Peers {
-  /** Connections to a worker beside the one that waits for ends; a burst of starts shares them. */
-  private static final int WORKER_ORDERS = 2;
-
-  private static final int STORE_CONNECTIONS = 24;
-  private static final int STORE_POLLS = 6;
-  private static final int LARGEST_RESPONSE_BYTES = 4 * 1024 * 1024;
-
-  /** Pools of workers that have left are dropped after this time; calls take 3.4 s at most. */
+/** Connection pools of peers by address; a pool that is no longer used is dropped. */
+public final class Peers {
+  /** Pools of peers that have left are dropped after this time; calls take 3.4 s at most. */
   private static final long UNUSED_MS = 60_000;
 
   private record Peer(ConnectionPool pool, AtomicLong usedMs) {}
@@ -36,23 +27,29 @@
     this.clock = clock;
   }
 
-  static Peers ofStore(EventLoop loop) {
-    return new Peers(
-        loop,
-        new ConnectionPool.Limits(0, STORE_POLLS, STORE_CONNECTIONS, LARGEST_RESPONSE_BYTES),
-        Peers::nowMs);
-  }
-
-  static Peers ofWorkers(EventLoop loop) {
-    return ofWorkers(loop, Peers::nowMs);
+  /**
+   * Returns pools that connect when they are used.
+   *
+   * @param loop event loop of all connections
+   * @param limits bounds of each pool
+   */
+  public static Peers create(EventLoop loop, ConnectionPool.Limits limits) {
+    return create(loop, limits, Peers::nowMs);
   }
 
-  static Peers ofWorkers(EventLoop loop, LongSupplier clock) {
-    return new Peers(
-        loop, new ConnectionPool.Limits(0, 1, WORKER_ORDERS, LARGEST_RESPONSE_BYTES), clock);
+  /** Returns pools with a clock of their own, in milliseconds. */
+  public static Peers create(EventLoop loop, ConnectionPool.Limits limits, LongSupplier clock) {
+    return new Peers(loop, limits, clock);
   }
 
-  CompletableFuture<Outcome> send(String address, Request request, long timeoutMs) {
+  /**
+   * Sends a request to a peer.
+   *
+   * @param address host and port
+   * @param request the request
+   * @param timeoutMs time for the whole exchange, in milliseconds
+   */
+  public CompletableFuture<Outcome> send(String address, Request request, long timeoutMs) {
     Peer known = peers.get(address);
     if (known == null) {
       dropUnused();
@@ -63,7 +60,7 @@
   }
 
   /** Returns the number of peers with connections or a place for them. */
-  int size() {
+  public int size() {
     return peers.size();
   }
 
--- /dev/null
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/PeerStore.java
@@ -0,0 +1,125 @@
+package dev.bambootray.adapters.relay;
+
+import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
+import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
+import dev.bambootray.adapters.httpclient.HttpExchange.NotSent;
+import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.Peers;
+import dev.bambootray.adapters.relay.RelayCalls.ChangesCall;
+import dev.bambootray.adapters.relay.RelayCalls.CommitCall;
+import dev.bambootray.adapters.relay.RelayCalls.ReadCall;
+import dev.bambootray.adapters.relay.RelayCalls.Reply;
+import dev.bambootray.adapters.relay.RelayCalls.Result;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The store as another node reaches it. */
+final class PeerStore implements RowStore {
+  private static final int OK = 200;
+
+  /**
+   * Time for a call of the store through another node, so that a node that does not answer leaves
+   * time for the next one.
+   */
+  private static final long CALL_MS = 600;
+
+  /** Time that the other node has less than this one, for the way between regions and back. */
+  private static final long WAY_MS = 100;
+
+  /** Added to the wait for changes. */
+  private static final long CHANGES_MARGIN_MS = 900;
+
+  private final Peers peers;
+  private final String address;
+
+  PeerStore(Peers peers, String address) {
+    this.peers = peers;
+    this.address = address;
+  }
+
+  @Override
+  public CompletableFuture<CommitOutcome> commit(
+      List<RowCondition> conditions, List<RowChange> changes, long timeoutMs) {
+    long callMs = Math.min(timeoutMs, CALL_MS);
+    CommitCall call = new CommitCall(conditions, changes, Math.max(WAY_MS, callMs - WAY_MS));
+    return send(RelayCalls.COMMIT_PATH, call, Lane.COMMAND, callMs)
+        .thenApply(PeerStore::commitOutcome);
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreError, RowPage>> read(
+      String table, String from, String to, int limit) {
+    return send(RelayCalls.READ_PATH, new ReadCall(table, from, to, limit), Lane.COMMAND, CALL_MS)
+        .thenApply(this::page);
+  }
+
+  @Override
+  public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
+    return send(
+            RelayCalls.CHANGES_PATH,
+            new ChangesCall(table, after, waitMs),
+            Lane.POLL,
+            waitMs + CHANGES_MARGIN_MS)
+        .thenApply(PeerStore::changePage);
+  }
+
+  private CompletableFuture<Outcome> send(String path, Object call, Lane lane, long timeoutMs) {
+    return peers.send(address, Request.of("POST", path, RelayCalls.write(call), lane), timeoutMs);
+  }
+
+  private static CommitOutcome commitOutcome(Outcome outcome) {
+    if (outcome instanceof NotSent notSent) {
+      return new CommitOutcome.Refused(notSent.reason());
+    }
+    Either<String, Reply> reply = reply(outcome);
+    if (reply.isLeft()) {
+      return new CommitOutcome.Unknown(reply.getLeft());
+    }
+    return switch (reply.get().result()) {
+      case COMMITTED -> new CommitOutcome.Committed(reply.get().version());
+      case CONFLICT -> new CommitOutcome.Conflict(reply.get().rows());
+      case REFUSED -> new CommitOutcome.Refused(reply.get().detail());
+      default -> new CommitOutcome.Unknown(reply.get().detail());
+    };
+  }
+
+  private Either<StoreError, RowPage> page(Outcome outcome) {
+    Either<String, Reply> reply = reply(outcome);
+    if (reply.isRight() && reply.get().result() == Result.PAGE) {
+      Reply page = reply.get();
+      return Either.right(new RowPage(page.rows(), page.more(), page.version()));
+    }
+    String detail = reply.fold(error -> error, Reply::detail);
+    return Either.left(new StoreError(address, detail, false));
+  }
+
+  private static ChangePage changePage(Outcome outcome) {
+    Either<String, Reply> reply = reply(outcome);
+    if (reply.isLeft()) {
+      return new ChangePage.Failed(reply.getLeft());
+    }
+    return switch (reply.get().result()) {
+      case CHANGES -> new ChangePage.Changes(reply.get().rows(), reply.get().version());
+      case HISTORY_LOST -> new ChangePage.HistoryLost();
+      default -> new ChangePage.Failed(reply.get().detail());
+    };
+  }
+
+  private static Either<String, Reply> reply(Outcome outcome) {
+    if (outcome instanceof Answered answered) {
+      return answered.status() == OK
+          ? RelayCalls.read(answered.body().bytes(), Reply.class)
+          : Either.left("status " + answered.status());
+    }
+    return Either.left(outcome.toString());
+  }
+}
--- /dev/null
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayRouter.java
@@ -0,0 +1,103 @@
+package dev.bambootray.adapters.relay;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.bambootray.adapters.http.ApiRequest;
+import dev.bambootray.adapters.http.ApiResponse;
+import dev.bambootray.adapters.http.PendingResponse;
+import dev.bambootray.adapters.http.RequestRouter;
+import dev.bambootray.adapters.relay.RelayCalls.ChangesCall;
+import dev.bambootray.adapters.relay.RelayCalls.CommitCall;
+import dev.bambootray.adapters.relay.RelayCalls.ReadCall;
+import dev.bambootray.adapters.relay.RelayCalls.Reply;
+import dev.bambootray.adapters.relay.RelayCalls.Result;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/** Carries out calls of other nodes on this node's own connections; it never passes them on. */
+public final class RelayRouter implements RequestRouter {
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final String JSON = "application/json";
+
+  private final RowStore direct;
+
+  /**
+   * Creates a router.
+   *
+   * @param direct the store as this node itself reaches it
+   */
+  public RelayRouter(RowStore direct) {
+    this.direct = direct;
+  }
+
+  @Override
+  public PendingResponse route(ApiRequest request) {
+    return switch (request.rawPath()) {
+      case RelayCalls.COMMIT_PATH -> answer(request, CommitCall.class, this::commit);
+      case RelayCalls.READ_PATH -> answer(request, ReadCall.class, this::read);
+      case RelayCalls.CHANGES_PATH -> answer(request, ChangesCall.class, this::changes);
+      default -> PendingResponse.now(ApiResponse.text(NOT_FOUND, "text/plain", "no such call"));
+    };
+  }
+
+  private static <T> PendingResponse answer(
+      ApiRequest request, Class<T> type, Function<T, CompletableFuture<Reply>> action) {
+    Either<String, T> call = RelayCalls.read(request.body().getBytes(UTF_8), type);
+    if (call.isLeft()) {
+      return PendingResponse.now(ApiResponse.text(BAD_REQUEST, "text/plain", call.getLeft()));
+    }
+    return PendingResponse.of(
+        action.apply(call.get()),
+        reply -> ApiResponse.text(200, JSON, new String(RelayCalls.write(reply), UTF_8)));
+  }
+
+  private CompletableFuture<Reply> commit(CommitCall call) {
+    return direct
+        .commit(call.conditions(), call.changes(), call.timeoutMs())
+        .thenApply(RelayRouter::reply);
+  }
+
+  private CompletableFuture<Reply> read(ReadCall call) {
+    return direct
+        .read(call.table(), call.from(), call.to(), call.limit())
+        .thenApply(
+            result ->
+                result.fold(
+                    error -> Reply.failed(Result.FAILED, error.message()), RelayRouter::reply));
+  }
+
+  private CompletableFuture<Reply> changes(ChangesCall call) {
+    return direct.changes(call.table(), call.after(), call.waitMs()).thenApply(RelayRouter::reply);
+  }
+
+  private static Reply reply(CommitOutcome outcome) {
+    if (outcome instanceof CommitOutcome.Committed committed) {
+      return Reply.of(Result.COMMITTED, committed.version());
+    }
+    if (outcome instanceof CommitOutcome.Conflict conflict) {
+      return new Reply(Result.CONFLICT, conflict.rows(), false, 0, "");
+    }
+    return outcome instanceof CommitOutcome.Refused refused
+        ? Reply.failed(Result.REFUSED, refused.detail())
+        : Reply.failed(Result.UNKNOWN, outcome.toString());
+  }
+
+  private static Reply reply(RowPage page) {
+    return new Reply(Result.PAGE, page.rows(), page.more(), page.version(), "");
+  }
+
+  private static Reply reply(ChangePage page) {
+    if (page instanceof ChangePage.Changes changes) {
+      return new Reply(Result.CHANGES, changes.rows(), false, changes.version(), "");
+    }
+    return page instanceof ChangePage.Failed failed
+        ? Reply.failed(Result.FAILED, failed.detail())
+        : Reply.of(Result.HISTORY_LOST, 0);
+  }
+}
--- /dev/null
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
@@ -0,0 +1,252 @@
+package dev.bambootray.adapters.relay;
+
+import dev.bambootray.adapters.httpclient.Peers;
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.jobs.reach.Peer;
+import dev.bambootray.jobs.reach.PeerOrder;
+import dev.bambootray.jobs.reach.StoreRoute;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * The store as a node reaches it, by itself or through other nodes.
+ *
+ * <p>A call that this node cannot get an answer to is made by another node, at most one hop away. A
+ * transaction may so be sent twice; its conditions let it apply once, and the second attempt finds
+ * the conflict with the first.
+ */
+public final class RelayedRowStore implements RowStore {
+  private final RowStore direct;
+  private final Function<String, RowStore> peerStores;
+  private final StoreRoute route;
+  private final PeerOrder order;
+  private final Timers timers;
+  private final LongSupplier clockMs;
+  private final Listener listener;
+  private final Set<StoreRace<ChangePage>> polls = ConcurrentHashMap.newKeySet();
+
+  /** Runs actions later. */
+  public interface Timers {
+    /**
+     * Runs an action after a delay.
+     *
+     * @param action the action
+     * @param delayMs the delay in milliseconds
+     * @return cancels the action
+     */
+    Runnable runLater(Runnable action, long delayMs);
+  }
+
+  /** Learns how calls reach the store. */
+  public interface Listener {
+    /** The store is reached through other nodes from now on, first through the given one. */
+    void onCutOff(Peer helper);
+
+    /** A call was answered through another node. */
+    void onRelayed();
+
+    /**
+     * No other node could help.
+     *
+     * @param first whether one could the last time
+     */
+    void onPeersFailed(boolean first);
+  }
+
+  private RelayedRowStore(Builder builder, Function<String, RowStore> peerStores) {
+    direct = builder.direct;
+    this.peerStores = peerStores;
+    route = new StoreRoute();
+    order = builder.order;
+    timers = builder.timers;
+    clockMs = builder.clockMs;
+    listener = builder.listener;
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @param direct the store as this node itself reaches it
+   * @param order the nodes that may be asked
+   * @param timers timers of the traffic thread
+   * @param listener learns how calls reach the store
+   */
+  public static Builder builder(
+      RowStore direct, PeerOrder order, Timers timers, Listener listener) {
+    return new Builder(direct, order, timers, listener);
+  }
+
+  @Override
+  public CompletableFuture<CommitOutcome> commit(
+      List<RowCondition> conditions, List<RowChange> changes, long timeoutMs) {
+    return impatient(
+        new StoreCall<>() {
+          @Override
+          public CompletableFuture<CommitOutcome> on(RowStore store) {
+            return store.commit(conditions, changes, timeoutMs);
+          }
+
+          @Override
+          public Verdict verdict(CommitOutcome outcome) {
+            if (outcome instanceof CommitOutcome.Refused) {
+              return Verdict.REFUSED;
+            }
+            return outcome instanceof CommitOutcome.Unknown ? Verdict.UNKNOWN : Verdict.ANSWERED;
+          }
+
+          @Override
+          public CommitOutcome failed(Throwable error) {
+            return new CommitOutcome.Unknown("unexpected error " + error);
+          }
+        });
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreError, RowPage>> read(
+      String table, String from, String to, int limit) {
+    return impatient(
+        new StoreCall<>() {
+          @Override
+          public CompletableFuture<Either<StoreError, RowPage>> on(RowStore store) {
+            return store.read(table, from, to, limit);
+          }
+
+          @Override
+          public Verdict verdict(Either<StoreError, RowPage> outcome) {
+            return outcome.isRight() ? Verdict.ANSWERED : Verdict.REFUSED;
+          }
+
+          @Override
+          public Either<StoreError, RowPage> failed(Throwable error) {
+            return Either.left(new StoreError(table, "unexpected error " + error, false));
+          }
+        });
+  }
+
+  @Override
+  public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
+    StoreRace<ChangePage> race =
+        new StoreRace<>(
+            this,
+            new StoreCall<>() {
+              @Override
+              public CompletableFuture<ChangePage> on(RowStore store) {
+                return store.changes(table, after, waitMs);
+              }
+
+              @Override
+              public Verdict verdict(ChangePage outcome) {
+                return outcome instanceof ChangePage.Failed ? Verdict.REFUSED : Verdict.ANSWERED;
+              }
+
+              @Override
+              public ChangePage failed(Throwable error) {
+                return new ChangePage.Failed("unexpected error " + error);
+              }
+            },
+            true);
+    // A wait says nothing about the store while it lasts, so it goes on elsewhere only once this
+    // node is known to be cut off.
+    polls.add(race);
+    race.start(route.isViaPeers() ? StoreRoute.Way.PEER : StoreRoute.Way.DIRECT);
+    return race.result()
+        .whenComplete(
+            (page, error) -> {
+              boolean unused = polls.remove(race);
+            });
+  }
+
+  /** Makes a call that is answered soon if at all. */
+  private <T> CompletableFuture<T> impatient(StoreCall<T> call) {
+    StoreRace<T> race = new StoreRace<>(this, call, false);
+    race.start(route.next(nowMs()));
+    if (!race.result().isDone() && !peers().isEmpty()) {
+      Runnable cancel = timers.runLater(race::askPeers, route.patienceMs());
+      var unused = race.result().whenComplete((outcome, error) -> cancel.run());
+    }
+    return race.result();
+  }
+
+  RowStore direct() {
+    return direct;
+  }
+
+  RowStore through(Peer peer) {
+    return peerStores.apply(peer.address());
+  }
+
+  /** Returns the nodes to ask now, none if that has proved useless. */
+  List<Peer> peers() {
+    return route.mayAskPeers(nowMs()) ? order.candidates(nowMs()) : List.of();
+  }
+
+  long nowMs() {
+    return clockMs.getAsLong();
+  }
+
+  void answeredDirectly(long sentMs) {
+    route.answeredDirectly(nowMs() - sentMs);
+  }
+
+  void answeredByPeer(Peer peer, boolean first, boolean isCutOff) {
+    order.helped(peer);
+    if (!first) {
+      return;
+    }
+    listener.onRelayed();
+    if (isCutOff && route.answeredByPeer(nowMs())) {
+      listener.onCutOff(peer);
+      polls.forEach(StoreRace::askPeers);
+    }
+  }
+
+  void failed(Peer peer) {
+    order.failed(peer, nowMs());
+  }
+
+  void peersFailed() {
+    listener.onPeersFailed(route.peersFailed(nowMs()));
+  }
+
+  /** Builds a relayed store. */
+  public static final class Builder {
+    private final RowStore direct;
+    private final PeerOrder order;
+    private final Timers timers;
+    private final Listener listener;
+    private LongSupplier clockMs = () -> System.nanoTime() / 1_000_000;
+
+    private Builder(RowStore direct, PeerOrder order, Timers timers, Listener listener) {
+      this.direct = direct;
+      this.order = order;
+      this.timers = timers;
+      this.listener = listener;
+    }
+
+    /** Sets the clock, in milliseconds. */
+    public Builder clockMs(LongSupplier value) {
+      clockMs = value;
+      return this;
+    }
+
+    /** Returns a store that reaches other nodes over the given connections. */
+    public RelayedRowStore over(Peers peers) {
+      return over(address -> new PeerStore(peers, address));
+    }
+
+    RelayedRowStore over(Function<String, RowStore> peerStores) {
+      return new RelayedRowStore(this, peerStores);
+    }
+  }
+}
--- /dev/null
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/FakeStore.java
@@ -0,0 +1,47 @@
+package dev.bambootray.adapters.relay;
+
+import dev.bambootray.core.store.StoreError;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.RowStore;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** A way to the store whose commits and waits a test answers; readings are answered at once. */
+final class FakeStore implements RowStore {
+  final List<CompletableFuture<CommitOutcome>> commits = new ArrayList<>();
+  final List<CompletableFuture<ChangePage>> waits = new ArrayList<>();
+  List<RowCondition> conditions = List.of();
+  List<RowChange> changes = List.of();
+  Either<StoreError, RowPage> page = Either.left(new StoreError("store", "away", false));
+  int reads;
+
+  @Override
+  public CompletableFuture<CommitOutcome> commit(
+      List<RowCondition> newConditions, List<RowChange> newChanges, long timeoutMs) {
+    conditions = newConditions;
+    changes = newChanges;
+    CompletableFuture<CommitOutcome> commit = new CompletableFuture<>();
+    commits.add(commit);
+    return commit;
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreError, RowPage>> read(
+      String table, String from, String to, int limit) {
+    reads++;
+    return CompletableFuture.completedFuture(page);
+  }
+
+  @Override
+  public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
+    CompletableFuture<ChangePage> wait = new CompletableFuture<>();
+    waits.add(wait);
+    return wait;
+  }
+}
--- /dev/null
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
@@ -0,0 +1,238 @@
+package dev.bambootray.adapters.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.jobs.reach.Peer;
+import dev.bambootray.jobs.reach.PeerOrder;
+import dev.bambootray.jobs.store.ChangePage;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.CommitOutcome.Committed;
+import dev.bambootray.jobs.store.CommitOutcome.Refused;
+import dev.bambootray.jobs.store.CommitOutcome.Unknown;
+import dev.bambootray.jobs.store.RowPage;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RelayedRowStoreTest {
+  private static final Peer SELF = new Peer("n1", "10.0.0.1:7011", "a", "r");
+  private static final Peer SECOND = new Peer("n2", "10.0.0.2:7011", "a", "r");
+  private static final Peer THIRD = new Peer("n3", "10.0.0.3:7011", "b", "r");
+
+  private final FakeStore direct = new FakeStore();
+  private final FakeStore second = new FakeStore();
+  private final FakeStore third = new FakeStore();
+  private final List<Runnable> timers = new ArrayList<>();
+  private final List<String> heard = new ArrayList<>();
+  private final PeerOrder order = new PeerOrder(SELF);
+  private long nowMs;
+  private final RelayedRowStore store =
+      RelayedRowStore.builder(direct, order, this::runLater, new Heard())
+          .clockMs(() -> nowMs)
+          .over(Map.of(SECOND.address(), second, THIRD.address(), third)::get);
+
+  RelayedRowStoreTest() {
+    order.update(List.of(SECOND, THIRD));
+  }
+
+  private Runnable runLater(Runnable action, long delayMs) {
+    timers.add(action);
+    return () -> timers.remove(action);
+  }
+
+  private CompletableFuture<CommitOutcome> commit() {
+    return store.commit(List.of(), List.of(), 1_000);
+  }
+
+  private void cutOff() {
+    CompletableFuture<CommitOutcome> commit = commit();
+    last(direct).complete(new Refused("503"));
+    last(second).complete(new Committed(1));
+    commit.join();
+  }
+
+  private static CompletableFuture<CommitOutcome> last(FakeStore way) {
+    return way.commits.get(way.commits.size() - 1);
+  }
+
+  private final class Heard implements RelayedRowStore.Listener {
+    @Override
+    public void onCutOff(Peer helper) {
+      heard.add("cut off " + helper.name());
+    }
+
+    @Override
+    public void onRelayed() {
+      heard.add("relayed");
+    }
+
+    @Override
+    public void onPeersFailed(boolean first) {
+      heard.add("failed");
+    }
+  }
+
+  @Nested
+  final class WithoutTrouble {
+    @Test
+    void asksNobodyElse() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(direct).complete(new Committed(7));
+      assertEquals(new Committed(7), commit.join());
+      assertTrue(second.commits.isEmpty());
+      assertTrue(timers.isEmpty());
+    }
+  }
+
+  @Nested
+  final class TurnedAway {
+    @Test
+    void commitsThroughAnotherNode() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(direct).complete(new Refused("503"));
+      assertFalse(commit.isDone());
+      last(second).complete(new Committed(7));
+      assertEquals(new Committed(7), commit.join());
+      assertEquals(List.of("relayed", "cut off n2"), heard);
+    }
+
+    @Test
+    void asksTheNextNodeIfTheFirstIsTurnedAwayAsWell() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(direct).complete(new Refused("503"));
+      last(second).complete(new Refused("503"));
+      last(third).complete(new Committed(7));
+      assertEquals(new Committed(7), commit.join());
+    }
+
+    @Test
+    void readsThroughAnotherNode() {
+      second.page = Either.right(new RowPage(List.of(), false, 4));
+      assertEquals(4, store.read("jobs", "", "", 1).join().get().version());
+    }
+
+    @Test
+    void asksTheOtherNodeFirstFromThenOn() {
+      cutOff();
+      int directly = direct.commits.size();
+      commit();
+      assertEquals(directly, direct.commits.size());
+      assertEquals(2, second.commits.size());
+    }
+
+    @Test
+    void returnsToTheDirectWayWhenItWorksAgain() {
+      cutOff();
+      nowMs = 500;
+      CompletableFuture<CommitOutcome> probe = commit();
+      last(direct).complete(new Committed(8));
+      assertEquals(new Committed(8), probe.join());
+      int relayed = second.commits.size();
+      commit();
+      assertEquals(relayed, second.commits.size());
+    }
+  }
+
+  @Nested
+  final class WithoutAnAnswer {
+    @Test
+    void asksAnotherNodeAfterAWhile() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      assertTrue(second.commits.isEmpty());
+      timers.get(0).run();
+      last(second).complete(new Committed(7));
+      assertEquals(new Committed(7), commit.join());
+    }
+
+    @Test
+    void neverCallsACommitRefusedThatMayBeApplied() {
+      // A caller was told that its job had not run while an attempt without an answer was applied.
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(direct).complete(new Unknown("no answer"));
+      last(second).complete(new Refused("503"));
+      assertFalse(commit.isDone());
+      last(third).complete(new Refused("503"));
+      assertInstanceOf(Unknown.class, commit.join());
+    }
+
+    @Test
+    void waitsForTheDirectAttemptBeforeItGivesUp() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      timers.get(0).run();
+      last(second).complete(new Refused("503"));
+      last(third).complete(new Refused("503"));
+      assertFalse(commit.isDone());
+      last(direct).complete(new Unknown("no answer"));
+      assertInstanceOf(Unknown.class, commit.join());
+    }
+
+    @Test
+    void movesAWaitForChangesToAnotherNode() {
+      CompletableFuture<ChangePage> wait = store.changes("jobs", 3, 1_500);
+      assertTrue(second.waits.isEmpty());
+      cutOff();
+      second.waits.get(0).complete(new ChangePage.Changes(List.of(), 5));
+      assertEquals(new ChangePage.Changes(List.of(), 5), wait.join());
+    }
+  }
+
+  @Nested
+  final class WaitsForChanges {
+    @Test
+    void doNotTellThatThisNodeIsCutOff() {
+      // Two nodes that were not cut off went on waiting through each other for half a minute.
+      cutOff();
+      CompletableFuture<ChangePage> wait = store.changes("jobs", 3, 1_500);
+      nowMs = 500;
+      commit();
+      last(direct).complete(new Committed(8));
+      second.waits.get(0).complete(new ChangePage.Changes(List.of(), 5));
+      wait.join();
+      store.changes("jobs", 5, 1_500);
+      assertEquals(1, direct.waits.size());
+      assertEquals(1, second.waits.size());
+    }
+
+    @Test
+    void tellItIfTheDirectOneFails() {
+      store.changes("jobs", 3, 1_500);
+      direct.waits.get(0).complete(new ChangePage.Failed("503"));
+      second.waits.get(0).complete(new ChangePage.Changes(List.of(), 5));
+      assertEquals(List.of("relayed", "cut off n2"), heard);
+    }
+  }
+
+  @Nested
+  final class AwayForAll {
+    @Test
+    void givesUpAndAsksNobodyForAWhile() {
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(direct).complete(new Refused("503"));
+      last(second).complete(new Refused("503"));
+      last(third).complete(new Refused("503"));
+      assertInstanceOf(Refused.class, commit.join());
+      assertEquals(List.of("failed"), heard);
+      CompletableFuture<CommitOutcome> later = commit();
+      last(direct).complete(new Refused("503"));
+      assertInstanceOf(Refused.class, later.join());
+      assertEquals(1, second.commits.size());
+    }
+
+    @Test
+    void callsDirectlyWhenTheHelpersAreGone() {
+      cutOff();
+      CompletableFuture<CommitOutcome> commit = commit();
+      last(second).complete(new Refused("not sent"));
+      last(third).complete(new Refused("not sent"));
+      last(direct).complete(new Committed(9));
+      assertEquals(new Committed(9), commit.join());
+    }
+  }
+}
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -53,6 +53,12 @@
           .help("Runs that were stopped, by cause; repeated orders are not counted.")
           .labelNames("cause")
           .register(registry);
+  private final Counter relayed =
+      Counter.builder()
+          .name("bambootray_job_store_relays")
+          .help("Calls of the store that needed other nodes, by whether one of them had an answer.")
+          .labelNames("outcome")
+          .register(registry);
   private final Counter controlSeconds =
       Counter.builder()
           .name("bambootray_job_control_seconds")
@@ -98,6 +104,11 @@
     callSeconds.labelValues(kind).observe(durationMs / MS_PER_S);
   }
 
+  /** Notes a call of the store that other nodes were asked to make. */
+  public void relayed(boolean answered) {
+    relayed.labelValues(answered ? "answered" : "failed").inc();
+  }
+
   void commit(long durationMs) {
     commitSeconds.observe(durationMs / MS_PER_S);
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
@@ -15,16 +15,22 @@
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.TaskRecord;
 import dev.bambootray.jobs.model.TaskRecord.State;
+import dev.bambootray.jobs.reach.Peer;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
  * Writes rows as JSON. Unknown members are skipped, so that newer nodes may add some. Tasks are
  * written as short arrays, because the row of a wide job is written often.
  */
 final class JobRowCodec {
+  private static final Pattern ADDRESS = Pattern.compile("[0-9.]{7,15}:[0-9]{1,5}");
+
   private final ObjectMapper json =
       JsonMapper.builder()
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -47,6 +53,16 @@
     return read(value, OwnerRecord.class);
   }
 
+  byte[] encode(Peer node) {
+    return bytes(node);
+  }
+
+  Either<String, Peer> decodePeer(byte[] value) {
+    return read(value, Peer.class)
+        .filterOrElse(
+            JobRowCodec::isWhole, peer -> "the row of a node lacks a member or has a bad address");
+  }
+
   byte[] encode(JobRecord saved) {
     ObjectNode row = json.createObjectNode();
     row.put("job", saved.job());
@@ -87,6 +103,12 @@
     }
   }
 
+  private static boolean isWhole(Peer peer) {
+    return Stream.of(peer.name(), peer.address(), peer.failureDomain(), peer.region())
+            .allMatch(Objects::nonNull)
+        && ADDRESS.matcher(peer.address()).matches();
+  }
+
   private static String letter(State state) {
     return switch (state) {
       case WAITING -> "W";
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
@@ -8,6 +8,9 @@
   /** What the owner keeps of each job, under its identifier. */
   static final String RECORDS = "records";
 
+  /** Where nodes can be asked by other nodes, under their names. */
+  static final String NODES = "nodes";
+
   /** The row that names the owner. */
   static final String OWNER = "owner";
 
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
@@ -0,0 +1,147 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.jobs.reach.Peer;
+import dev.bambootray.jobs.reach.PeerOrder;
+import dev.bambootray.jobs.store.Row;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.RowStore;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells other nodes how to reach this one, and learns how to reach them.
+ *
+ * <p>Each node renews a row of its own. A node whose row has not changed for three intervals is
+ * taken for gone; times are those of this node, so clocks need not agree. A node that is wrongly
+ * taken for alive costs its callers one attempt.
+ */
+public final class NodeDirectory implements AutoCloseable {
+  /** Interval at which a node renews its row; a row tells only where a node can be asked. */
+  private static final long RENEW_MS = 10_000;
+
+  private static final long GONE_AFTER_MS = 3 * RENEW_MS;
+
+  /** Rows of nodes that are gone are removed after this time. */
+  private static final long REMOVED_AFTER_MS = 2 * GONE_AFTER_MS;
+
+  /** Nodes of a deployment start together; the others are looked for again after this time. */
+  private static final long SECOND_READ_MS = 1_500;
+
+  private static final int MOST_NODES = 500;
+
+  private record Seen(long version, long sinceMs) {}
+
+  private final RowStore store;
+  private final ScheduledExecutorService executor;
+  private final JobRowCodec codec = new JobRowCodec();
+  private final DecisionLog log;
+  private final Peer self;
+  private final PeerOrder order;
+  private final Map<String, Seen> seen = new HashMap<>();
+  private int known = -1;
+  private volatile boolean closed;
+
+  /**
+   * Creates a directory.
+   *
+   * @param store the store
+   * @param executor the event loop on which it works
+   * @param log takes what is learned
+   * @param self this node
+   * @param order takes the other nodes
+   */
+  public NodeDirectory(
+      RowStore store,
+      ScheduledExecutorService executor,
+      DecisionLog log,
+      Peer self,
+      PeerOrder order) {
+    this.store = store;
+    this.executor = executor;
+    this.log = log;
+    this.self = self;
+    this.order = order;
+  }
+
+  /** Writes this node's row and reads the others, now and from time to time. */
+  public void start() {
+    executor.execute(this::round);
+    var unused = executor.schedule(this::read, SECOND_READ_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+
+  private void round() {
+    if (closed) {
+      return;
+    }
+    var unused =
+        store
+            .commit(
+                List.of(),
+                List.of(new RowChange(JobTables.NODES, self.name(), codec.encode(self))),
+                CallTimeouts.COMMIT_MS)
+            .thenRunAsync(this::read, executor);
+    var unusedNext = executor.schedule(this::round, RENEW_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void read() {
+    if (closed) {
+      return;
+    }
+    var unused =
+        store
+            .read(JobTables.NODES, "", "", MOST_NODES)
+            .thenAcceptAsync(
+                result ->
+                    result
+                        .peek(this::onPage)
+                        .peekLeft(
+                            error -> log.line("nodes:", self.name(), "unread " + error.message())),
+                executor);
+  }
+
+  private void onPage(RowPage page) {
+    long nowMs = JobNode.now().ms();
+    List<Peer> alive = new ArrayList<>();
+    for (Row row : page.rows()) {
+      Seen last = seen.get(row.key());
+      if (last == null || last.version() != row.version()) {
+        last = new Seen(row.version(), nowMs);
+        seen.put(row.key(), last);
+      }
+      long quietMs = nowMs - last.sinceMs();
+      if (quietMs <= GONE_AFTER_MS) {
+        codec
+            .decodePeer(row.value())
+            .peek(alive::add)
+            .peekLeft(error -> log.line("nodes:", row.key(), "passed over " + error));
+      } else if (quietMs > REMOVED_AFTER_MS) {
+        remove(row);
+      }
+    }
+    seen.keySet().retainAll(page.rows().stream().map(Row::key).toList());
+    order.update(alive);
+    if (alive.size() != known) {
+      known = alive.size();
+      log.line("nodes:", self.name(), "alive=" + known);
+    }
+  }
+
+  private void remove(Row row) {
+    var unused =
+        store.commit(
+            List.of(new RowCondition(JobTables.NODES, row.key(), row.version())),
+            List.of(new RowChange(JobTables.NODES, row.key(), null)),
+            CallTimeouts.COMMIT_MS);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/RelayLog.java
@@ -0,0 +1,42 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.adapters.relay.RelayedRowStore;
+import dev.bambootray.jobs.reach.Peer;
+
+/** Writes and counts how a node reaches the store. */
+public final class RelayLog implements RelayedRowStore.Listener {
+  private final String node;
+  private final DecisionLog log;
+  private final JobMetrics metrics;
+
+  /**
+   * Creates a listener.
+   *
+   * @param node name of this node
+   * @param log takes changes
+   * @param metrics counts calls
+   */
+  public RelayLog(String node, DecisionLog log, JobMetrics metrics) {
+    this.node = node;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void onCutOff(Peer helper) {
+    log.line("store:", node, "reached through another node, first=" + helper.name());
+  }
+
+  @Override
+  public void onRelayed() {
+    metrics.relayed(true);
+  }
+
+  @Override
+  public void onPeersFailed(boolean first) {
+    metrics.relayed(false);
+    if (first) {
+      log.line("store:", node, "not reached through other nodes either");
+    }
+  }
+}
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -96,17 +96,17 @@
     reached();
     if (!stopped) {
       guarded(() -> listener.onContent(rows));
-      follow(first);
+      follow(first, WAIT_MS);
     }
   }
 
-  private void follow(long version) {
+  private void follow(long version, long waitMs) {
     if (stopped) {
       return;
     }
     var unused =
         store
-            .changes(table, version, WAIT_MS)
+            .changes(table, version, waitMs)
             .exceptionally(e -> new ChangePage.Failed("unexpected error " + e))
             .thenAcceptAsync(page -> onChanges(page, version), executor);
   }
@@ -121,12 +121,13 @@
         // One by one, so that an error with one row does not keep the others away.
         changes.rows().forEach(row -> guarded(() -> listener.onChanges(List.of(row))));
       }
-      follow(Math.max(version, changes.version()));
+      follow(Math.max(version, changes.version()), WAIT_MS);
     } else if (page instanceof ChangePage.HistoryLost) {
       readAll("", new ArrayList<>(), -1);
     } else if (page instanceof ChangePage.Failed failed) {
       unreachable(failed.detail());
-      later(() -> follow(version));
+      // Without a wait, so that the return of the store is known at once.
+      later(() -> follow(version, 0));
     }
   }
 
--- /dev/null
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/NodeDirectoryTest.java
@@ -0,0 +1,62 @@
+package dev.bambootray.daemon.jobs;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.jobs.reach.Peer;
+import dev.bambootray.jobs.reach.PeerOrder;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class NodeDirectoryTest {
+  private static final Peer SELF = new Peer("n1", "10.0.0.1:7011", "a", "r");
+  private static final Peer OTHER = new Peer("n2", "10.0.0.2:7011", "a", "r");
+
+  private final ScriptedStore store = new ScriptedStore();
+  private final ManualExecutor executor = new ManualExecutor();
+  private final PeerOrder order = new PeerOrder(SELF);
+  private final NodeDirectory directory =
+      new NodeDirectory(store, executor, DecisionLog.start(), SELF, order);
+
+  @Test
+  void tellsOthersWhereThisNodeIs() {
+    directory.start();
+    executor.runAll();
+    assertEquals(1, store.countOf(JobTables.NODES));
+    assertTrue(order.candidates(0).isEmpty());
+  }
+
+  @Test
+  void learnsOfNodesThatStartTogether() {
+    directory.start();
+    executor.runAll();
+    store.put(JobTables.NODES, OTHER.name(), new JobRowCodec().encode(OTHER));
+    executor.runLater();
+    assertEquals(List.of(OTHER), order.candidates(0));
+  }
+
+  @Test
+  void passesOverRowsThatCannotBeRead() {
+    store.put(JobTables.NODES, "bad", "{\"name\":\"bad\"}".getBytes(UTF_8));
+    store.put(JobTables.NODES, "worse", "\u0000".getBytes(UTF_8));
+    store.put(
+        JobTables.NODES,
+        "address",
+        new JobRowCodec().encode(new Peer("address", "nowhere", "a", "r")));
+    store.put(JobTables.NODES, OTHER.name(), new JobRowCodec().encode(OTHER));
+    directory.start();
+    executor.runAll();
+    assertEquals(List.of(OTHER), order.candidates(0));
+  }
+
+  @Test
+  void keepsWhatItKnowsWhileTheStoreIsAway() {
+    store.put(JobTables.NODES, OTHER.name(), new JobRowCodec().encode(OTHER));
+    directory.start();
+    executor.runAll();
+    store.away = true;
+    executor.runLater();
+    assertEquals(List.of(OTHER), order.candidates(0));
+  }
+}
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/reach/PeerOrder.java
@@ -0,0 +1,70 @@
+package dev.bambootray.jobs.reach;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Orders the nodes that may be asked to call the store.
+ *
+ * <p>It answers a store that turns a third of the nodes away: the node that helped last is asked
+ * first, those that could not help last, and traffic stays in the failure domain and region if it
+ * can. Nodes that ask the same group spread over it.
+ */
+public final class PeerOrder {
+  /** Nodes asked for one call; with a third of them cut off, four in a hundred calls miss. */
+  private static final int MOST_ASKED = 3;
+
+  /** A node that could not help is asked after the others for this long. */
+  private static final long AVOIDED_MS = 2_000;
+
+  private final Peer self;
+  private final Map<String, Long> failedMs = new HashMap<>();
+  private List<Peer> peers = List.of();
+  private String lastHelper = "";
+
+  /**
+   * Creates an order without peers.
+   *
+   * @param self this node
+   */
+  public PeerOrder(Peer self) {
+    this.self = self;
+  }
+
+  /** Replaces the nodes that are known to be alive; this node is left out. */
+  public synchronized void update(List<Peer> alive) {
+    peers = alive.stream().filter(peer -> !peer.name().equals(self.name())).toList();
+    failedMs.keySet().retainAll(peers.stream().map(Peer::name).toList());
+  }
+
+  /** Returns the nodes to ask for a call, best first. */
+  public synchronized List<Peer> candidates(long nowMs) {
+    List<Peer> sorted = new ArrayList<>(peers);
+    sorted.sort(
+        Comparator.comparing((Peer peer) -> isAvoided(peer, nowMs))
+            .thenComparing(peer -> !peer.name().equals(lastHelper))
+            .thenComparing(peer -> !peer.failureDomain().equals(self.failureDomain()))
+            .thenComparing(peer -> !peer.region().equals(self.region()))
+            .thenComparingInt(peer -> (self.name() + '/' + peer.name()).hashCode()));
+    return List.copyOf(sorted.subList(0, Math.min(MOST_ASKED, sorted.size())));
+  }
+
+  /** Notes that a node got an answer of the store. */
+  public synchronized void helped(Peer peer) {
+    lastHelper = peer.name();
+    failedMs.remove(peer.name());
+  }
+
+  /** Notes that a node got none. */
+  public synchronized void failed(Peer peer, long nowMs) {
+    failedMs.put(peer.name(), nowMs);
+  }
+
+  private boolean isAvoided(Peer peer, long nowMs) {
+    Long failed = failedMs.get(peer.name());
+    return failed != null && nowMs - failed < AVOIDED_MS;
+  }
+}
