Tell the owner about accepted jobs beside the store's feed

Ruled out: the owner's load, room, the takeover, which was done at 7.01 s.

Change: a node that has stored a job or a cancellation sends the owner a hint with the identifier. If the feed has not brought the news after 100 ms, the owner reads the rows of that job. A hint carries no state, so one that is late brings nothing back that is gone.

--- /dev/null
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/PeerHints.java
@@ -0,0 +1,39 @@
+package dev.bambootray.adapters.relay;
+
+import dev.bambootray.adapters.httpclient.HttpExchange.Request;
+import dev.bambootray.adapters.httpclient.Peers;
+import dev.bambootray.jobs.reach.PeerOrder;
+import dev.bambootray.ports.JobHints;
+
+/** Sends hints to other nodes; one that is lost is made up for by the store's feed. */
+public final class PeerHints implements JobHints {
+  private static final long CALL_MS = 600;
+
+  private final Peers peers;
+  private final PeerOrder order;
+
+  /**
+   * Creates a sender.
+   *
+   * @param peers connections to other nodes
+   * @param order the nodes that are known
+   */
+  public PeerHints(Peers peers, PeerOrder order) {
+    this.peers = peers;
+    this.order = order;
+  }
+
+  @Override
+  public void tell(String node, Hint hint) {
+    order
+        .find(node)
+        .ifPresent(
+            peer -> {
+              var unused =
+                  peers.send(
+                      peer.address(),
+                      Request.post(RelayCalls.HINT_PATH, RelayCalls.write(hint)),
+                      CALL_MS);
+            });
+  }
+}
--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayCalls.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayCalls.java
@@ -23,6 +23,7 @@
   static final String COMMIT_PATH = "/store/commit";
   static final String READ_PATH = "/store/read";
   static final String CHANGES_PATH = "/store/changes";
+  static final String HINT_PATH = "/jobs/hint";
 
   private static final ObjectMapper JSON =
       JsonMapper.builder()
@@ -65,6 +66,7 @@
     PAGE,
     CHANGES,
     HISTORY_LOST,
+    NOTED,
     FAILED
   }
 
--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayRouter.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayRouter.java
@@ -14,26 +14,34 @@
 import dev.bambootray.jobs.store.ChangePage;
 import dev.bambootray.jobs.store.CommitOutcome;
 import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.JobHints.Hint;
 import dev.bambootray.ports.RowStore;
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
-/** Carries out calls of other nodes on this node's own connections; it never passes them on. */
+/**
+ * Carries out calls of other nodes on this node's own connections, and takes their hints. It never
+ * passes a call on.
+ */
 public final class RelayRouter implements RequestRouter {
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final String JSON = "application/json";
 
   private final RowStore direct;
+  private final Consumer<Hint> hints;
 
   /**
    * Creates a router.
    *
    * @param direct the store as this node itself reaches it
+   * @param hints takes hints
    */
-  public RelayRouter(RowStore direct) {
+  public RelayRouter(RowStore direct, Consumer<Hint> hints) {
     this.direct = direct;
+    this.hints = hints;
   }
 
   @Override
@@ -42,6 +50,7 @@
       case RelayCalls.COMMIT_PATH -> answer(request, CommitCall.class, this::commit);
       case RelayCalls.READ_PATH -> answer(request, ReadCall.class, this::read);
       case RelayCalls.CHANGES_PATH -> answer(request, ChangesCall.class, this::changes);
+      case RelayCalls.HINT_PATH -> answer(request, Hint.class, this::hint);
       default -> PendingResponse.now(ApiResponse.text(NOT_FOUND, "text/plain", "no such call"));
     };
   }
@@ -76,6 +85,11 @@
     return direct.changes(call.table(), call.after(), call.waitMs()).thenApply(RelayRouter::reply);
   }
 
+  private CompletableFuture<Reply> hint(Hint hint) {
+    hints.accept(hint);
+    return CompletableFuture.completedFuture(Reply.of(Result.NOTED, 0));
+  }
+
   private static Reply reply(CommitOutcome outcome) {
     if (outcome instanceof CommitOutcome.Committed committed) {
       return Reply.of(Result.COMMITTED, committed.version());
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayRouterTest.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayRouterTest.java
@@ -18,6 +18,7 @@
 import dev.bambootray.jobs.store.RowChange;
 import dev.bambootray.jobs.store.RowCondition;
 import dev.bambootray.jobs.store.RowPage;
+import dev.bambootray.ports.JobHints.Hint;
 import dev.bambootray.ports.RowStore;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,6 +26,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -36,8 +38,10 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final AnsweringStore answers = new AnsweringStore();
+  private final List<Hint> hinted = new CopyOnWriteArrayList<>();
   private final HttpApiServer server =
-      HttpApiServer.start(group, "127.0.0.1", 0, new RelayRouter(answers), HttpLimits.defaults());
+      HttpApiServer.start(
+          group, "127.0.0.1", 0, new RelayRouter(answers, hinted::add), HttpLimits.defaults());
   private final Peers peers =
       Peers.create(group.next(), new ConnectionPool.Limits(0, 2, 4, 1_000_000));
   private final String address = "127.0.0.1:" + server.port();
@@ -136,6 +140,26 @@
     }
   }
 
+  @Nested
+  final class Hints {
+    @Test
+    void reachTheNodeThatTheyAreFor() {
+      Hint hint = new Hint("j", true);
+      int status =
+          assertInstanceOf(
+                  Answered.class,
+                  peers
+                      .send(
+                          address,
+                          Request.post(RelayCalls.HINT_PATH, RelayCalls.write(hint)),
+                          5_000)
+                      .join())
+              .status();
+      assertEquals(200, status);
+      assertEquals(List.of(hint), hinted);
+    }
+  }
+
   @Nested
   final class MalformedCalls {
     private int status(String path, String body) {
@@ -151,6 +175,7 @@
       assertEquals(400, status(RelayCalls.COMMIT_PATH, "{}"));
       assertEquals(400, status(RelayCalls.READ_PATH, "null"));
       assertEquals(400, status(RelayCalls.CHANGES_PATH, "{\"table\":null}"));
+      assertEquals(400, status(RelayCalls.HINT_PATH, "{}"));
       assertEquals(404, status("/other", "{}"));
       assertEquals(new CommitOutcome.Committed(9), commit());
     }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/FrontDesk.java
@@ -10,6 +10,7 @@
 import dev.bambootray.jobs.store.Row;
 import dev.bambootray.jobs.store.RowChange;
 import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.ports.JobHints.Hint;
 import dev.bambootray.ports.RowStore;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +26,7 @@
   private final OwnerRows owner;
   private final DecisionLog log;
   private final JobMetrics metrics;
+  private final OwnerHints hints;
 
   FrontDesk(
       RowStore store,
@@ -32,13 +34,15 @@
       Declarations declarations,
       OwnerRows owner,
       DecisionLog log,
-      JobMetrics metrics) {
+      JobMetrics metrics,
+      OwnerHints hints) {
     this.store = store;
     this.codec = codec;
     this.declarations = declarations;
     this.owner = owner;
     this.log = log;
     this.metrics = metrics;
+    this.hints = hints;
   }
 
   /** Returns the configuration in force. */
@@ -78,6 +82,9 @@
                       + job.steps().size()
                       + " outcome="
                       + outcome);
+              if (outcome == SubmitOutcome.ACCEPTED) {
+                hints.tell(new Hint(job.id(), false));
+              }
               return outcome;
             });
   }
@@ -145,6 +152,9 @@
         .thenApply(
             outcome -> {
               log.line("front:", job, "cancel outcome=" + outcome);
+              if (outcome == CancelOutcome.CANCELLED) {
+                hints.tell(new Hint(job, true));
+              }
               return outcome;
             });
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -59,6 +59,11 @@
           .help("Calls of the store that needed other nodes, by whether one of them had an answer.")
           .labelNames("outcome")
           .register(registry);
+  private final Counter missedByFeed =
+      Counter.builder()
+          .name("bambootray_job_missed_by_feed")
+          .help("Jobs that the owner looked up because the feed had not brought them.")
+          .register(registry);
   private final Counter controlSeconds =
       Counter.builder()
           .name("bambootray_job_control_seconds")
@@ -109,6 +114,10 @@
     relayed.labelValues(answered ? "answered" : "failed").inc();
   }
 
+  void missedByFeed() {
+    missedByFeed.inc();
+  }
+
   void commit(long durationMs) {
     commitSeconds.observe(durationMs / MS_PER_S);
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -14,6 +14,8 @@
 import dev.bambootray.jobs.scheduling.Now;
 import dev.bambootray.jobs.worker.HoldReply;
 import dev.bambootray.jobs.worker.StartReply;
+import dev.bambootray.ports.JobHints;
+import dev.bambootray.ports.JobHints.Hint;
 import dev.bambootray.ports.JobWorkers;
 import dev.bambootray.ports.PlatformDocuments;
 import dev.bambootray.ports.RowStore;
@@ -33,6 +35,9 @@
 
   private static final long CLAIM_SPREAD_MS = 60;
 
+  /** Time in which the feed of a store that is well brings a job, between regions too. */
+  private static final long HINT_GRACE_MS = 100;
+
   /** Interval of the log line about the load of the pool. */
   private static final long LOAD_LINE_MS = 1_000;
 
@@ -70,7 +75,10 @@
         new Declarations(
             builder.parts.store(), executor, builder.parts.documents(), log, this::onDeclaration);
     loader = new PoolLoader(builder.parts.store(), executor, builder.parts.documents(), codec, log);
-    desk = new FrontDesk(builder.parts.store(), codec, declarations, ownerRows, log, metrics);
+    OwnerHints hints =
+        new OwnerHints(ownerRows, builder.process, builder.parts.hints(), this::onHint);
+    desk =
+        new FrontDesk(builder.parts.store(), codec, declarations, ownerRows, log, metrics, hints);
     // Nodes spread their claims, so that one of them usually meets no rival.
     long claimDelayMs =
         builder.claimDelayMs + Math.floorMod(builder.name.hashCode(), 4) * CLAIM_SPREAD_MS;
@@ -94,6 +102,21 @@
     return desk;
   }
 
+  /** Looks a job up in the store if the feed has not brought the news of it soon. */
+  public void onHint(Hint hint) {
+    var unused =
+        executor.schedule(
+            () -> loop.post(() -> lookIfMissing(hint)), HINT_GRACE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void lookIfMissing(Hint hint) {
+    JobScheduler current = scheduler;
+    if (current != null && current.lacks(hint.job(), hint.cancelled())) {
+      metrics.missedByFeed();
+      loader.look(hint.job());
+    }
+  }
+
   /** Returns whether the node can serve callers: it has a configuration and reaches the store. */
   public boolean isReady() {
     return declarations.newest().isPresent()
@@ -365,6 +388,7 @@
    * @param executor event loop for followers and timers
    * @param log takes decisions
    * @param metrics takes measurements
+   * @param hints tells other nodes about jobs
    */
   public record Parts(
       RowStore store,
@@ -372,5 +396,6 @@
       PlatformDocuments documents,
       ScheduledExecutorService executor,
       DecisionLog log,
-      JobMetrics metrics) {}
+      JobMetrics metrics,
+      JobHints hints) {}
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
@@ -34,6 +34,11 @@
     return key.substring(0, key.length() - CANCEL_SUFFIX.length());
   }
 
+  /** Returns the key that ends the range of all rows of a job in {@link #JOBS}. */
+  static String afterAllOf(String job) {
+    return after(cancelKey(job));
+  }
+
   /** Returns the key that ends a range of one key. */
   static String after(String key) {
     return key + "\u0001";
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -26,6 +26,9 @@
  * workers and among the accepted jobs.
  */
 final class PoolLoader {
+  /** The job, and the mark that it is cancelled. */
+  private static final int ROWS_OF_A_JOB = 2;
+
   private final RowStore store;
   private final ScheduledExecutorService executor;
   private final PlatformDocuments documents;
@@ -53,6 +56,14 @@
     started.start();
   }
 
+  /** Reads what the store has of a job, while the pool is owned. */
+  void look(String job) {
+    Session running = session;
+    if (running != null) {
+      running.look(job);
+    }
+  }
+
   void stop() {
     Session running = session;
     if (running != null) {
@@ -94,6 +105,19 @@
       workers.stop();
     }
 
+    void look(String job) {
+      var unused =
+          store
+              .read(JobTables.JOBS, job, JobTables.afterAllOf(job), ROWS_OF_A_JOB)
+              .thenAcceptAsync(
+                  result ->
+                      result
+                          .peek(page -> jobChanges(page.rows()))
+                          .peekLeft(
+                              error -> log.line("store:", job, "not readable " + error.message())),
+                  executor);
+    }
+
     private TableFollower follower(
         String table, Consumer<List<Row>> content, Consumer<List<Row>> changes) {
       return new TableFollower(
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FrontDeskTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FrontDeskTest.java
@@ -12,6 +12,8 @@
 import dev.bambootray.jobs.model.JobRecord;
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.ports.JobHints.Hint;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +38,7 @@
   private final JobRowCodec codec = new JobRowCodec();
   private final DecisionLog log = DecisionLog.start();
   private final OwnerRows owner = new OwnerRows(store, codec, log);
+  private final List<Object> told = new ArrayList<>();
   private final FrontDesk desk =
       new FrontDesk(
           store,
@@ -44,7 +47,8 @@
               store, new ManualExecutor(), new VersionDocuments(), log, declaration -> {}),
           owner,
           log,
-          JobMetrics.create());
+          JobMetrics.create(),
+          new OwnerHints(owner, "n/1", (node, hint) -> told.add(node + " " + hint), told::add));
 
   private void save(JobPhase phase) {
     store.put(JobTables.RECORDS, "j", codec.encode(new JobRecord("j", phase, 0, List.of())));
@@ -52,6 +56,30 @@
 
   @Nested
   final class Submitting {
+    @Test
+    void tellsTheOwner() {
+      // Jobs waited for 3.7 s beside free workers while the feed of the store was silent.
+      owner.remember(new OwnerRecord("n2/7", 1, 1, false, Map.of()));
+      desk.submit(JOB, TIME_MS).join();
+      desk.cancel("j", TIME_MS).join();
+      assertEquals(List.of("n2 " + new Hint("j", false), "n2 " + new Hint("j", true)), told);
+    }
+
+    @Test
+    void tellsItselfIfItIsTheOwner() {
+      owner.remember(new OwnerRecord("n/1", 1, 1, false, Map.of()));
+      desk.submit(JOB, TIME_MS).join();
+      assertEquals(List.of(new Hint("j", false)), told);
+    }
+
+    @Test
+    void tellsNothingThatIsNotStored() {
+      owner.remember(new OwnerRecord("n/1", 1, 1, false, Map.of()));
+      store.away = true;
+      desk.submit(JOB, TIME_MS).join();
+      assertEquals(List.of(), told);
+    }
+
     @Test
     void storesBeforeItAccepts() {
       assertEquals(SubmitOutcome.ACCEPTED, desk.submit(JOB, TIME_MS).join());
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -98,6 +98,30 @@
     assertTrue(events.contains(new JobEvent.WorkerUnlisted("w1")));
   }
 
+  @Test
+  void looksUpAJobThatTheFeedHasNotBrought() {
+    start();
+    store.feedSilent = true;
+    accept("hinted");
+    store.put(JobTables.JOBS, JobTables.cancelKey("hinted"), new byte[0]);
+    executor.runAll();
+    assertEquals(1, events.size());
+    loader.look("hinted");
+    executor.runAll();
+    assertEquals(
+        List.of(new JobEvent.Accepted(job("hinted")), new JobEvent.CancelRequested("hinted")),
+        events.subList(1, events.size()));
+  }
+
+  @Test
+  void findsNothingOfAJobThatIsForgotten() {
+    // A hint that is sent late must not bring back a job that ended long ago.
+    start();
+    loader.look("forgotten");
+    executor.runAll();
+    assertEquals(1, events.size());
+  }
+
   @Test
   void passesOverAnEntryThatCannotBeRead() {
     // An error with one row ended the following of its table without a word.
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -42,6 +42,9 @@
   /** Whether calls get no answer at all. */
   boolean silent;
 
+  /** Whether waits for changes hear nothing. */
+  boolean feedSilent;
+
   /** Runs after each commit that is applied. */
   Runnable afterCommit = () -> {};
 
@@ -80,6 +83,9 @@
 
   private void tell(Row row) {
     history.add(row);
+    if (feedSilent) {
+      return;
+    }
     for (Watch watch : List.copyOf(watches)) {
       if (watch.table().equals(row.table())) {
         watches.remove(watch);
--- a/jobs/src/main/java/dev/bambootray/jobs/reach/PeerOrder.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/reach/PeerOrder.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Orders the nodes that may be asked to call the store.
@@ -40,6 +41,11 @@
     failedMs.keySet().retainAll(peers.stream().map(Peer::name).toList());
   }
 
+  /** Returns a node by its name, if it is known to be alive. */
+  public synchronized Optional<Peer> find(String name) {
+    return peers.stream().filter(peer -> peer.name().equals(name)).findFirst();
+  }
+
   /** Returns the nodes to ask for a call, best first. */
   public synchronized List<Peer> candidates(long nowMs) {
     List<Peer> sorted = new ArrayList<>(peers);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -86,6 +86,16 @@
     return state.takeEffects();
   }
 
+  /**
+   * Returns whether there is news of a job in the store that no event has brought yet.
+   *
+   * @param id the job, which is stored
+   * @param cancelled whether it is stored that it is cancelled
+   */
+  public boolean lacks(String id, boolean cancelled) {
+    return state.job(id).map(job -> cancelled && !job.phase.isFinal()).orElse(true);
+  }
+
   /** Returns the number of accepted jobs that have not begun, by template. */
   public Map<String, Long> pending() {
     Map<String, Long> pending = new HashMap<>();
