--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
@@ -67,6 +67,25 @@
               check(2.04, 3, size(30, 7_600, 11_000, 23_000), new Trouble(0.9, 0.05, 0.01, 0.15))),
           10);
 
+  private static final JobDeployment THIRD =
+      new JobDeployment(
+          "third",
+          SMALL_POOL_OF_LARGE_VMS,
+          List.of(
+              plan(0.44, 3, size(5, 8_500, 52_000, 110_000), new Trouble(0.2, 0.02, 0.03, 0.05)),
+              order(1.07, 4, 3.4, 15_000, 39_000, 0.005),
+              check(0.331, 3, size(16, 9_500, 11_000, 16_000), new Trouble(0.2, 0.005, 0, 0.15))),
+          4);
+  private static final JobDeployment THIRD_GROWN =
+      new JobDeployment(
+          "third grown",
+          GROWN_POOL_OF_LARGE_VMS,
+          List.of(
+              plan(1.45, 4, size(13, 8_500, 52_000, 110_000), new Trouble(0.2, 0.02, 0.03, 0.05)),
+              order(7.71, 3, 5.4, 15_000, 39_000, 0.005),
+              check(1.14, 3, size(39, 9_500, 11_000, 16_000), new Trouble(0.2, 0.005, 0, 0.15))),
+          10);
+
   /**
    * Workers of a deployment.
    *
@@ -85,7 +104,7 @@
   }
 
   static List<JobDeployment> all() {
-    return List.of(FIRST, SECOND, FIRST_GROWN, SECOND_GROWN);
+    return List.of(FIRST, SECOND, THIRD, FIRST_GROWN, SECOND_GROWN, THIRD_GROWN);
   }
 
   static JobDeployment first() {
@@ -96,6 +115,10 @@
     return SECOND;
   }
 
+  static JobDeployment third() {
+    return THIRD;
+  }
+
   static JobDeployment secondGrown() {
     return SECOND_GROWN;
   }
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobLoad.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobLoad.java
@@ -14,6 +14,9 @@
 
   private static final long BURST_FROM_MS = 12_000;
   private static final long BURST_MS = 4_000;
+  private static final long LONG_BURST_FROM_MS = 11_000;
+  private static final long LONG_BURST_MS = 6_000;
+  private static final double LONG_BURST_FACTOR = 2.2;
   private static final long POISON_MS = 6_000;
   private static final double BURST_FACTOR = 4;
   private static final double OVERLOAD_FACTOR = 1.5;
@@ -66,7 +69,16 @@
       case BURST_OF_CHECKS -> inBurst && kind.name().equals("check") ? BURST_FACTOR : 1;
       case BURST_OF_PLANS -> inBurst && kind.name().equals("plan") ? BURST_FACTOR : 1;
       case BURST_OF_ORDERS -> inBurst && kind.name().equals("order") ? BURST_FACTOR : 1;
-      case USUAL, POISON, CANCELLING, SLOW_WORKERS, FAILING_WORKERS, LOST_RACK -> 1;
+      case BURSTS_TOGETHER ->
+          switch (kind.name()) {
+            case "check" -> inBurst ? BURST_FACTOR : 1;
+            case "order" ->
+                atMs >= LONG_BURST_FROM_MS && atMs < LONG_BURST_FROM_MS + LONG_BURST_MS
+                    ? LONG_BURST_FACTOR
+                    : 1;
+            default -> 1;
+          };
+      case USUAL, POISON, CANCELLING, SLOW_WORKERS, UNEVEN_WORKERS, FAILING_WORKERS, LOST_RACK -> 1;
     };
   }
 
--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobReplay.java
@@ -33,6 +33,8 @@
 
   private static final double SLOW_SPEED = 0.2;
   private static final int SLOW_OF = 6;
+  private static final double UNEVEN_SPEED = 1 / 1.3;
+  private static final int UNEVEN_OF = 3;
   private static final int FAILING_OF = 12;
   private static final long FAULT_FROM_MS = 10_000;
   private static final long FAULT_UNTIL_MS = 17_000;
@@ -92,15 +94,20 @@
   }
 
   private void addWorkers() {
-    int slow = pattern == LoadPattern.SLOW_WORKERS ? deployment.pool().workers() / SLOW_OF : 0;
     // Slow workers are spread over the racks.
     for (int i = 0; i < deployment.pool().workers(); i++) {
-      boolean isSlow = slow > 0 && i % SLOW_OF == 0;
-      pool.addWorkers(
-          1, deployment.pool().perRack(), deployment.pool().capacity(), isSlow ? SLOW_SPEED : 1);
+      pool.addWorkers(1, deployment.pool().perRack(), deployment.pool().capacity(), speed(i));
     }
   }
 
+  private double speed(int worker) {
+    return switch (pattern) {
+      case SLOW_WORKERS -> worker % SLOW_OF == 0 ? SLOW_SPEED : 1;
+      case UNEVEN_WORKERS -> worker % UNEVEN_OF == 0 ? UNEVEN_SPEED : 1;
+      default -> 1;
+    };
+  }
+
   private void declareGuarantees() {
     int each = deployment.guaranteedEach();
     List<Workspace> workspaces = new ArrayList<>();
@@ -220,6 +227,7 @@
     return new JobReplayResult(
         byKind,
         lostCoreSeconds / Math.max(1, wholeWork),
+        lostCoreSeconds,
         slowestGuaranteeMs,
         OfflineBound.of(deployment, arrivals, FINISH_MS));
   }
