Stop runs by value only for a step that can still be saved

A step counted as worth it until three times its allowed time had passed, and the gain was that of being on time even when it was late.

Change: a step stops runs of others only while time is short but long enough to stop and to start; the gain is what being on time, or within three times the allowed time, is worth.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ValuePreemption.java
@@ -19,6 +19,9 @@
   /** A step that can wait longer than this without being late waits for a free place. */
   private static final long PATIENCE_MS = 2_500;
 
+  /** Time until stopped runs have made room and a new one has begun. */
+  private static final long STOP_AND_START_MS = 500;
+
   private final Map<StepRun, Double> urgencies = new HashMap<>();
   private final RunTimes runTimes;
   private final ValueDensityOrder order;
@@ -28,19 +31,32 @@
     this.order = order;
   }
 
-  /** Returns whether a step loses value soon unless it starts, and has value left to lose. */
+  /** Returns whether a step loses value soon unless it starts, and can still be saved. */
   boolean isWorthwhile(StepRun step, long nowMs) {
+    return gain(step, nowMs) > 0;
+  }
+
+  /** Returns whether what is gained is worth what the stopped jobs lose. */
+  boolean pays(StepRun step, ReclaimPlan plan, long nowMs) {
+    return gain(step, nowMs) > LEAST_RETURN * plan.lostValue(order, runTimes, nowMs);
+  }
+
+  /** Returns the value that a step loses unless it starts soon, and keeps if runs are stopped. */
+  private double gain(StepRun step, long nowMs) {
     Job job = step.job;
-    double ageMs = nowMs - job.acceptedMs;
     double allowedMs = order.allowedMs(job, step.occurrence);
-    double slackMs = allowedMs - ageMs - runTimes.remainingChainMs(job, step.occurrence);
-    return slackMs < PATIENCE_MS && ageMs < ValueDensityOrder.LATE_FACTOR * allowedMs;
+    double endMs = nowMs - job.acceptedMs + runTimes.remainingChainMs(job, step.occurrence);
+    if (isSaved(allowedMs - endMs)) {
+      return (1 - ValueDensityOrder.LATE_SHARE) * order.fullValue(job);
+    }
+    return isSaved(ValueDensityOrder.LATE_FACTOR * allowedMs - endMs)
+        ? ValueDensityOrder.LATE_SHARE * order.fullValue(job)
+        : 0;
   }
 
-  /** Returns whether being on time is worth what the stopped jobs lose. */
-  boolean pays(StepRun step, ReclaimPlan plan, long nowMs) {
-    double gain = (1 - ValueDensityOrder.LATE_SHARE) * order.fullValue(step.job);
-    return gain > LEAST_RETURN * plan.lostValue(order, runTimes, nowMs);
+  /** Returns whether time is short, but long enough to stop runs and to start. */
+  private static boolean isSaved(double slackMs) {
+    return slackMs >= STOP_AND_START_MS && slackMs < PATIENCE_MS;
   }
 
   /** Begins a round of placement: urgencies are worked out once for each step and round. */
