Let a step with a guarantee wait longer for the right rack

Change: such a step takes another rack after 1.5 s instead of 0.9 s. A guarantee must be met within 2.9 s on the tightest deployment, with a stop of 0.4 s, its listing and the start after that.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -22,7 +22,7 @@
   private static final int RIGHT_RACK_WAIT_RUNS = 4;
 
   /** A guarantee must be met within 2.9 s on the tightest deployment, a stop included. */
-  private static final long COVERED_RACK_WAIT_MS = 900;
+  private static final long COVERED_RACK_WAIT_MS = 1_500;
 
   /** Wide gangs for which workers are kept free at a time, at least; more would idle the pool. */
   private static final int LEAST_DRAINS = 2;
