Test reclaims by value, news of jobs and the replays of the third deployment

Tests of the changes before: an urgent job that can be on time stops long work, one that is late anyway stops nothing, one that is about to lose all value does. The third deployment is held to the better baseline under every load.

Tried and reverted: gangs that avoid workers on which tasks progress slower than their siblings.

--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpLimits.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpLimits.java
@@ -27,4 +27,10 @@
   public static HttpLimits defaults() {
     return new HttpLimits(2_048, 256 * 1024, 16 * 1024, 8 * 1024, 2, 10_000, 75_000, 300_000);
   }
+
+  /** Returns the same bounds with another largest body. */
+  public HttpLimits withBodyBytes(int value) {
+    return new HttpLimits(
+        connections, value, headerBytes, lineBytes, pipelined, receiveMs, idleMs, waitMs);
+  }
 }
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayRouterTest.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayRouterTest.java
@@ -33,6 +33,7 @@
 
 /** The calls of one node as another one carries them out, over loopback. */
 final class RelayRouterTest {
+  private static final HttpLimits LIMITS = HttpLimits.defaults().withBodyBytes(2 * 1024 * 1024);
   private static final Row ROW = new Row("jobs", "k", "hi".getBytes(UTF_8), 7, false);
 
   private final EventLoopGroup group =
@@ -40,8 +41,7 @@
   private final AnsweringStore answers = new AnsweringStore();
   private final List<Hint> hinted = new CopyOnWriteArrayList<>();
   private final HttpApiServer server =
-      HttpApiServer.start(
-          group, "127.0.0.1", 0, new RelayRouter(answers, hinted::add), HttpLimits.defaults());
+      HttpApiServer.start(group, "127.0.0.1", 0, new RelayRouter(answers, hinted::add), LIMITS);
   private final Peers peers =
       Peers.create(group.next(), new ConnectionPool.Limits(0, 2, 4, 1_000_000));
   private final String address = "127.0.0.1:" + server.port();
@@ -99,6 +99,14 @@
       assertEquals(null, answers.written.get(1).value());
     }
 
+    @Test
+    void carriesTheLargestTransactionOver() {
+      RowChange large = new RowChange("records", "k", new byte[1_000_000]);
+      assertEquals(
+          new CommitOutcome.Committed(9), store.commit(List.of(), List.of(large), 5_000).join());
+      assertEquals(1_000_000, answers.written.get(0).value().length);
+    }
+
     @Test
     void carriesEachOutcomeOver() {
       answers.outcome = new CommitOutcome.Conflict(List.of(ROW));
--- a/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
+++ b/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
@@ -48,6 +48,12 @@
       assertBetter(JobDeployment.second(), pattern);
     }
 
+    @ParameterizedTest
+    @EnumSource(LoadPattern.class)
+    void thirdDeploymentIsServedBetter(LoadPattern pattern) {
+      assertBetter(JobDeployment.third(), pattern);
+    }
+
     @Test
     @Tag("known-red")
     void firstDeploymentIsServedBetterInABurstOfChecks() {
--- /dev/null
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobSchedulerNewsTest.java
@@ -0,0 +1,60 @@
+package dev.bambootray.jobs.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.model.StepSpec;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What a scheduler knows of jobs that it is given hints of. */
+final class JobSchedulerNewsTest {
+  private static final Now NOW = new Now(1_000, 1_000);
+  private static final JobSpec JOB =
+      new JobSpec(
+          "j",
+          "w",
+          "t",
+          "s",
+          "p",
+          List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
+          new JobSpec.Objective(1, 1, 1, 1),
+          JobSpec.Schedule.ONCE,
+          1);
+
+  private final JobScheduler scheduler = JobScheduler.create(JobTimes.within(10_000));
+
+  JobSchedulerNewsTest() {
+    handle(
+        new JobEvent.TookOver(
+            new JobDeclaration(0, List.of(), Map.of(), List.of(), 0),
+            List.of(),
+            Map.of(),
+            Set.of(),
+            List.of()));
+  }
+
+  private void handle(JobEvent event) {
+    List<JobEffect> unused = scheduler.handle(event, NOW);
+  }
+
+  @Test
+  void lacksAJobUntilItIsAccepted() {
+    assertTrue(scheduler.lacks("j", false));
+    handle(new JobEvent.Accepted(JOB));
+    assertFalse(scheduler.lacks("j", false));
+  }
+
+  @Test
+  void lacksACancellationUntilItIsCarriedOut() {
+    handle(new JobEvent.Accepted(JOB));
+    assertTrue(scheduler.lacks("j", true));
+    handle(new JobEvent.CancelRequested("j"));
+    assertFalse(scheduler.lacks("j", true));
+  }
+}
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -300,6 +300,41 @@
       assertTrue(rig.hasStarted("third"));
     }
 
+    private static StepSpec longTasks() {
+      return StepSpec.builder(8, accelerators(1)).estimateMs(60_000).build();
+    }
+
+    @Test
+    void stopsLongWorkForAnUrgentJobThatCanStillBeInTime() {
+      SchedulerRig rig = rig(1);
+      rig.submit("long", 2, 60_000, longTasks());
+      rig.run(1_000);
+      rig.submit("urgent", 0, 1_000, gang(1, 8));
+      rig.run(4_000);
+      assertEquals(JobPhase.COMPLETED, rig.phase("urgent"));
+    }
+
+    @Test
+    void stopsNothingForAnUrgentJobThatIsLateAnyway() {
+      // 114 reclaims by value on one day, many for jobs that were late already.
+      SchedulerRig rig = rig(1);
+      rig.submit("long", 2, 60_000, longTasks());
+      rig.run(1_000);
+      rig.submitUnheard("urgent", 0, 1_000, 4_000, gang(1, 8));
+      rig.run(3_000);
+      assertFalse(rig.pool.decisions().stream().anyMatch(line -> line.contains("reclaim step")));
+    }
+
+    @Test
+    void stopsWorkForALateJobBeforeItLosesAllValue() {
+      SchedulerRig rig = rig(1);
+      rig.submit("long", 2, 60_000, longTasks());
+      rig.run(1_000);
+      rig.submitUnheard("urgent", 0, 1_000, 9_000, gang(1, 8));
+      rig.run(2_500);
+      assertEquals(JobPhase.COMPLETED, rig.phase("urgent"));
+    }
+
     @Test
     void doesNotStopWorkForAJobThatCanWait() {
       SchedulerRig rig = rig(1);
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -81,14 +81,19 @@
   }
 
   void submit(String id, int priority, long taskMs, StepSpec... steps) {
-    submit(id, priority, JobWork.of(taskMs), steps);
+    submit(id, priority, JobWork.of(taskMs), 0, steps);
+  }
+
+  /** Submits a job that the owner hears of only some time after its acceptance. */
+  void submitUnheard(String id, int priority, long taskMs, long unheardMs, StepSpec... steps) {
+    submit(id, priority, JobWork.of(taskMs), unheardMs, steps);
   }
 
   void submitPoison(String id, StepSpec step) {
-    submit(id, 1, JobWork.poison(POISON_WORK_MS), step);
+    submit(id, 1, JobWork.poison(POISON_WORK_MS), 0, step);
   }
 
-  private void submit(String id, int priority, JobWork work, StepSpec... steps) {
+  private void submit(String id, int priority, JobWork work, long unheardMs, StepSpec... steps) {
     pool.submit(
         new JobSpec(
             id,
@@ -99,7 +104,7 @@
             List.of(steps),
             new JobSpec.Objective(priority, 2, 3.0, 1_000),
             JobSpec.Schedule.ONCE,
-            pool.wallMs()),
+            pool.wallMs() - unheardMs),
         work);
   }
 
