Wait for changes of the store on one way only

A follower whose wait for changes had failed after 2.4 s, because the feed was silent for all, waited through up to three other nodes in turn, each for 2.4 s, before it read anew.

Only a node that is found to be cut off while it waits asks another one as well.

Ruled out: a relayed feed that is behind, since the other node asks the store itself.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/StoreRace.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/StoreRace.java
@@ -12,6 +12,9 @@
 /**
  * One call of the store on its ways; the first answer wins. If there is none, an attempt that may
  * have been carried out decides over those that certainly were not.
+ *
+ * <p>A wait for changes is made on one way only, unless this node is found to be cut off meanwhile:
+ * each failed wait has taken seconds, and whoever waits has to read anew soon.
  */
 final class StoreRace<T> {
   private final RelayedRowStore ways;
@@ -89,7 +92,9 @@
     synchronized (this) {
       directFailed = true;
     }
-    askPeers();
+    if (!patient) {
+      askPeers();
+    }
     lose(outcome);
   }
 
@@ -124,6 +129,10 @@
     synchronized (this) {
       last = candidates.isEmpty() && !result.isDone();
     }
+    if (patient) {
+      lose(outcome);
+      return;
+    }
     if (last) {
       ways.peersFailed();
       askDirectly();
