--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class RelayedRowStoreTest {
@@ -30,6 +31,7 @@
   private final FakeStore second = new FakeStore();
   private final FakeStore third = new FakeStore();
   private final List<Runnable> timers = new ArrayList<>();
+  private final List<Long> delaysMs = new ArrayList<>();
   private final List<String> heard = new ArrayList<>();
   private final PeerOrder order = new PeerOrder(SELF);
   private long nowMs;
@@ -43,6 +45,7 @@
   }
 
   private Runnable runLater(Runnable action, long delayMs) {
+    delaysMs.add(delayMs);
     timers.add(action);
     return () -> timers.remove(action);
   }
@@ -200,6 +203,16 @@
       assertEquals(1, second.waits.size());
     }
 
+    @Test
+    @Tag("known-red")
+    void doNotLengthenThePatienceWithOtherCalls() {
+      store.changes("op", 3, 1_500);
+      nowMs = 1_500;
+      direct.waits.get(0).complete(new ChangePage.Changes(List.of(), 5));
+      commit();
+      assertEquals(List.of(300L), delaysMs);
+    }
+
     @Test
     void endWithTheDirectOne() {
       // A feed that was silent for all was waited for through three nodes in turn, 10 s in all,
