End calls of the store in time on all their ways

Cause: a call went directly, and then through up to three other nodes, for 3 s in all, so that callers of a store that was away for all were held until they gave up. The time of waits for changes also counted as that of an answer, so that another node was asked after 6 s instead of 0.3 s; without mending that, the bound would have kept silent stores from being reached through others at all.

Change: a call ends after the time that it was given, as unknown if an attempt may still be carried out. Waits do not count.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
@@ -27,6 +27,9 @@
  * the conflict with the first.
  */
 public final class RelayedRowStore implements RowStore {
+  /** Time for a reading on all its ways; a direct one alone may take 1 s. */
+  private static final long READ_MS = 1_300;
+
   private final RowStore direct;
   private final Function<String, RowStore> peerStores;
   private final StoreRoute route;
@@ -109,7 +112,8 @@
           public CommitOutcome failed(Throwable error) {
             return new CommitOutcome.Unknown("unexpected error " + error);
           }
-        });
+        },
+        timeoutMs);
   }
 
   @Override
@@ -131,7 +135,8 @@
           public Either<StoreError, RowPage> failed(Throwable error) {
             return Either.left(new StoreError(table, "unexpected error " + error, false));
           }
-        });
+        },
+        READ_MS);
   }
 
   @Override
@@ -167,10 +172,14 @@
             });
   }
 
-  /** Makes a call that is answered soon if at all. */
-  private <T> CompletableFuture<T> impatient(StoreCall<T> call) {
+  /** Makes a call that is answered soon if at all, and ends it after a time on all its ways. */
+  private <T> CompletableFuture<T> impatient(StoreCall<T> call, long limitMs) {
     StoreRace<T> race = new StoreRace<>(this, call, false);
     race.start(route.next(nowMs()));
+    if (!race.result().isDone()) {
+      Runnable cancel = timers.runLater(race::giveUp, limitMs);
+      var unused = race.result().whenComplete((outcome, error) -> cancel.run());
+    }
     if (!race.result().isDone() && !peers().isEmpty()) {
       Runnable cancel = timers.runLater(race::askPeers, route.patienceMs());
       var unused = race.result().whenComplete((outcome, error) -> cancel.run());
--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/StoreRace.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/StoreRace.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -64,6 +65,15 @@
     askNextPeer();
   }
 
+  /** Ends the call if it has no answer yet; an attempt on its way may still be carried out. */
+  void giveUp() {
+    T end;
+    synchronized (this) {
+      end = unknown != null ? unknown : call.failed(new TimeoutException("no answer in time"));
+    }
+    result.complete(end);
+  }
+
   private synchronized boolean hasOutstanding() {
     return outstanding > 0;
   }
@@ -85,7 +95,8 @@
 
   private void onDirect(T outcome, long sentMs) {
     if (call.verdict(outcome) == Verdict.ANSWERED) {
-      ways.answeredDirectly(sentMs);
+      // A wait took its time by intent, which tells nothing about the store.
+      ways.answeredDirectly(patient ? ways.nowMs() : sentMs);
       result.complete(outcome);
       return;
     }
