--- a/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
+++ b/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
@@ -48,7 +48,8 @@
   static NodeProcess create(String name, Path jar, Path directory, int storePort) {
     int frontPort = FreePorts.next();
     int readyPort = FreePorts.next();
-    int metricsPort = FreePorts.next();
+    // The port for other nodes follows the one for metrics.
+    int metricsPort = FreePorts.nextPair();
     byte[] settings =
         Documents.settings(name, frontPort, readyPort, metricsPort, storePort, GRACE_S);
     try {
--- a/standins/src/main/java/dev/bambootray/standins/FreePorts.java
+++ b/standins/src/main/java/dev/bambootray/standins/FreePorts.java
@@ -30,6 +30,17 @@
     throw new IllegalStateException("no free port from " + FIRST + " to " + (FIRST + COUNT - 1));
   }
 
+  /** Returns the first of two adjacent ports, both as from {@link #next}. */
+  public static int nextPair() {
+    int first = next();
+    int second = next();
+    while (second != first + 1) {
+      first = second;
+      second = next();
+    }
+    return first;
+  }
+
   private static boolean isFree(int port) {
     try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
       return socket.isBound();
