Start no run in a closed failure domain

Cause: an operator closes a failure domain by a row of the store that no part of the product read.

Change: the declaration in force holds the closed domains, which every node follows in the table of the declaration. The owner excludes their workers from placement, reservations and reclaims, drops decisions that are stored but not sent, and does not repeat unanswered starts there. Runs that work in a closed domain go on, since nothing of the rule asks to lose their work; jobs wait if all domains are closed, and start when one is opened.

After a pause the follower now reads its table again by the same path as after a lost history, which replaces a second reader beside it.

Ruled out: stopping the runs of a closed domain, which would throw their work away; a condition on the operator's row in each commit, since the store allows no transaction over several partitions.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
@@ -1,49 +1,67 @@
 package dev.bambootray.daemon.jobs;
 
-import dev.bambootray.core.store.StoreError;
 import dev.bambootray.jobs.model.JobDeclaration;
 import dev.bambootray.jobs.scheduling.EventTime;
 import dev.bambootray.jobs.store.Row;
-import dev.bambootray.jobs.store.RowReadPage;
 import dev.bambootray.ports.PlatformDocumentReader;
 import dev.bambootray.ports.RowStore;
-import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Follows the declaration that the operator publishes and notifies a listener of each new version.
+ * Follows the declaration that the operator publishes, together with the failure domains that are
+ * closed, and notifies a listener of each change.
  *
  * <p>A version that is not newer than the current one is ignored.
  */
 final class DeclarationFollower implements TableFollower.Listener {
+  /** Receives what the follower finds out, on the event loop. */
+  interface Listener {
+    /** Handles a declaration that replaces the one before. */
+    void onDeclaration(JobDeclaration declaration);
+
+    /**
+     * Handles that the last declaration was the newest one as of a time.
+     *
+     * @param asOfMs the time by {@link JobNode#now}
+     * @param pauseCount value of {@link #pauseCount} that this holds for; a pause that was noticed
+     *     later invalidates it
+     */
+    default void onConfirmed(long asOfMs, int pauseCount) {}
+  }
+
   private final PlatformDocumentReader documents;
   private final DecisionLog log;
-  private final Consumer<JobDeclaration> listener;
-  private final RowStore store;
+  private final Listener listener;
   private final ScheduledExecutorService executor;
   private final TableFollower follower;
   private final PauseDetector pauseDetector;
   private volatile @Nullable JobDeclaration newest;
   private volatile boolean reachable = true;
 
-  /** Whether the declaration may have been replaced while the process was paused. */
-  private volatile boolean possiblyStale;
+  /** The failure domains that are closed; used on the event loop only. */
+  private final Set<String> closedDomains = new TreeSet<>();
+
+  /** Number of pauses of the process; the declaration may have been replaced during each. */
+  private final AtomicInteger pauses = new AtomicInteger();
+
+  /** Number of pauses before the newest full read began; used on the event loop only. */
+  private int pausesBeforeRead;
 
-  private final AtomicInteger pauseCount = new AtomicInteger();
+  /** Number of pauses before the newest completed full read began. */
+  private volatile int pausesBeforeContent;
 
   DeclarationFollower(
       RowStore store,
       ScheduledExecutorService executor,
       PlatformDocumentReader documents,
       DecisionLog log,
-      Consumer<JobDeclaration> listener) {
-    this.store = store;
+      Listener listener) {
     this.executor = executor;
     this.documents = documents;
     this.log = log;
@@ -71,39 +89,36 @@
    * may have been revoked during the pause.
    */
   Optional<JobDeclaration> inForce(EventTime now) {
+    checkForPause(now);
+    return isPossiblyStale() ? Optional.empty() : newest();
+  }
+
+  /** Returns whether the declaration may have been replaced during a pause of the process. */
+  boolean isPossiblyStale(EventTime now) {
+    checkForPause(now);
+    return isPossiblyStale();
+  }
+
+  /** Returns how many pauses of the process were noticed. */
+  int pauseCount() {
+    return pauses.get();
+  }
+
+  private void checkForPause(EventTime now) {
     if (pauseDetector.pausedSinceLastCall(now)) {
       log.line("config:", "-", "read again after a pause of the process");
-      possiblyStale = true;
-      readAgain(pauseCount.incrementAndGet());
+      pauses.incrementAndGet();
+      executor.execute(this::readAgain);
     }
-    return possiblyStale ? Optional.empty() : newest();
   }
 
-  /** Reads the declaration, with retries, until it succeeds or a later pause starts a new read. */
-  private void readAgain(int pause) {
-    String key = documents.declarationKey();
-    var unused =
-        store
-            .read(documents.declarationTable(), key, JobTables.keyAfter(key), 1)
-            .exceptionally(e -> Either.left(new StoreError(key, "unexpected error " + e, false)))
-            .thenAcceptAsync(result -> onReadAgain(result, pause), executor);
+  private void readAgain() {
+    pausesBeforeRead = pauses.get();
+    follower.readAgain();
   }
 
-  private void onReadAgain(Either<StoreError, RowReadPage> result, int pause) {
-    if (pause != pauseCount.get()) {
-      return;
-    }
-    if (result.isLeft()) {
-      var unused =
-          executor.schedule(() -> readAgain(pause), TableFollower.RETRY_MS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    try {
-      onChanges(result.get().rows());
-    } catch (RuntimeException e) {
-      onFault(e); // An unreadable row leaves the current declaration in force.
-    }
-    possiblyStale = false;
+  private boolean isPossiblyStale() {
+    return pausesBeforeContent != pauses.get();
   }
 
   boolean isReachable() {
@@ -112,16 +127,35 @@
 
   @Override
   public void onContent(List<Row> rows) {
-    onChanges(rows);
+    closedDomains.clear();
+    rows.forEach(row -> documents.closedDomain(row.key()).ifPresent(closedDomains::add));
+    try {
+      rows.forEach(this::acceptIfDeclaration);
+    } finally {
+      // An unreadable declaration leaves the current one in force; closed domains still apply.
+      publish();
+      pausesBeforeContent = pausesBeforeRead;
+    }
   }
 
   @Override
   public void onChanges(List<Row> rows) {
     for (Row row : rows) {
-      if (row.key().equals(documents.declarationKey()) && !row.removed()) {
-        documents.declaration(row).ifPresent(this::accept);
-      }
+      documents
+          .closedDomain(row.key())
+          .ifPresent(
+              domain -> {
+                boolean unused =
+                    row.removed() ? closedDomains.remove(domain) : closedDomains.add(domain);
+              });
+      acceptIfDeclaration(row);
     }
+    publish();
+  }
+
+  @Override
+  public void onConfirmed(long asOfMs) {
+    listener.onConfirmed(asOfMs, pausesBeforeContent);
   }
 
   @Override
@@ -135,12 +169,17 @@
     log.failure("config:", documents.declarationTable(), "rows were not handled", fault);
   }
 
+  private void acceptIfDeclaration(Row row) {
+    if (row.key().equals(documents.declarationKey()) && !row.removed()) {
+      documents.declaration(row).ifPresent(this::accept);
+    }
+  }
+
   private void accept(JobDeclaration declaration) {
     JobDeclaration current = newest;
     if (current != null && declaration.version() <= current.version()) {
       return;
     }
-    newest = declaration;
     log.line(
         "config:",
         "-",
@@ -150,6 +189,20 @@
             + declaration.templates().size()
             + " workspaces="
             + declaration.workspaces().size());
-    listener.accept(declaration);
+    setNewest(declaration.withClosedDomains(closedDomains));
+  }
+
+  /** Puts a change of the closed failure domains in force. */
+  private void publish() {
+    JobDeclaration current = newest;
+    if (current != null && !current.closedDomains().equals(closedDomains)) {
+      log.line("config:", "-", "closed failure domains " + closedDomains);
+      setNewest(current.withClosedDomains(closedDomains));
+    }
+  }
+
+  private void setNewest(JobDeclaration declaration) {
+    newest = declaration;
+    listener.onDeclaration(declaration);
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -85,6 +85,12 @@
           .help("Accelerators without a run, at the owner.")
           .register(registry);
 
+  private final Gauge runsInClosedDomains =
+      Gauge.builder()
+          .name("bambootray_job_runs_in_closed_domains")
+          .help("Runs on workers of closed failure domains, at the owner.")
+          .register(registry);
+
   /** Returns metrics in a registry of their own. */
   public static JobMetrics create() {
     return new JobMetrics();
@@ -141,5 +147,6 @@
   void setLoad(JobScheduler.Load load) {
     open.set((double) load.openJobs());
     free.set((double) load.freeAccelerators());
+    runsInClosedDomains.set((double) load.runsInClosedDomains());
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -19,6 +19,7 @@
 import dev.bambootray.ports.JobWorkerGateway;
 import dev.bambootray.ports.PlatformDocumentReader;
 import dev.bambootray.ports.RowStore;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -40,6 +41,9 @@
 
   private static final long LOAD_LOG_INTERVAL_MS = 1_000;
 
+  private static final JobEvent.DeclarationConfirmed UNCONFIRMED =
+      new JobEvent.DeclarationConfirmed(JobEvent.DeclarationConfirmed.NEVER);
+
   private final String name;
   private final SchedulerTimes times;
   private final ScheduledExecutorService executor;
@@ -55,6 +59,7 @@
   private final ScheduledFuture<?> ticks;
   private final CompletableFuture<Boolean> released = new CompletableFuture<>();
   private @Nullable JobScheduler scheduler;
+  private JobEvent.DeclarationConfirmed confirmation = UNCONFIRMED;
   private long epoch;
   private long nextLoadLineMs;
   private boolean releasing;
@@ -71,7 +76,11 @@
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log);
     declarations =
         new DeclarationFollower(
-            builder.parts.store(), executor, builder.parts.documents(), log, this::onDeclaration);
+            builder.parts.store(),
+            executor,
+            builder.parts.documents(),
+            log,
+            new DeclarationListener());
     loader = new PoolLoader(builder.parts.store(), executor, builder.parts.documents(), codec, log);
     OwnerHintSender hints =
         new OwnerHintSender(ownerRows, builder.process, builder.parts.hints(), this::onHint);
@@ -167,8 +176,23 @@
     }
   }
 
-  private void onDeclaration(JobDeclaration declaration) {
-    loop.post(() -> onScheduler(new JobEvent.DeclarationChanged(declaration)));
+  /** Passes what is found out about the declaration to the control thread. */
+  private final class DeclarationListener implements DeclarationFollower.Listener {
+    @Override
+    public void onDeclaration(JobDeclaration declaration) {
+      loop.post(() -> onScheduler(new JobEvent.DeclarationChanged(declaration)));
+    }
+
+    @Override
+    public void onConfirmed(long asOfMs, int pauseCount) {
+      loop.post(
+          () -> {
+            if (pauseCount == declarations.pauseCount()) {
+              confirmation = new JobEvent.DeclarationConfirmed(asOfMs);
+              onScheduler(confirmation);
+            }
+          });
+    }
   }
 
   private void onLease(LeaseEvent event) {
@@ -217,6 +241,7 @@
     }
     if (event instanceof JobEvent.TookOver) {
       scheduler = JobScheduler.create(times);
+      onScheduler(confirmation);
     }
     onScheduler(event);
   }
@@ -232,13 +257,13 @@
     if (current == null) {
       return;
     }
+    EventTime now = now();
     try {
-      for (JobEffect effect : current.handle(event, now())) {
-        if (scheduler != current) {
-          return; // Ownership of the pool was lost while the effects were carried out.
-        }
-        carryOut(effect);
+      if (!confirmation.equals(UNCONFIRMED) && declarations.isPossiblyStale(now)) {
+        confirmation = UNCONFIRMED;
+        carryOut(current, current.handle(confirmation, now));
       }
+      carryOut(current, current.handle(event, now));
     } catch (RuntimeException e) {
       // A failed event may leave inconsistent state; the next owner reads it from the store again.
       log.failure("sched:", name, "event " + event.getClass().getSimpleName() + " failed", e);
@@ -246,6 +271,15 @@
     }
   }
 
+  private void carryOut(JobScheduler from, List<JobEffect> effects) {
+    for (JobEffect effect : effects) {
+      if (scheduler != from) {
+        return; // Ownership of the pool was lost while the effects were carried out.
+      }
+      carryOut(effect);
+    }
+  }
+
   private void carryOut(JobEffect effect) {
     if (effect instanceof JobEffect.Persist persist) {
       onLease(new LeaseEvent.Persist(persist));
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -27,6 +27,13 @@
     /** Handles a change of whether the store answers. */
     void onReachable(boolean reachable, String detail);
 
+    /**
+     * Handles that all changes up to a time were delivered.
+     *
+     * @param asOfMs the time by {@link JobNode#now}
+     */
+    default void onConfirmed(long asOfMs) {}
+
     /** Handles an exception that this listener threw for some rows; the table is followed on. */
     void onFault(RuntimeException fault);
   }
@@ -49,6 +56,9 @@
   private volatile boolean stopped;
   private boolean reachable = true;
 
+  /** Number of the newest full read; answers to calls of earlier ones are ignored. */
+  private int reading;
+
   TableFollower(
       RowStore store, ScheduledExecutorService executor, String table, Listener listener) {
     this.store = store;
@@ -58,79 +68,114 @@
   }
 
   void start() {
-    executor.execute(() -> readAll("", new ArrayList<>(), -1));
+    executor.execute(this::readAgain);
+  }
+
+  /** Reads the table in full again; must be called on the event loop. */
+  void readAgain() {
+    reading++;
+    readAll(new Progress(reading, JobNode.now().ms()), "");
   }
 
   void stop() {
     stopped = true;
   }
 
-  private void readAll(String from, List<Row> rows, long version) {
-    if (stopped) {
+  /** Collects the pages of one full read. */
+  private static final class Progress {
+    private final int reading;
+    private final long startMs;
+    private final List<Row> rows = new ArrayList<>();
+
+    /** Version of the first page; following from it misses no change made during the read. */
+    private long version = -1;
+
+    private Progress(int reading, long startMs) {
+      this.reading = reading;
+      this.startMs = startMs;
+    }
+  }
+
+  private void readAll(Progress progress, String from) {
+    if (isOutdated(progress.reading)) {
       return;
     }
     var unused =
         store
             .read(table, from, "", PAGE_ROWS)
             .exceptionally(e -> Either.left(new StoreError(table, "unexpected error " + e, false)))
-            .thenAcceptAsync(
-                result -> {
-                  if (result.isLeft()) {
-                    markUnreachable(result.getLeft().message());
-                    scheduleRetry(() -> readAll("", new ArrayList<>(), -1));
-                    return;
-                  }
-                  onPage(result.get(), rows, version);
-                },
-                executor);
-  }
-
-  private void onPage(RowReadPage page, List<Row> rows, long version) {
-    rows.addAll(page.rows());
-    // Following starts at the version of the first page, so changes during paging are not missed.
-    long first = version < 0 ? page.version() : version;
+            .thenAcceptAsync(result -> onRead(progress, result), executor);
+  }
+
+  private void onRead(Progress progress, Either<StoreError, RowReadPage> result) {
+    if (isOutdated(progress.reading)) {
+      return;
+    }
+    if (result.isLeft()) {
+      markUnreachable(result.getLeft().message());
+      scheduleRetry(
+          () -> {
+            if (!isOutdated(progress.reading)) {
+              readAgain();
+            }
+          });
+      return;
+    }
+    RowReadPage page = result.get();
+    progress.rows.addAll(page.rows());
+    progress.version = progress.version < 0 ? page.version() : progress.version;
     if (page.more() && !page.rows().isEmpty()) {
-      readAll(JobTables.keyAfter(page.rows().get(page.rows().size() - 1).key()), rows, first);
+      readAll(progress, JobTables.keyAfter(page.rows().get(page.rows().size() - 1).key()));
       return;
     }
     markReachable();
-    if (!stopped) {
-      runGuarded(() -> listener.onContent(rows));
-      follow(first, WAIT_MS);
-    }
+    runGuarded(() -> listener.onContent(progress.rows));
+    listener.onConfirmed(progress.startMs);
+    follow(progress.reading, progress.version, WAIT_MS);
   }
 
-  private void follow(long version, long waitMs) {
-    if (stopped) {
+  private void follow(int from, long version, long waitMs) {
+    if (isOutdated(from)) {
       return;
     }
+    long sentMs = JobNode.now().ms();
     var unused =
         store
             .changes(table, version, waitMs)
             .exceptionally(e -> new ChangePage.Failed("unexpected error " + e))
-            .thenAcceptAsync(page -> onChanges(page, version), executor);
+            .thenAcceptAsync(page -> onChanges(page, from, version, sentMs, waitMs), executor);
   }
 
-  private void onChanges(ChangePage page, long version) {
-    if (stopped) {
+  private void onChanges(ChangePage page, int from, long version, long sentMs, long waitMs) {
+    if (isOutdated(from)) {
       return;
     }
     if (page instanceof ChangePage.Changes changes) {
       markReachable();
-      if (!changes.rows().isEmpty()) {
-        // One by one, so that an exception for one row does not prevent handling the others.
-        changes.rows().forEach(row -> runGuarded(() -> listener.onChanges(List.of(row))));
-      }
-      follow(Math.max(version, changes.version()), WAIT_MS);
+      // One by one, so that an exception for one row does not prevent handling the others.
+      changes.rows().forEach(row -> runGuarded(() -> listener.onChanges(List.of(row))));
+      listener.onConfirmed(confirmedMs(changes, sentMs, waitMs));
+      follow(from, Math.max(version, changes.version()), WAIT_MS);
     } else if (page instanceof ChangePage.HistoryLost) {
-      readAll("", new ArrayList<>(), -1);
+      readAgain();
     } else if (page instanceof ChangePage.Failed failed) {
       markUnreachable(failed.detail());
       // Without a wait, so that a recovered store is noticed at once.
-      scheduleRetry(() -> follow(version, 0));
+      scheduleRetry(() -> follow(from, version, 0));
     }
   }
 
+  /** Returns the time as of which an answer to a wait contains all changes. */
+  private static long confirmedMs(ChangePage.Changes changes, long sentMs, long waitMs) {
+    // The store answers without rows only after the whole wait.
+    long waitedMs = JobNode.now().ms() - sentMs;
+    return changes.rows().isEmpty() && waitedMs >= waitMs ? sentMs + waitMs : sentMs;
+  }
+
+  private boolean isOutdated(int from) {
+    return stopped || from != reading;
+  }
+
   /** Calls the listener; an exception that it throws must not end the following of the table. */
   private void runGuarded(Runnable action) {
     try {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationFollowerTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/DeclarationFollowerTest.java
@@ -5,22 +5,38 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.jobs.model.JobDeclaration;
 import dev.bambootray.jobs.scheduling.EventTime;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 final class DeclarationFollowerTest {
   private final ScriptedStore store = new ScriptedStore();
   private final ManualExecutor executor = new ManualExecutor();
   private final List<Long> versions = new ArrayList<>();
+  private final List<Set<String>> closed = new ArrayList<>();
+  private final List<Integer> confirmedPauseCounts = new ArrayList<>();
   private final DeclarationFollower declarations =
       new DeclarationFollower(
           store,
           executor,
           new FakeDocuments(),
           DecisionLog.start(),
-          declaration -> versions.add(declaration.version()));
+          new DeclarationFollower.Listener() {
+            @Override
+            public void onDeclaration(JobDeclaration declaration) {
+              versions.add(declaration.version());
+              closed.add(declaration.closedDomains());
+            }
+
+            @Override
+            public void onConfirmed(long asOfMs, int pauseCount) {
+              confirmedPauseCounts.add(pauseCount);
+            }
+          });
 
   private void publish(long version) {
     store.put("declarations", "current", Long.toString(version).getBytes(UTF_8));
@@ -113,6 +129,121 @@
     assertTrue(declarations.inForce(after).isPresent());
   }
 
+  /** Failure domains that an operator closes and opens. */
+  @Nested
+  final class ClosedDomains {
+    private void close(String domain) {
+      store.put("declarations", FakeDocuments.CLOSED + domain, "{}".getBytes(UTF_8));
+      executor.runAll();
+    }
+
+    private void open(String domain) {
+      store.remove("declarations", FakeDocuments.CLOSED + domain);
+      executor.runAll();
+    }
+
+    private Set<String> newest() {
+      return closed.get(closed.size() - 1);
+    }
+
+    @Test
+    void closesAndOpensDomains() {
+      declarations.start();
+      executor.runAll();
+      publish(5);
+      close("a");
+      close("b");
+      assertEquals(Set.of("a", "b"), newest());
+      open("a");
+      assertEquals(Set.of("b"), newest());
+      assertEquals(List.of(5L, 5L, 5L, 5L), versions);
+    }
+
+    @Test
+    void keepsDomainsClosedInALaterVersion() {
+      declarations.start();
+      executor.runAll();
+      publish(5);
+      close("a");
+      publish(6);
+      assertEquals(Set.of("a"), newest());
+    }
+
+    @Test
+    void appliesAClosureThatIsOlderThanTheProcess() {
+      close("a");
+      publish(5);
+      declarations.start();
+      executor.runAll();
+      assertEquals(List.of(Set.of("a")), closed);
+    }
+
+    @Test
+    void appliesAClosureBeforeTheFirstDeclaration() {
+      declarations.start();
+      executor.runAll();
+      close("a");
+      publish(5);
+      assertEquals(Set.of("a"), newest());
+    }
+
+    @Test
+    void appliesAClosureWhenTheDeclarationCannotBeRead() {
+      publish(5);
+      declarations.start();
+      executor.runAll();
+      store.put("declarations", "current", "no number".getBytes(UTF_8));
+      close("a");
+      assertEquals(Set.of("a"), newest());
+    }
+
+    @Test
+    void findsChangesThatWereMadeWhileTheHistoryWasLost() {
+      declarations.start();
+      executor.runAll();
+      publish(5);
+      close("a");
+      store.feedSilent = true;
+      close("b");
+      open("a");
+      store.feedSilent = false;
+      store.historyLost = true;
+      publish(6);
+      store.historyLost = false;
+      assertEquals(Set.of("b"), newest());
+    }
+
+    @Test
+    void confirmsNothingFromBeforeAPauseUntilTheTableIsReadAgain() {
+      declarations.start();
+      executor.runAll();
+      publish(5);
+      int confirmations = confirmedPauseCounts.size();
+      EventTime before = JobNode.now();
+      EventTime after = new EventTime(before.ms() + 50, before.wallMs() + 3_000);
+      assertTrue(declarations.isPossiblyStale(after));
+      store.feedSilent = true;
+      close("a");
+      EventTime later = new EventTime(after.ms() + 50, after.wallMs() + 50);
+      assertFalse(declarations.isPossiblyStale(later));
+      assertEquals(Set.of("a"), newest());
+      assertEquals(
+          List.of(1),
+          confirmedPauseCounts.subList(confirmations, confirmedPauseCounts.size()).stream()
+              .distinct()
+              .toList());
+    }
+
+    @Test
+    void confirmsNothingWhileTheStoreIsUnavailable() {
+      store.unavailable = true;
+      declarations.start();
+      executor.runAll();
+      executor.runLater();
+      assertEquals(List.of(), confirmedPauseCounts);
+    }
+  }
+
   @Test
   void reportsWhetherTheStoreIsReachable() {
     store.unavailable = true;
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FakeDocuments.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FakeDocuments.java
@@ -17,6 +17,9 @@
 final class FakeDocuments implements PlatformDocumentReader {
   static final String WORKERS = "workers";
 
+  /** Prefix of the keys of closed failure domains. */
+  static final String CLOSED = "closed/";
+
   /** Value of a worker entry that fails to decode with an unexpected exception. */
   static final String BROKEN = "broken";
 
@@ -30,6 +33,11 @@
     return "current";
   }
 
+  @Override
+  public Optional<String> closedDomain(String key) {
+    return key.startsWith(CLOSED) ? Optional.of(key.substring(CLOSED.length())) : Optional.empty();
+  }
+
   @Override
   public String workerTable() {
     return WORKERS;
--- a/jobs/src/main/java/dev/bambootray/jobs/model/JobDeclaration.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/model/JobDeclaration.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Holds the part of the operator's declaration that concerns jobs.
@@ -12,19 +13,37 @@
  * @param services services by name
  * @param workspaces workspaces with their guarantees
  * @param maxBodyBytes maximum size of a request body
+ * @param closedDomains failure domains whose workers get no new runs
  */
 public record JobDeclaration(
     long version,
     List<Template> templates,
     Map<String, Service> services,
     List<Workspace> workspaces,
-    int maxBodyBytes) {
+    int maxBodyBytes,
+    Set<String> closedDomains) {
 
   /** Copies the collections. */
   public JobDeclaration {
     templates = List.copyOf(templates);
     services = Map.copyOf(services);
     workspaces = List.copyOf(workspaces);
+    closedDomains = Set.copyOf(closedDomains);
+  }
+
+  /** Creates a declaration that closes no failure domain. */
+  public JobDeclaration(
+      long version,
+      List<Template> templates,
+      Map<String, Service> services,
+      List<Workspace> workspaces,
+      int maxBodyBytes) {
+    this(version, templates, services, workspaces, maxBodyBytes, Set.of());
+  }
+
+  /** Returns this declaration with other failure domains closed. */
+  public JobDeclaration withClosedDomains(Set<String> domains) {
+    return new JobDeclaration(version, templates, services, workspaces, maxBodyBytes, domains);
   }
 
   /**
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
@@ -33,7 +33,7 @@
       String workspace = job.spec.workspace();
       int sum = used.getOrDefault(workspace, 0) + widestStepAccelerators(job);
       used.put(workspace, sum);
-      if (sum <= state.declaration.guaranteedAccelerators(workspace)) {
+      if (sum <= state.declaration().guaranteedAccelerators(workspace)) {
         covered.add(job);
       }
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
@@ -54,6 +54,16 @@
   /** A new declaration is in force. */
   record DeclarationChanged(JobDeclaration declaration) implements JobEvent {}
 
+  /**
+   * The declaration is known to be the newest one as of a time.
+   *
+   * @param asOfMs the time, or {@link #NEVER} if the declaration must be read again
+   */
+  record DeclarationConfirmed(long asOfMs) implements JobEvent {
+    /** Marks a declaration that may have been replaced at any time. */
+    public static final long NEVER = Long.MIN_VALUE;
+  }
+
   /** A start order was answered, or has failed without an answer. */
   record StartAnswered(String worker, RunName run, StartReply reply) implements JobEvent {}
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -1,6 +1,7 @@
 package dev.bambootray.jobs.scheduling;
 
 import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.JobDeclaration;
 import dev.bambootray.jobs.model.JobPhase;
 import dev.bambootray.jobs.model.TaskRecord.State;
 import dev.bambootray.jobs.worker.StartReply;
@@ -75,7 +76,8 @@
       nextRemovalMs = now.ms() + REMOVAL_INTERVAL_MS;
       removeExpiredJobs(now);
     }
-    if (state.planWanted && now.ms() >= nextPlanMs) {
+    boolean mayPlan = state.isDeclarationCurrent(now.ms());
+    if (state.planWanted && mayPlan && now.ms() >= nextPlanMs) {
       state.planWanted = false;
       int waiting = planner.plan(now);
       nextPlanMs = waiting > MANY_WAITING_STEPS ? now.ms() + PLAN_PAUSE_MS : 0;
@@ -114,14 +116,16 @@
   public Load load() {
     long open = state.jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
     long running = 0;
+    long runningInClosedDomains = 0;
     int free = 0;
     int capacity = 0;
     for (WorkerState worker : state.workers.values()) {
       running += worker.placements.size();
+      runningInClosedDomains += worker.domainClosed ? worker.placements.size() : 0;
       free += worker.free().accelerators();
       capacity += worker.entry.capacity().accelerators();
     }
-    return new Load(open, running, free, capacity);
+    return new Load(open, running, runningInClosedDomains, free, capacity);
   }
 
   /** Returns a diagnostic text with one line for each worker and for each unfinished step. */
@@ -152,10 +156,12 @@
    *
    * @param openJobs jobs in no final phase
    * @param runs runs placed on workers
+   * @param runsInClosedDomains those of the runs that are in a closed failure domain
    * @param freeAccelerators accelerators that no run uses
    * @param accelerators all accelerators
    */
-  public record Load(long openJobs, long runs, int freeAccelerators, int accelerators) {}
+  public record Load(
+      long openJobs, long runs, long runsInClosedDomains, int freeAccelerators, int accelerators) {}
 
   private void apply(JobEvent event, EventTime now) {
     if (event instanceof JobEvent.TookOver takeover) {
@@ -169,8 +175,9 @@
     } else if (event instanceof JobEvent.WorkerUnlisted unlisted) {
       workerMonitor.onUnlisted(unlisted.worker(), now);
     } else if (event instanceof JobEvent.DeclarationChanged changed) {
-      state.declaration = changed.declaration();
-      state.planWanted = true;
+      changeDeclaration(changed.declaration());
+    } else if (event instanceof JobEvent.DeclarationConfirmed confirmed) {
+      onDeclarationConfirmed(confirmed.asOfMs(), now);
     } else if (event instanceof JobEvent.StartAnswered answered) {
       state.worker(answered.worker()).ifPresent(worker -> onStart(worker, answered, now));
     } else if (event instanceof JobEvent.StopAnswered answered) {
@@ -196,6 +203,30 @@
     }
   }
 
+  private void changeDeclaration(JobDeclaration declaration) {
+    Set<String> before = state.declaration().closedDomains();
+    state.setDeclaration(declaration);
+    Set<String> after = declaration.closedDomains();
+    after.stream().filter(domain -> !before.contains(domain)).forEach(d -> logDomain(d, "closed"));
+    before.stream().filter(domain -> !after.contains(domain)).forEach(d -> logDomain(d, "opened"));
+  }
+
+  private void logDomain(String domain, String change) {
+    List<WorkerState> workers =
+        state.workers.values().stream().filter(w -> w.entry.zone().equals(domain)).toList();
+    int runsThere = workers.stream().mapToInt(worker -> worker.placements.size()).sum();
+    state.logDecision(
+        domain, "domain " + change + " workers=" + workers.size() + " runs=" + runsThere);
+  }
+
+  private void onDeclarationConfirmed(long asOfMs, EventTime now) {
+    boolean wasCurrent = state.isDeclarationCurrent(now.ms());
+    state.declarationAsOfMs = asOfMs;
+    if (state.isDeclarationCurrent(now.ms()) && !wasCurrent) {
+      state.planWanted = true;
+    }
+  }
+
   private void onStart(WorkerState worker, JobEvent.StartAnswered answered, EventTime now) {
     if (answered.reply() instanceof StartReply.WorkerRestarted) {
       workerMonitor.onRestartReported(worker, now);
@@ -205,7 +236,7 @@
   }
 
   private void takeOver(JobEvent.TookOver takeover, EventTime now) {
-    state.declaration = takeover.declaration();
+    state.setDeclaration(takeover.declaration());
     takeover.workers().forEach(entry -> workerMonitor.onListed(entry, now));
     takeover
         .jobs()
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -72,8 +72,8 @@
       return; // The gang was stopped because an earlier member could not start.
     }
     boolean late = now.ms() - placement.phaseSinceMs > state.times.orderMaxAgeMs();
-    if (late || !worker.isUsable(now.ms())) {
-      // The decision is outdated: part of its lease has passed, or the worker became unusable.
+    if (late || !worker.isUsable(now.ms()) || !state.isDeclarationCurrent(now.ms())) {
+      // The decision is outdated: part of its lease has passed, or the worker may be excluded.
       finish(placement, Cause.STOPPED, "", now);
       return;
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
@@ -15,7 +15,11 @@
   final TemplateStatistics statistics = new TemplateStatistics();
   final RecordBatcher batches = new RecordBatcher();
   final StepReservations reservations = new StepReservations();
-  JobDeclaration declaration = new JobDeclaration(0, List.of(), Map.of(), List.of(), 0);
+
+  /** Time as of which the declaration is known to be the newest one. */
+  long declarationAsOfMs = JobEvent.DeclarationConfirmed.NEVER;
+
+  private JobDeclaration declaration = new JobDeclaration(0, List.of(), Map.of(), List.of(), 0);
 
   /** Whether a change since the last round of placement may let a waiting step be placed. */
   boolean planWanted;
@@ -26,6 +30,31 @@
     this.times = times;
   }
 
+  JobDeclaration declaration() {
+    return declaration;
+  }
+
+  /** Puts a declaration in force, and closes and opens the failure domains of the workers. */
+  void setDeclaration(JobDeclaration value) {
+    declaration = value;
+    workers.values().forEach(this::updateDomain);
+    planWanted = true;
+  }
+
+  /** Updates whether the failure domain of a worker is closed. */
+  void updateDomain(WorkerState worker) {
+    worker.domainClosed = declaration.closedDomains().contains(worker.entry.zone());
+  }
+
+  /**
+   * Returns whether new runs may be started by the declaration: an older one may allow starts in a
+   * failure domain that was closed meanwhile.
+   */
+  boolean isDeclarationCurrent(long nowMs) {
+    return declarationAsOfMs != JobEvent.DeclarationConfirmed.NEVER
+        && nowMs - declarationAsOfMs <= times.declarationMaxAgeMs();
+  }
+
   void emit(JobEffect effect) {
     effects.add(effect);
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
@@ -11,6 +11,8 @@
  * @param stallMs time without progress after which a run counts as stalled
  * @param retryMs delay before a failed call to a worker is retried
  * @param keepFinishedMs retention time of finished jobs
+ * @param declarationMaxAgeMs age of the last confirmation of the declaration after which no run is
+ *     started
  */
 public record SchedulerTimes(
     long leaseMs,
@@ -19,7 +21,8 @@
     long orphanLeaseMs,
     long stallMs,
     long retryMs,
-    long keepFinishedMs) {
+    long keepFinishedMs,
+    long declarationMaxAgeMs) {
   // An owner that cannot reach the store continues for this long before it gives up (JobNode), so
   // a successor adds this time to the lease of orphaned runs.
   private static final long OWNER_WITHOUT_STORE_MS = 6_000;
@@ -37,7 +40,21 @@
         (long) (leaseMs * LEASE_MARGIN) + OWNER_WITHOUT_STORE_MS,
         3_500,
         300,
-        600_000);
+        600_000,
+        Long.MAX_VALUE);
+  }
+
+  /** Returns these times with another maximum age of the declaration. */
+  public SchedulerTimes withDeclarationMaxAge(long maxAgeMs) {
+    return new SchedulerTimes(
+        leaseMs,
+        holdWaitMs,
+        orderMaxAgeMs,
+        orphanLeaseMs,
+        stallMs,
+        retryMs,
+        keepFinishedMs,
+        maxAgeMs);
   }
 
   /** Returns the longest time that a lease can last by the owner's clock. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
@@ -63,11 +63,11 @@
     }
   }
 
-  private static boolean mayRepeat(Placement placement, EventTime now) {
+  private boolean mayRepeat(Placement placement, EventTime now) {
     WorkerState worker = placement.worker;
     return placement.isCurrent()
-        && worker.listed
-        && !worker.entry.draining()
+        && worker.acceptsRuns()
+        && state.isDeclarationCurrent(now.ms())
         && now.ms() - placement.phaseSinceMs <= RETRY_WINDOW_MS;
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -40,6 +40,7 @@
       state.logDecision(entry.id(), "worker draining=" + entry.draining());
     }
     worker.update(entry);
+    state.updateDomain(worker);
     worker.listed = true;
     state.planWanted = true;
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -21,6 +21,9 @@
   /** Whether the registry lists it; an unlisted worker gets no new runs but finishes its own. */
   boolean listed;
 
+  /** Whether its failure domain is closed; it gets no new runs but finishes its own. */
+  boolean domainClosed;
+
   /** Whether it has reported its runs to this owner. */
   boolean adopted;
 
@@ -89,7 +92,12 @@
   }
 
   boolean isUsable(long nowMs) {
-    return listed && adopted && !entry.draining() && failedCalls == 0 && nowMs >= pausedUntilMs;
+    return acceptsRuns() && adopted && failedCalls == 0 && nowMs >= pausedUntilMs;
+  }
+
+  /** Returns whether neither the registry nor the declaration excludes it from new runs. */
+  boolean acceptsRuns() {
+    return listed && !entry.draining() && !domainClosed;
   }
 
   void update(WorkerEntry newEntry) {
@@ -167,6 +175,8 @@
         + adopted
         + " draining="
         + entry.draining()
+        + " domain_closed="
+        + domainClosed
         + " failed="
         + failedCalls
         + " paused_until="
--- a/ports/src/main/java/dev/bambootray/ports/PlatformDocumentReader.java
+++ b/ports/src/main/java/dev/bambootray/ports/PlatformDocumentReader.java
@@ -14,6 +14,14 @@
   /** Returns the key of the configuration in its table. */
   String declarationKey();
 
+  /**
+   * Returns the failure domain that a row of the declaration table closes for as long as the row
+   * exists; empty for other rows.
+   *
+   * @param key key of the row
+   */
+  Optional<String> closedDomain(String key);
+
   /** Returns the table in which workers register; a row's key is the worker's identifier. */
   String workerTable();
 
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -51,6 +51,9 @@
   /** Receives the events of the simulation. */
   public interface Observer {
 
+    /** The owner has sent a start order. */
+    default void onStartOrdered(JobEffect.StartRun start) {}
+
     /** A worker has started a run. */
     default void onStart(SimulatedPoolWorker worker, RunName run) {}
 
@@ -102,12 +105,36 @@
       String rack = "rack" + workers.size() / perRack;
       WorkerEntry entry =
           new WorkerEntry(
-              id, "s", "10.0.0.1:80", "z", rack, Set.of("kind", rack), capacity, 1, false);
+              id,
+              "s",
+              "10.0.0.1:80",
+              domainOf(rack),
+              rack,
+              Set.of("kind", rack),
+              capacity,
+              1,
+              false);
       speeds.put(id, speed);
       workers.put(id, new SimulatedPoolWorker(entry, this));
     }
   }
 
+  /** Returns the failure domain of a rack; each rack has its own. */
+  public static String domainOf(String rack) {
+    return "domain of " + rack;
+  }
+
+  /** Closes failure domains and opens all others. */
+  public void closeDomains(Set<String> domains) {
+    declaration = declaration.withClosedDomains(domains);
+    post(new JobEvent.DeclarationChanged(declaration));
+  }
+
+  /** Returns the closed failure domains. */
+  public Set<String> closedDomains() {
+    return declaration.closedDomains();
+  }
+
   /** Sets the declaration that the next owner reads. */
   public void declare(JobDeclaration value) {
     declaration = value;
@@ -119,6 +146,7 @@
     scheduler = JobScheduler.create(SchedulerTimes.withLeaseLimit(LEASE_LIMIT_MS), policy);
     List<WorkerEntry> listed =
         workers.values().stream().filter(w -> !w.isGone()).map(SimulatedPoolWorker::entry).toList();
+    post(new JobEvent.DeclarationConfirmed(nowMs));
     post(
         new JobEvent.TookOver(declaration, List.copyOf(jobs.values()), records, cancelled, listed));
   }
@@ -293,6 +321,7 @@
       schedule(
           Math.max(COMMIT_MS, storeUnavailableUntilMs - nowMs), () -> persist(persist, sentEpoch));
     } else if (effect instanceof JobEffect.StartRun start) {
+      observer.onStartOrdered(start);
       transport.start(start, sentEpoch, event -> answer(sentEpoch, event));
     } else if (effect instanceof JobEffect.StopRun stop) {
       transport.stop(stop, sentEpoch, event -> answer(sentEpoch, event));
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerFaultProperties.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerFaultProperties.java
@@ -2,8 +2,10 @@
 
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.StepSpec;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -15,7 +17,12 @@
 
   @Property(tries = 60, seed = "20261204")
   void everyJobEndsAndNoTaskRunsTwice(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
-    play(seed);
+    play(seed, false);
+  }
+
+  @Property(tries = 60, seed = "20261204")
+  void noRunIsOrderedInAClosedDomain(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, true);
   }
 
   /** Repeats seeds that failed before. */
@@ -23,11 +30,11 @@
   void seedsThatFailedBefore() {
     // Seed 1: ends of a gang were counted twice, and overlapping reservations blocked each other.
     for (long seed : List.of(1L)) {
-      play(seed);
+      play(seed, false);
     }
   }
 
-  private static void play(long seed) {
+  private static void play(long seed, boolean closeDomains) {
     Random random = new Random(seed);
     SchedulerRig rig =
         new SchedulerRig(seed).workers(12, 4, new Resources(8, 32_000, 64_000)).guarantee("ws", 24);
@@ -36,16 +43,34 @@
     for (int i = 0; i < JOBS; i++) {
       submit(rig, "job" + i, random);
       disturb(rig, random);
+      if (closeDomains) {
+        closeSome(rig, random);
+      }
       rig.run(50 + random.nextInt(600));
     }
     rig.pool.setDelayedCallShare(0);
     rig.pool.workers().forEach(worker -> worker.setUnreachable(false));
     rig.pool.workers().forEach(worker -> worker.setFailing(false));
     rig.pool.workers().forEach(worker -> worker.setHanging(false));
+    rig.pool.closeDomains(Set.of());
     rig.run(90_000);
     rig.assertAllFinal();
   }
 
+  /** Changes the closed failure domains now and then; any number may be closed, also all. */
+  private static void closeSome(SchedulerRig rig, Random random) {
+    if (random.nextInt(4) > 0) {
+      return;
+    }
+    Set<String> closed = new HashSet<>();
+    for (SimulatedPoolWorker worker : rig.pool.workers()) {
+      if (random.nextInt(8) == 0) {
+        closed.add(worker.entry().zone());
+      }
+    }
+    rig.pool.closeDomains(closed);
+  }
+
   private static void submit(SchedulerRig rig, String id, Random random) {
     boolean gang = random.nextBoolean();
     StepSpec first =
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -1,6 +1,7 @@
 package dev.bambootray.standins.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
@@ -11,6 +12,7 @@
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.model.TaskName;
+import dev.bambootray.jobs.scheduling.JobEffect;
 import dev.bambootray.jobs.scheduling.SchedulingPolicy;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
@@ -22,7 +24,8 @@
 
 /**
  * Runs a simulated pool and checks that no task runs twice at the same time, that no worker exceeds
- * its capacity and that no finished task starts again.
+ * its capacity, that no finished task starts again and that no run is ordered in a closed failure
+ * domain.
  */
 final class SchedulerRig implements PoolSimulation.Observer {
   /** Time after a fault during which the platform's rules for fault-free operation do not apply. */
@@ -166,6 +169,13 @@
     return pool.jobs().stream().filter(job -> phase(job.id()) == JobPhase.COMPLETED).count();
   }
 
+  @Override
+  public void onStartOrdered(JobEffect.StartRun start) {
+    assertFalse(
+        pool.closedDomains().contains(start.worker().zone()),
+        () -> start.run() + " starts in a closed failure domain" + decisionsAbout(start.run()));
+  }
+
   @Override
   public void onAcknowledged(RunEnd end) {
     if (end.cause() == Cause.DONE) {
