--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -283,6 +283,8 @@
   private void carryOut(JobEffect effect) {
     if (effect instanceof JobEffect.Persist persist) {
       onLease(new LeaseEvent.Persist(persist));
+    } else if (effect instanceof JobEffect.RemoveJobRows removal) {
+      removeRows(removal.job());
     } else if (effect instanceof JobEffect.StartRun start) {
       start(start);
     } else if (effect instanceof JobEffect.StopRun stop) {
@@ -301,6 +303,19 @@
     onLease(new LeaseEvent.Abandon(reason));
   }
 
+  private void removeRows(String job) {
+    long sentEpoch = epoch;
+    var unused =
+        ownerRows
+            .removeJobRows(job)
+            .thenAccept(
+                removed -> {
+                  if (removed) {
+                    postReply(sentEpoch, new JobEvent.JobRowsRemoved(job));
+                  }
+                });
+  }
+
   private void start(JobEffect.StartRun start) {
     long sentEpoch = epoch;
     metrics.recordStart();
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobTables.java
@@ -17,7 +17,13 @@
   /** Key of the owner row. */
   static final String OWNER_KEY = "pool";
 
-  private static final String CANCEL_SUFFIX = "!cancel";
+  /** Separates a job's identifier from the kind of a mark. */
+  private static final char MARK = '!';
+
+  private static final String CANCEL_SUFFIX = MARK + "cancel";
+
+  /** Follows a key directly in the order of keys. */
+  private static final char RANGE_END = '\u0001';
 
   private JobTables() {}
 
@@ -34,6 +40,15 @@
     return key.substring(0, key.length() - CANCEL_SUFFIX.length());
   }
 
+  /** Returns the job of a key in {@link #JOBS} or of the end of a range of its keys. */
+  static String jobOfKey(String key) {
+    int end = 0;
+    while (end < key.length() && key.charAt(end) != RANGE_END && key.charAt(end) != MARK) {
+      end++;
+    }
+    return key.substring(0, end);
+  }
+
   /** Returns the exclusive end of the key range that holds all rows of a job in {@link #JOBS}. */
   static String endOfJobRows(String job) {
     return keyAfter(cancelKey(job));
@@ -41,6 +56,6 @@
 
   /** Returns the exclusive end of the key range that holds only the given key. */
   static String keyAfter(String key) {
-    return key + "\u0001";
+    return key + RANGE_END;
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
@@ -93,8 +93,6 @@
       }
       for (String job : batch.removedJobs()) {
         changes.add(new RowChange(JobTables.RECORDS, job, null));
-        changes.add(new RowChange(JobTables.JOBS, job, null));
-        changes.add(new RowChange(JobTables.JOBS, JobTables.cancelKey(job), null));
       }
     }
     RowCondition condition =
@@ -105,6 +103,17 @@
         .thenApply(outcome -> event(outcome, sentMs));
   }
 
+  /** Removes the rows of a job, and returns whether they are certainly removed. */
+  CompletableFuture<Boolean> removeJobRows(String job) {
+    List<RowChange> changes =
+        List.of(
+            new RowChange(JobTables.JOBS, job, null),
+            new RowChange(JobTables.JOBS, JobTables.cancelKey(job), null));
+    return store
+        .commit(List.of(), changes, CallTimeouts.COMMIT_MS)
+        .thenApply(CommitOutcome.Committed.class::isInstance);
+  }
+
   private LeaseEvent event(CommitOutcome outcome, long sentMs) {
     note(
         outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict,
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
@@ -14,7 +14,7 @@
    *
    * @param batch number of the batch
    * @param records records of changed jobs
-   * @param removedJobs jobs whose rows must be removed
+   * @param removedJobs jobs whose records must be removed
    */
   record Persist(long batch, List<JobRecord> records, List<String> removedJobs)
       implements JobEffect {
@@ -25,6 +25,12 @@
     }
   }
 
+  /**
+   * Removes the rows of a job that ended long ago. {@link JobEvent.JobRowsRemoved} confirms it;
+   * only then may the record be removed, since a job without a record would run again.
+   */
+  record RemoveJobRows(String job) implements JobEffect {}
+
   /**
    * Starts a run on a worker.
    *
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
@@ -90,6 +90,9 @@
   /** A batch of records is in the store. */
   record Durable(long batch) implements JobEvent {}
 
+  /** The rows of a job were removed as {@link JobEffect.RemoveJobRows} requests. */
+  record JobRowsRemoved(String job) implements JobEvent {}
+
   /** Time has passed. */
   record Tick() implements JobEvent {}
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -26,6 +26,9 @@
   /** Interval at which expired finished jobs are removed. */
   private static final long REMOVAL_INTERVAL_MS = 5_000;
 
+  /** Limit of expired jobs that are removed at a time. */
+  private static final int MAX_REMOVALS = 20;
+
   /**
    * With more waiting steps than this a round of placement takes milliseconds, so rounds are spaced
    * by {@link #PLAN_PAUSE_MS} instead of following each event.
@@ -197,6 +200,8 @@
                     worker, answered.reply(), answered.sentMs(), answered.refresh(), now);
                 workerMonitor.sendDueCalls(worker, now);
               });
+    } else if (event instanceof JobEvent.JobRowsRemoved removed) {
+      onRowsRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
       state.batches.onDurable(durable.batch());
       runs.sendDurableStarts(now);
@@ -247,6 +252,10 @@
               state.statistics.addJob(job);
               adoptRuns(job, now);
             });
+    // The owner before has removed the rows of these jobs, but not yet their records.
+    takeover.records().keySet().stream()
+        .filter(id -> !state.jobs.containsKey(id))
+        .forEach(state.batches::markRemoved);
     state.workers.values().forEach(worker -> startOrphanLease(worker, now));
     takeover.cancelled().forEach(job -> cancel(job, now));
     state.logDecision(
@@ -318,11 +327,14 @@
             .filter(job -> job.phase.isFinal())
             .filter(job -> now.wallMs() - job.finishedWallMs > state.times.keepFinishedMs())
             .map(job -> job.spec.id())
+            .limit(MAX_REMOVALS)
             .toList();
-    old.forEach(
-        id -> {
-          state.jobs.remove(id);
-          state.batches.markRemoved(id);
-        });
+    old.forEach(id -> state.emit(new JobEffect.RemoveJobRows(id)));
+  }
+
+  private void onRowsRemoved(String id) {
+    if (state.jobs.remove(id) != null) {
+      state.batches.markRemoved(id);
+    }
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RecordBatcher.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RecordBatcher.java
@@ -11,10 +11,7 @@
  * during the write go into the next batch, so that a burst needs few transactions.
  */
 final class RecordBatcher {
-  /**
-   * Largest number of jobs in a batch. A transaction is limited to 100 entries, of which the
-   * removal of a job takes three.
-   */
+  /** Largest number of jobs in a batch; a transaction is limited to 100 entries. */
   private static final int MAX_JOBS = 60;
 
   private static final int MAX_REMOVALS = 10;
--- a/ports/src/main/java/dev/bambootray/ports/RowStore.java
+++ b/ports/src/main/java/dev/bambootray/ports/RowStore.java
@@ -17,7 +17,7 @@
 public interface RowStore {
 
   /**
-   * Applies all changes, or none if a condition does not hold.
+   * Applies all changes, or none if a condition does not hold. All rows must be in one partition.
    *
    * @param conditions versions that rows must have
    * @param changes rows to write or remove
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -320,6 +320,8 @@
     if (effect instanceof JobEffect.Persist persist) {
       schedule(
           Math.max(COMMIT_MS, storeUnavailableUntilMs - nowMs), () -> persist(persist, sentEpoch));
+    } else if (effect instanceof JobEffect.RemoveJobRows removal) {
+      schedule(COMMIT_MS, () -> answer(sentEpoch, new JobEvent.JobRowsRemoved(removal.job())));
     } else if (effect instanceof JobEffect.StartRun start) {
       observer.onStartOrdered(start);
       transport.start(start, sentEpoch, event -> answer(sentEpoch, event));
