Let calls wait up to a second for a busy store

Cause: while the store answers every call with 503, callers were sent away at once and told to come back after 1 s.

Change: a call that meets a busy store waits as long as its caller would stay away, 1 s at most and within the caller's time, and goes on at the next answer of the store. StoreWaitPolicy decides, for submissions, cancellations and readings. A store that answers nothing is still not waited for: such a node may be cut off alone, and its callers are sent to others at once.

Ruled out: waiting until the caller's time is over, which keeps callers of a refused node from others for 3 s; a longer Retry-After, by which those that come late in an outage lose more than the few that run out of repetitions gain.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
@@ -141,6 +141,11 @@
         READ_TIMEOUT_MS);
   }
 
+  @Override
+  public boolean isBusy() {
+    return direct.isBusy();
+  }
+
   @Override
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
     HedgedStoreCall<ChangePage> race =
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
@@ -15,6 +15,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Accepts, reads and cancels jobs on behalf of callers.
@@ -31,9 +35,11 @@
   private final DecisionLog log;
   private final JobMetrics metrics;
   private final OwnerHintSender hints;
+  private final ScheduledExecutorService executor;
 
   JobApi(
       RowStore store,
+      ScheduledExecutorService executor,
       JobRowCodec codec,
       DeclarationFollower declarations,
       OwnerRowStore owner,
@@ -41,6 +47,7 @@
       JobMetrics metrics,
       OwnerHintSender hints) {
     this.store = store;
+    this.executor = executor;
     this.codec = codec;
     this.declarations = declarations;
     this.ownerRows = owner;
@@ -71,8 +78,7 @@
    * @param timeMs how long the caller waits, in milliseconds
    */
   public CompletableFuture<SubmitOutcome> submit(JobSpec job, long timeMs) {
-    long endMs = JobNode.now().ms() + timeMs;
-    return submit(job, endMs, false)
+    return submit(job, CallTime.startingNow(timeMs), false)
         .thenApply(
             outcome -> {
               log.line(
@@ -93,15 +99,17 @@
             });
   }
 
-  private CompletableFuture<SubmitOutcome> submit(JobSpec job, long endMs, boolean maybeStored) {
-    long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.MIN_CALL_MS || isRefusedDuringOutage(job.id())) {
-      return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
-    }
+  private CompletableFuture<SubmitOutcome> submit(JobSpec job, CallTime time, boolean maybeStored) {
+    SubmitOutcome failure = maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED;
+    return whenStoreAnswers(job.id(), time, () -> attemptSubmit(job, time, maybeStored), failure);
+  }
+
+  private CompletableFuture<SubmitOutcome> attemptSubmit(
+      JobSpec job, CallTime time, boolean maybeStored) {
     RowCondition absent = new RowCondition(JobTables.JOBS, job.id(), 0);
     RowChange write = new RowChange(JobTables.JOBS, job.id(), codec.encode(job));
     return store
-        .commit(List.of(absent), List.of(write), Math.min(leftMs, CallTimeouts.COMMIT_MS))
+        .commit(List.of(absent), List.of(write), time.commitMs())
         .thenCompose(
             outcome -> {
               if (outcome instanceof CommitOutcome.Committed
@@ -110,15 +118,27 @@
                 return completedFuture(SubmitOutcome.ACCEPTED);
               }
               if (outcome instanceof CommitOutcome.Unknown) {
-                return submit(job, endMs, true);
+                return submit(job, time, true);
               }
-              return completedFuture(
+              return afterPause(
+                  time,
+                  () -> submit(job, time, maybeStored),
                   maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
             });
   }
 
-  /** Returns the state of a job. */
-  public CompletableFuture<JobView> state(String job) {
+  /**
+   * Returns the state of a job.
+   *
+   * @param job the job
+   * @param timeMs how long the caller waits, in milliseconds
+   */
+  public CompletableFuture<JobView> state(String job, long timeMs) {
+    CallTime time = CallTime.startingNow(timeMs);
+    return whenStoreAnswers(job, time, () -> readState(job), JobView.UNAVAILABLE);
+  }
+
+  private CompletableFuture<JobView> readState(String job) {
     return read(JobTables.RECORDS, job)
         .thenCompose(
             found -> {
@@ -142,7 +162,19 @@
    * @param timeMs how long the caller waits, in milliseconds
    */
   public CompletableFuture<CancelOutcome> cancel(String job, long timeMs) {
-    long endMs = JobNode.now().ms() + timeMs;
+    CallTime time = CallTime.startingNow(timeMs);
+    return whenStoreAnswers(job, time, () -> readAndCancel(job, time), CancelOutcome.UNAVAILABLE)
+        .thenApply(
+            outcome -> {
+              log.line("front:", job, "cancel outcome=" + outcome);
+              if (outcome == CancelOutcome.CANCELLED) {
+                hints.send(new Hint(job, true));
+              }
+              return outcome;
+            });
+  }
+
+  private CompletableFuture<CancelOutcome> readAndCancel(String job, CallTime time) {
     return read(JobTables.JOBS, job)
         .thenCompose(
             found -> {
@@ -151,33 +183,24 @@
               }
               return found.row().isEmpty()
                   ? completedFuture(CancelOutcome.GONE)
-                  : storeCancelMark(job, found.row().get(), endMs);
-            })
-        .thenApply(
-            outcome -> {
-              log.line("front:", job, "cancel outcome=" + outcome);
-              if (outcome == CancelOutcome.CANCELLED) {
-                hints.send(new Hint(job, true));
-              }
-              return outcome;
+                  : storeCancelMark(job, found.row().get(), time);
             });
   }
 
-  private CompletableFuture<CancelOutcome> storeCancelMark(String job, Row accepted, long endMs) {
-    long leftMs = endMs - JobNode.now().ms();
-    if (leftMs < CallTimeouts.MIN_CALL_MS || isRefusedDuringOutage(job)) {
-      return completedFuture(CancelOutcome.UNAVAILABLE);
-    }
+  private CompletableFuture<CancelOutcome> storeCancelMark(
+      String job, Row accepted, CallTime time) {
+    return whenStoreAnswers(
+        job, time, () -> attemptCancel(job, accepted, time), CancelOutcome.UNAVAILABLE);
+  }
+
+  private CompletableFuture<CancelOutcome> attemptCancel(String job, Row accepted, CallTime time) {
     String key = JobTables.cancelKey(job);
     List<RowCondition> conditions =
         List.of(
             new RowCondition(JobTables.JOBS, job, accepted.version()),
             new RowCondition(JobTables.JOBS, key, 0));
     return store
-        .commit(
-            conditions,
-            List.of(new RowChange(JobTables.JOBS, key, EMPTY)),
-            Math.min(leftMs, CallTimeouts.COMMIT_MS))
+        .commit(conditions, List.of(new RowChange(JobTables.JOBS, key, EMPTY)), time.commitMs())
         .thenCompose(
             outcome -> {
               if (outcome instanceof CommitOutcome.Committed) {
@@ -190,8 +213,9 @@
                 return completedFuture(marked ? CancelOutcome.CANCELLED : CancelOutcome.GONE);
               }
               return outcome instanceof CommitOutcome.Unknown
-                  ? storeCancelMark(job, accepted, endMs)
-                  : completedFuture(CancelOutcome.UNAVAILABLE);
+                  ? storeCancelMark(job, accepted, time)
+                  : afterPause(
+                      time, () -> storeCancelMark(job, accepted, time), CancelOutcome.UNAVAILABLE);
             });
   }
 
@@ -206,9 +230,6 @@
   }
 
   private CompletableFuture<ReadResult> read(String table, String key) {
-    if (isRefusedDuringOutage(key)) {
-      return completedFuture(new ReadResult(true, Optional.empty()));
-    }
     return store
         .read(table, key, JobTables.keyAfter(key), 1)
         .thenApply(
@@ -221,13 +242,53 @@
                     page -> new ReadResult(false, page.rows().stream().findFirst())));
   }
 
-  /** Returns whether a call is refused without an attempt because the store is unreachable. */
-  private boolean isRefusedDuringOutage(String job) {
+  /**
+   * Makes an attempt at once or, while the store is busy for long, when it serves calls again. The
+   * call fails without an attempt if that takes too long or if the store cannot be reached.
+   */
+  private <T> CompletableFuture<T> whenStoreAnswers(
+      String job, CallTime time, Supplier<CompletableFuture<T>> attempt, T failure) {
+    if (time.isOver()) {
+      return completedFuture(failure);
+    }
     if (!ownerRows.isStoreOutage()) {
-      return false;
+      return attempt.get();
+    }
+    // A node without a connection to the store sends its callers to other nodes at once.
+    CompletableFuture<Boolean> wait = store.isBusy() ? awaitAnswer(time) : completedFuture(false);
+    return wait.thenCompose(
+        answering -> {
+          if (answering && !time.isOver()) {
+            return attempt.get();
+          }
+          log.line("front:", job, "refused, the store is unreachable");
+          return completedFuture(failure);
+        });
+  }
+
+  private CompletableFuture<Boolean> awaitAnswer(CallTime time) {
+    if (time.waitMs() == 0) {
+      return completedFuture(false);
     }
-    log.line("front:", job, "refused, the store is unreachable");
-    return true;
+    CompletableFuture<Boolean> wait = ownerRows.awaitAnswer();
+    if (!wait.isDone()) {
+      Runnable giveUp = () -> wait.complete(false);
+      ScheduledFuture<?> timer = executor.schedule(giveUp, time.waitMs(), TimeUnit.MILLISECONDS);
+      var unused = wait.whenComplete((answering, error) -> timer.cancel(false));
+    }
+    return wait;
+  }
+
+  /** Repeats an attempt that a busy store has refused, unless its caller has waited long enough. */
+  private <T> CompletableFuture<T> afterPause(
+      CallTime time, Supplier<CompletableFuture<T>> repeat, T failure) {
+    if (!store.isBusy() || time.waitMs() <= StoreWaitPolicy.RETRY_MS) {
+      return completedFuture(failure);
+    }
+    CompletableFuture<Boolean> pause = new CompletableFuture<>();
+    Runnable end = () -> pause.complete(true);
+    var unused = executor.schedule(end, StoreWaitPolicy.RETRY_MS, TimeUnit.MILLISECONDS);
+    return pause.thenCompose(over -> repeat.get());
   }
 
   private static JobView viewWithoutRecord(ReadResult found) {
@@ -237,6 +298,35 @@
     return found.row().isPresent() ? JobView.of(JobPhase.QUEUED) : JobView.GONE;
   }
 
+  /**
+   * The time that a caller gives to a call.
+   *
+   * @param startMs when the call arrived
+   * @param endMs when its caller gives up
+   */
+  private record CallTime(long startMs, long endMs) {
+    static CallTime startingNow(long timeMs) {
+      long nowMs = JobNode.now().ms();
+      return new CallTime(nowMs, nowMs + timeMs);
+    }
+
+    boolean isOver() {
+      return leftMs() < CallTimeouts.MIN_CALL_MS;
+    }
+
+    long waitMs() {
+      return StoreWaitPolicy.waitMs(JobNode.now().ms(), startMs, endMs);
+    }
+
+    long commitMs() {
+      return Math.min(leftMs(), CallTimeouts.COMMIT_MS);
+    }
+
+    private long leftMs() {
+      return endMs - JobNode.now().ms();
+    }
+  }
+
   private record ReadResult(boolean unreachable, Optional<Row> row) {}
 
   /** Outcome of submitting a job. */
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -84,7 +84,9 @@
     loader = new PoolLoader(builder.parts.store(), executor, builder.parts.documents(), codec, log);
     OwnerHintSender hints =
         new OwnerHintSender(ownerRows, builder.process, builder.parts.hints(), this::onHint);
-    api = new JobApi(builder.parts.store(), codec, declarations, ownerRows, log, metrics, hints);
+    api =
+        new JobApi(
+            builder.parts.store(), executor, codec, declarations, ownerRows, log, metrics, hints);
     // Staggered by node name, so that usually only one node claims the pool at a time.
     long claimDelayMs =
         builder.claimDelayMs + Math.floorMod(builder.name.hashCode(), 4) * CLAIM_SPREAD_MS;
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
@@ -47,6 +47,11 @@
     return reachability.isOutage(JobNode.now().ms());
   }
 
+  /** See {@link StoreReachability#awaitAnswer}. */
+  CompletableFuture<Boolean> awaitAnswer() {
+    return reachability.awaitAnswer();
+  }
+
   /** Records a call without a usable answer that was sent at the given time. */
   void noteFailure(long sentMs) {
     note(false, sentMs);
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreReachability.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreReachability.java
@@ -1,5 +1,9 @@
 package dev.bambootray.daemon.jobs;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
 /**
  * Decides from the outcomes of calls whether the store is unreachable for this node.
  *
@@ -18,10 +22,34 @@
   private static final long NOT_FAILING = -1;
 
   private long failingSinceMs = NOT_FAILING;
+  private List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
 
-  /** Records a call with a usable answer. */
-  synchronized void answered() {
-    failingSinceMs = NOT_FAILING;
+  /** Records a call with a usable answer, and lets the waiting calls go on. */
+  void answered() {
+    List<CompletableFuture<Boolean>> released;
+    synchronized (this) {
+      failingSinceMs = NOT_FAILING;
+      released = waiting;
+      waiting = new ArrayList<>();
+    }
+    released.forEach(wait -> wait.complete(true));
+  }
+
+  /**
+   * Returns a future that completes with true when the store answers again, at once if it does. A
+   * caller that waits no longer completes it itself. It is false if too many calls are waiting.
+   */
+  synchronized CompletableFuture<Boolean> awaitAnswer() {
+    if (failingSinceMs == NOT_FAILING) {
+      return CompletableFuture.completedFuture(true);
+    }
+    waiting.removeIf(CompletableFuture::isDone);
+    if (waiting.size() >= StoreWaitPolicy.MAX_WAITING) {
+      return CompletableFuture.completedFuture(false);
+    }
+    CompletableFuture<Boolean> wait = new CompletableFuture<>();
+    waiting.add(wait);
+    return wait;
   }
 
   /**
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
@@ -1,6 +1,7 @@
 package dev.bambootray.daemon.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.daemon.jobs.JobApi.CancelOutcome;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -39,9 +41,11 @@
   private final DecisionLog log = DecisionLog.start();
   private final OwnerRowStore owner = new OwnerRowStore(store, codec, log);
   private final List<Object> sent = new ArrayList<>();
+  private final ManualExecutor executor = new ManualExecutor();
   private final JobApi api =
       new JobApi(
           store,
+          executor,
           codec,
           new DeclarationFollower(
               store, new ManualExecutor(), new FakeDocuments(), log, declaration -> {}),
@@ -124,7 +128,7 @@
       owner.noteFailure(JobNode.now().ms() - 1_000);
       store.silent = true;
       assertEquals(SubmitOutcome.NOT_STORED, api.submit(JOB, TIME_MS).getNow(null));
-      assertEquals(JobView.UNAVAILABLE, api.state("j").getNow(null));
+      assertEquals(JobView.UNAVAILABLE, api.state("j", TIME_MS).getNow(null));
       assertEquals(CancelOutcome.UNAVAILABLE, api.cancel("j", TIME_MS).getNow(null));
     }
 
@@ -143,25 +147,91 @@
     }
   }
 
+  /** Replays a store that refuses all calls for some seconds. */
+  @Nested
+  final class StoreBusy {
+    private void becomeBusy() {
+      store.unavailable = true;
+      store.busy = true;
+      owner.noteFailure(JobNode.now().ms() - 1_000);
+    }
+
+    private void recover() {
+      store.unavailable = false;
+      store.busy = false;
+      owner.read().join();
+    }
+
+    @Test
+    void callsGoOnAsSoonAsTheStoreServesAgain() {
+      save(JobPhase.RUNNING);
+      becomeBusy();
+      CompletableFuture<SubmitOutcome> submission = api.submit(JOB, TIME_MS);
+      CompletableFuture<JobView> view = api.state("j", TIME_MS);
+      CompletableFuture<CancelOutcome> cancellation = api.cancel("j", TIME_MS);
+      assertFalse(submission.isDone() || view.isDone() || cancellation.isDone());
+      recover();
+      assertEquals(SubmitOutcome.ACCEPTED, submission.getNow(null));
+      assertEquals(JobView.of(JobPhase.RUNNING), view.getNow(null));
+      assertEquals(CancelOutcome.CANCELLED, cancellation.getNow(null));
+    }
+
+    @Test
+    void callersAreSentAwayAfterTheLongestWait() {
+      becomeBusy();
+      CompletableFuture<SubmitOutcome> submission = api.submit(JOB, TIME_MS);
+      executor.runLater();
+      assertEquals(SubmitOutcome.NOT_STORED, submission.getNow(null));
+      recover();
+      assertEquals(0, store.countOf(JobTables.JOBS));
+    }
+
+    @Test
+    void callersWithoutTimeAreSentAwayAtOnce() {
+      becomeBusy();
+      assertEquals(
+          SubmitOutcome.NOT_STORED, api.submit(JOB, CallTimeouts.MIN_CALL_MS).getNow(null));
+    }
+
+    @Test
+    void aRefusedAttemptIsRepeated() {
+      store.busy = true;
+      store.commitBehaviors.add(CommitBehavior.REFUSED);
+      CompletableFuture<SubmitOutcome> submission = api.submit(JOB, TIME_MS);
+      assertFalse(submission.isDone());
+      executor.runLater();
+      assertEquals(SubmitOutcome.ACCEPTED, submission.getNow(null));
+    }
+
+    @Test
+    void noMoreCallsWaitThanTheLimit() {
+      becomeBusy();
+      for (int i = 0; i < StoreWaitPolicy.MAX_WAITING; i++) {
+        assertFalse(api.submit(JOB, TIME_MS).isDone());
+      }
+      assertEquals(SubmitOutcome.NOT_STORED, api.submit(JOB, TIME_MS).getNow(null));
+    }
+  }
+
   @Nested
   final class Reading {
     @Test
     void showsAnAcceptedJobAsQueued() {
       api.submit(JOB, TIME_MS).join();
-      assertEquals(JobView.of(JobPhase.QUEUED), api.state("j").join());
+      assertEquals(JobView.of(JobPhase.QUEUED), api.state("j", TIME_MS).join());
     }
 
     @Test
     void showsThePhaseOfTheRecord() {
       save(JobPhase.COMPLETED);
-      assertEquals(JobView.of(JobPhase.COMPLETED), api.state("j").join());
+      assertEquals(JobView.of(JobPhase.COMPLETED), api.state("j", TIME_MS).join());
     }
 
     @Test
     void distinguishesAnAbsentJobFromAnUnavailableStore() {
-      assertEquals(JobView.GONE, api.state("j").join());
+      assertEquals(JobView.GONE, api.state("j", TIME_MS).join());
       store.unavailable = true;
-      assertEquals(JobView.UNAVAILABLE, api.state("j").join());
+      assertEquals(JobView.UNAVAILABLE, api.state("j", TIME_MS).join());
     }
 
     @Test
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -42,6 +42,9 @@
   /** Whether calls fail at once. */
   boolean unavailable;
 
+  /** Whether the store answers that it can serve no calls; used with {@link #unavailable}. */
+  boolean busy;
+
   /** Whether commits and reads get no answer at all. */
   boolean silent;
 
@@ -164,6 +167,11 @@
     return future;
   }
 
+  @Override
+  public boolean isBusy() {
+    return busy;
+  }
+
   @Override
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
     CompletableFuture<ChangePage> future = new CompletableFuture<>();
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
@@ -70,6 +70,7 @@
       api =
           new JobApi(
               store,
+              new ManualExecutor(),
               codec,
               new DeclarationFollower(
                   store, new ManualExecutor(), new FakeDocuments(), log, declaration -> {}),
--- a/ports/src/main/java/dev/bambootray/ports/RowStore.java
+++ b/ports/src/main/java/dev/bambootray/ports/RowStore.java
@@ -37,6 +37,14 @@
   CompletableFuture<Either<StoreError, RowReadPage>> read(
       String table, String from, String to, int limit);
 
+  /**
+   * Returns whether the store answers this node but can serve no calls at present, unlike one that
+   * cannot be reached.
+   */
+  default boolean isBusy() {
+    return false;
+  }
+
   /**
    * Waits for changes of a table.
    *
