Add the shifted deployment to the replays of job loads

The sheet of the shifted deployment: short gangs are four fifths of the jobs, and cores and memory bind beside accelerators. No replay held this shape, so the decisions on placing could not be compared on it. Nothing else changes.

--- a/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
+++ b/bench/src/main/java/dev/bambootray/bench/jobs/JobDeployment.java
@@ -86,6 +86,17 @@
               check(1.14, 3, size(39, 9_500, 11_000, 16_000), new Trouble(0.2, 0.005, 0, 0.15))),
           10);
 
+  /** The first deployment after its work has shifted: mostly short gangs, and larger tasks. */
+  private static final JobDeployment FIRST_SHIFTED =
+      new JobDeployment(
+          "shifted grown",
+          GROWN_POOL_OF_LARGE_VMS,
+          List.of(
+              plan(0.749, 2, size(13, 11_000, 52_000, 75_000), new Trouble(0.2, 0.005, 0, 0.05)),
+              order(5.48, 4, 5.4, 15_000, 31_000, 0.005),
+              check(0.913, 3, size(39, 7_600, 11_000, 23_000), new Trouble(0.2, 0.05, 0, 0.15))),
+          10);
+
   /**
    * Workers of a deployment.
    *
@@ -104,7 +115,7 @@
   }
 
   static List<JobDeployment> all() {
-    return List.of(FIRST, SECOND, THIRD, FIRST_GROWN, SECOND_GROWN, THIRD_GROWN);
+    return List.of(FIRST, SECOND, THIRD, FIRST_GROWN, SECOND_GROWN, THIRD_GROWN, FIRST_SHIFTED);
   }
 
   static JobDeployment first() {
