Send a late commit through another node only if that node is faster

Cause: a commit without an answer for 0.3 s was sent through up to three other nodes in turn. The store applies the transactions of a partition one after another, so while it is slow for all, each further attempt waits behind the first and delays the next commit.

Change: a late commit first has the other nodes read one of its rows, which no queue delays, and goes through the first that answers within 0.2 s. A direct attempt that fails goes through other nodes at once, as before, and reads are hedged as before.

Ruled out: a longer delay for commits, by which an owner that is cut off silently is too late for its lease.

Tests: RelayedRowStoreTest replays a store that is slow for all nodes and one that a node alone cannot reach.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
@@ -19,6 +19,12 @@
  * failed wait takes seconds, and the waiting caller has to read again soon.
  */
 final class HedgedStoreCall<T> {
+  /**
+   * Longest time in which another node gets an answer from a store that is not slow; two round
+   * trips between regions take 90 ms.
+   */
+  private static final long FAST_PROBE_MS = 200;
+
   private final RelayedRowStore relayedStore;
   private final StoreCall<T> call;
 
@@ -53,9 +59,37 @@
     }
   }
 
+  /**
+   * Asks other nodes because the direct attempt is late. A call that would wait behind its own
+   * first attempt goes through another node only if that node reaches the store faster: while the
+   * store is slow for all, further attempts would make it slower.
+   */
+  void hedge() {
+    for (Peer peer : relayedStore.peers()) {
+      long sentMs = relayedStore.nowMs();
+      CompletableFuture<Boolean> probe = call.probe(relayedStore.storeOf(peer));
+      if (probe == null) {
+        askPeers();
+        return;
+      }
+      var unused =
+          probe
+              .exceptionally(error -> false)
+              .thenAccept(
+                  answered -> {
+                    if (answered && relayedStore.nowMs() - sentMs <= FAST_PROBE_MS) {
+                      askPeers(List.of(peer));
+                    }
+                  });
+    }
+  }
+
   /** Asks other nodes as well, unless they were asked already or the call has ended. */
   void askPeers() {
-    List<Peer> peers = relayedStore.peers();
+    askPeers(relayedStore.peers());
+  }
+
+  private void askPeers(List<Peer> peers) {
     synchronized (this) {
       if (peersAsked || result.isDone() || peers.isEmpty()) {
         return;
--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Calls the store directly or, if the store does not answer this node, through other nodes.
@@ -30,6 +31,9 @@
   /** Time limit of a read over all its attempts; the direct one alone may take 1 s. */
   private static final long READ_TIMEOUT_MS = 1_300;
 
+  /** Follows a key directly in the order of keys. */
+  private static final String AFTER_KEY = "\u0001";
+
   private final RowStore direct;
   private final Function<String, RowStore> peerStores;
   private final StoreRouteSelector route;
@@ -110,6 +114,17 @@
                 : OutcomeKind.ANSWERED;
           }
 
+          @Override
+          public @Nullable CompletableFuture<Boolean> probe(RowStore store) {
+            if (changes.isEmpty()) {
+              return null;
+            }
+            RowChange first = changes.get(0);
+            return store
+                .read(first.table(), first.key(), first.key() + AFTER_KEY, 1)
+                .thenApply(Either::isRight);
+          }
+
           @Override
           public CommitOutcome failureOutcome(Throwable error) {
             return new CommitOutcome.Unknown("unexpected error " + error);
@@ -194,7 +209,7 @@
       var unused = race.result().whenComplete((outcome, error) -> cancel.run());
     }
     if (!race.result().isDone() && !peers().isEmpty()) {
-      Runnable cancel = timers.runLater(race::askPeers, route.hedgeDelayMs());
+      Runnable cancel = timers.runLater(race::hedge, route.hedgeDelayMs());
       var unused = race.result().whenComplete((outcome, error) -> cancel.run());
     }
     return race.result();
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/FakeStore.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/FakeStore.java
@@ -12,13 +12,18 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-/** A store whose commits and waits a test completes; reads are answered at once. */
+/**
+ * A store whose commits and waits a test completes; reads are answered at once, or by the test if
+ * it holds them back.
+ */
 final class FakeStore implements RowStore {
   final List<CompletableFuture<CommitOutcome>> commits = new ArrayList<>();
   final List<CompletableFuture<ChangePage>> waits = new ArrayList<>();
   List<RowCondition> conditions = List.of();
   List<RowChange> changes = List.of();
   Either<StoreError, RowReadPage> page = Either.left(new StoreError("store", "unavailable", false));
+  final List<CompletableFuture<Either<StoreError, RowReadPage>>> heldReads = new ArrayList<>();
+  boolean holdsReads;
   int reads;
 
   @Override
@@ -35,6 +40,11 @@
   public CompletableFuture<Either<StoreError, RowReadPage>> read(
       String table, String from, String to, int limit) {
     reads++;
+    if (holdsReads) {
+      CompletableFuture<Either<StoreError, RowReadPage>> read = new CompletableFuture<>();
+      heldReads.add(read);
+      return read;
+    }
     return CompletableFuture.completedFuture(page);
   }
 
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.core.store.StoreError;
 import dev.bambootray.jobs.reach.Peer;
 import dev.bambootray.jobs.reach.PeerSelector;
 import dev.bambootray.jobs.store.ChangePage;
@@ -12,6 +13,7 @@
 import dev.bambootray.jobs.store.CommitOutcome.Committed;
 import dev.bambootray.jobs.store.CommitOutcome.Refused;
 import dev.bambootray.jobs.store.CommitOutcome.Unknown;
+import dev.bambootray.jobs.store.RowChange;
 import dev.bambootray.jobs.store.RowReadPage;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -164,6 +166,55 @@
       assertEquals(new Committed(7), commit.join());
     }
 
+    /** Replays a store that is slow for all nodes, and one that only this node cannot reach. */
+    @Nested
+    final class WithRows {
+      private final Either<StoreError, RowReadPage> page =
+          Either.right(new RowReadPage(List.of(), false, 4));
+
+      private CompletableFuture<CommitOutcome> commitRow() {
+        return store.commit(
+            List.of(), List.of(new RowChange("owner", "pool", new byte[] {1})), 1_000);
+      }
+
+      @Test
+      void goesThroughANodeThatReachesTheStoreFaster() {
+        second.holdsReads = true;
+        third.page = page;
+        CompletableFuture<CommitOutcome> commit = commitRow();
+        timers.get(1).run();
+        assertTrue(second.commits.isEmpty());
+        last(third).complete(new Committed(7));
+        assertEquals(new Committed(7), commit.join());
+      }
+
+      @Test
+      void isNotSentAgainWhileTheStoreIsSlowForOtherNodesToo() {
+        // Each further attempt took the place of a commit of the owner, which lost its lease.
+        second.holdsReads = true;
+        third.holdsReads = true;
+        CompletableFuture<CommitOutcome> commit = commitRow();
+        timers.get(1).run();
+        nowMs += 360;
+        second.heldReads.get(0).complete(page);
+        third.heldReads.get(0).complete(page);
+        assertTrue(second.commits.isEmpty() && third.commits.isEmpty());
+        last(direct).complete(new Committed(7));
+        assertEquals(new Committed(7), commit.join());
+      }
+
+      @Test
+      void goesThroughOtherNodesWhenTheDirectAttemptFails() {
+        second.holdsReads = true;
+        third.holdsReads = true;
+        CompletableFuture<CommitOutcome> commit = commitRow();
+        timers.get(1).run();
+        last(direct).complete(new Refused("503"));
+        last(second).complete(new Committed(7));
+        assertEquals(new Committed(7), commit.join());
+      }
+    }
+
     @Test
     void neverReportsACommitAsRefusedThatMayBeApplied() {
       // A caller was told that its job had not run although an unanswered attempt was applied.
