Read the owner row instead of repeating a claim without an answer

Cause: a node whose claim of the pool got no answer repeated the claim at once, for as long as none came.

Change: such a node reads the owner row. It has won if the row shows its claim, gives up if another process has written the row, and repeats the claim only if the row is unchanged. A node that is releasing while its claim is under way now releases the pool when it wins; before it kept the pool until its process ended.

Tried and not kept: an expiry time that grows with the latency of a node's own reads.

--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -41,6 +41,9 @@
   private long unchangedSinceMs;
   private boolean readFailed;
 
+  /** Whether it must be read whether a claim without an answer was applied. */
+  private boolean claimUnanswered;
+
   private long version;
   private long epoch;
 
@@ -102,7 +105,7 @@
       }
     } else if (event instanceof Release) {
       mayClaim = false;
-      releasing = role == Role.OWNER;
+      releasing = role != Role.FOLLOWER;
     }
     proceed(nowMs);
     List<LeaseEffect> taken = effects;
@@ -138,12 +141,18 @@
       return;
     }
     if (role == Role.FOLLOWER && !reading && nowMs >= nextReadMs) {
-      reading = true;
-      nextReadMs = nowMs + times.readMs();
-      effects.add(new LeaseEffect.ReadOwner());
+      read(nowMs);
+    } else if (role == Role.CLAIMING && claimUnanswered && !reading && nowMs >= nextReadMs) {
+      read(nowMs);
     }
   }
 
+  private void read(long nowMs) {
+    reading = true;
+    nextReadMs = nowMs + times.readMs();
+    effects.add(new LeaseEffect.ReadOwner());
+  }
+
   private void onRead(@Nullable OwnerRecord owner, long readVersion, long nowMs) {
     reading = false;
     // No owner can renew while the store is unavailable, so the time of an outage does not count.
@@ -153,6 +162,10 @@
     readFailed = false;
     lastRead = owner;
     lastReadVersion = readVersion;
+    if (role == Role.CLAIMING && claimUnanswered) {
+      settleClaim(owner, readVersion, nowMs);
+      return;
+    }
     if (role != Role.FOLLOWER || !mayClaim) {
       return;
     }
@@ -164,6 +177,25 @@
     }
   }
 
+  /** Handles what a read shows of a claim without an answer. */
+  private void settleClaim(@Nullable OwnerRecord owner, long readVersion, long nowMs) {
+    if (isOurs(owner)) {
+      onCommitted(readVersion, nowMs);
+    } else if (readVersion == version) {
+      claimUnanswered = false;
+      committing = true;
+      effects.add(
+          new LeaseEffect.Commit(
+              version, new OwnerRecord(holder, epoch, sequence, false, pending), null));
+    } else {
+      becomeFollower(nowMs);
+    }
+  }
+
+  private boolean isOurs(@Nullable OwnerRecord owner) {
+    return owner != null && owner.holder().equals(holder) && owner.epoch() == epoch;
+  }
+
   private void claim(@Nullable OwnerRecord last, long expectedVersion) {
     role = Role.CLAIMING;
     committing = true;
@@ -198,6 +230,7 @@
     nextCommitMs = 0;
     if (role == Role.CLAIMING) {
       role = Role.OWNER;
+      claimUnanswered = false;
       effects.add(new LeaseEffect.Won(epoch));
       return;
     }
@@ -222,7 +255,7 @@
 
   private void onConflict(@Nullable OwnerRecord owner, long foundVersion, long nowMs) {
     committing = false;
-    boolean ours = owner != null && owner.holder().equals(holder) && owner.epoch() == epoch;
+    boolean ours = isOurs(owner);
     if (role == Role.CLAIMING) {
       if (ours) {
         onCommitted(foundVersion, nowMs);
@@ -252,10 +285,10 @@
     nextCommitMs = mayApply ? nowMs : nowMs + times.retryMs();
     if (role == Role.CLAIMING) {
       if (mayApply) {
-        committing = true;
-        effects.add(
-            new LeaseEffect.Commit(
-                version, new OwnerRecord(holder, epoch, sequence, false, pending), null));
+        // A read is cheaper than another claim, which would delay the commits of an owner.
+        claimUnanswered = true;
+        reading = false;
+        nextReadMs = nowMs;
       } else {
         becomeFollower(nowMs);
       }
@@ -272,6 +305,7 @@
 
   private void becomeFollower(long nowMs) {
     role = Role.FOLLOWER;
+    claimUnanswered = false;
     lastReadVersion = -1;
     reading = false;
     nextReadMs = nowMs + times.retryMs();
--- a/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
@@ -99,6 +99,41 @@
       assertEquals(new LeaseEffect.Won(1), effects.get(0));
     }
 
+    @Test
+    void readsWhetherAnUnansweredClaimWasApplied() {
+      claim(1_000);
+      assertEquals(
+          List.of(new LeaseEffect.ReadOwner()),
+          lease.handle(new LeaseEvent.CommitFailed(true), 2_000));
+      List<LeaseEffect> effects =
+          lease.handle(new LeaseEvent.OwnerRead(owner("n1/100", 1, 1), 8), 2_010);
+      assertEquals(new LeaseEffect.Won(1), effects.get(0));
+    }
+
+    @Test
+    void repeatsAnUnansweredClaimThatWasNotApplied() {
+      LeaseEffect.Commit claim = claim(1_000);
+      lease.handle(new LeaseEvent.CommitFailed(true), 2_000);
+      assertEquals(List.of(claim), lease.handle(new LeaseEvent.OwnerRead(null, 0), 2_010));
+    }
+
+    @Test
+    void givesUpAnUnansweredClaimIfAnotherNodeHasClaimed() {
+      claim(1_000);
+      lease.handle(new LeaseEvent.CommitFailed(true), 2_000);
+      assertTrue(lease.handle(new LeaseEvent.OwnerRead(owner("n2/1", 1, 1), 8), 2_010).isEmpty());
+      assertTrue(lease.isReleased());
+    }
+
+    @Test
+    void releasesThePoolIfAPendingClaimIsAppliedAfterTheRelease() {
+      claim(1_000);
+      lease.handle(new LeaseEvent.Release(), 1_010);
+      List<LeaseEffect> effects = lease.handle(new LeaseEvent.Committed(5), 1_020);
+      LeaseEffect.Commit release = assertInstanceOf(LeaseEffect.Commit.class, effects.get(1));
+      assertTrue(release.owner().released());
+    }
+
     @Test
     void staysAFollowerWhenAnotherNodeClaimsFirst() {
       claim(1_000);
