Ask the other nodes too if the faster one cannot commit

A late commit that went through the node that answered a read first ended with it: if that node then failed, no other was asked, and other nodes were passed over for a second. The faster node is now the first of the nodes to ask. Found by reading the change; RelayedRowStoreTest shows it.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
@@ -4,6 +4,7 @@
 import dev.bambootray.jobs.reach.Peer;
 import dev.bambootray.jobs.reach.StoreRouteSelector.Route;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -65,11 +66,12 @@
    * store is slow for all, further attempts would make it slower.
    */
   void hedge() {
-    for (Peer peer : relayedStore.peers()) {
+    List<Peer> peers = relayedStore.peers();
+    for (Peer peer : peers) {
       long sentMs = relayedStore.nowMs();
       CompletableFuture<Boolean> probe = call.probe(relayedStore.storeOf(peer));
       if (probe == null) {
-        askPeers();
+        askPeers(peers);
         return;
       }
       var unused =
@@ -78,7 +80,7 @@
               .thenAccept(
                   answered -> {
                     if (answered && relayedStore.nowMs() - sentMs <= FAST_PROBE_MS) {
-                      askPeers(List.of(peer));
+                      askPeers(withFirst(peer, peers));
                     }
                   });
     }
@@ -89,6 +91,13 @@
     askPeers(relayedStore.peers());
   }
 
+  private static List<Peer> withFirst(Peer first, List<Peer> peers) {
+    List<Peer> sorted = new ArrayList<>(peers);
+    sorted.remove(first);
+    sorted.add(0, first);
+    return sorted;
+  }
+
   private void askPeers(List<Peer> peers) {
     synchronized (this) {
       if (peersAsked || result.isDone() || peers.isEmpty()) {
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/RelayedRowStoreTest.java
@@ -203,6 +203,17 @@
         assertEquals(new Committed(7), commit.join());
       }
 
+      @Test
+      void goesThroughTheOtherNodesIfTheFasterOneFails() {
+        second.holdsReads = true;
+        third.page = page;
+        CompletableFuture<CommitOutcome> commit = commitRow();
+        timers.get(1).run();
+        last(third).complete(new Refused("503"));
+        last(second).complete(new Committed(7));
+        assertEquals(new Committed(7), commit.join());
+      }
+
       @Test
       void goesThroughOtherNodesWhenTheDirectAttemptFails() {
         second.holdsReads = true;
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -59,7 +59,10 @@
   private final ScheduledFuture<?> ticks;
   private final CompletableFuture<Boolean> released = new CompletableFuture<>();
   private @Nullable JobScheduler scheduler;
+
+  /** Newest confirmation of the declaration, which a new scheduler gets before all other events. */
   private JobEvent.DeclarationConfirmed confirmation = UNCONFIRMED;
+
   private long epoch;
   private long nextLoadLineMs;
   private boolean releasing;
