Name the source and the lives in the log of a worker's restart

The line of a restart now has its source and both start times, and the line of a lost run the phase of the run and its age. No decision changes; jobs and standins verified.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -230,7 +230,16 @@
   void onLost(Placement placement, String why, EventTime now) {
     state.logDecision(
         placement.run.task().job(),
-        "lost run=" + runLabel(placement) + " worker=" + placement.worker.id() + " why=" + why);
+        "lost run="
+            + runLabel(placement)
+            + " worker="
+            + placement.worker.id()
+            + " phase="
+            + placement.phase
+            + " phase_ms="
+            + (now.ms() - placement.phaseSinceMs)
+            + " why="
+            + why);
     finish(placement, Cause.LAPSED, "", now);
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -34,7 +34,7 @@
       state.workers.put(entry.id(), worker);
       state.logDecision(entry.id(), "worker listed service=" + entry.service());
     } else if (entry.bornMs() > 0 && worker.bornMs > 0 && entry.bornMs() > worker.bornMs) {
-      dropRunsAfterRestart(worker, entry.bornMs(), now);
+      dropRunsAfterRestart(worker, entry.bornMs(), "registry", now);
     }
     if (worker.entry.draining() != entry.draining()) {
       state.logDecision(entry.id(), "worker draining=" + entry.draining());
@@ -76,7 +76,7 @@
 
   /** Handles an answer showing that the worker has restarted: all its runs are lost. */
   void onRestartReported(WorkerState worker, EventTime now) {
-    dropRunsAfterRestart(worker, 0, now);
+    dropRunsAfterRestart(worker, 0, "refused call", now);
     worker.nextCallMs = now.ms() + state.times.retryMs();
     dropIfGone(worker);
   }
@@ -95,7 +95,7 @@
 
   private void onList(WorkerState worker, HoldReply.Listed listed, long sentMs, EventTime now) {
     if (listed.bornMs() > 0 && worker.bornMs > 0 && listed.bornMs() != worker.bornMs) {
-      dropRunsAfterRestart(worker, listed.bornMs(), now);
+      dropRunsAfterRestart(worker, listed.bornMs(), "list", now);
     }
     worker.bornMs = listed.bornMs() > 0 ? listed.bornMs() : worker.bornMs;
     if (worker.failedCalls > 0) {
@@ -187,8 +187,17 @@
     }
   }
 
-  private void dropRunsAfterRestart(WorkerState worker, long bornMs, EventTime now) {
-    state.logDecision(worker.id(), "worker restarted runs=" + worker.placements.size());
+  private void dropRunsAfterRestart(WorkerState worker, long bornMs, String source, EventTime now) {
+    state.logDecision(
+        worker.id(),
+        "worker restarted source="
+            + source
+            + " born_ms="
+            + bornMs
+            + " before_ms="
+            + worker.bornMs
+            + " runs="
+            + worker.placements.size());
     for (Placement placement : List.copyOf(worker.placements.values())) {
       runs.onLost(placement, "the worker has restarted", now);
     }
