Show that a run started by a restarted worker runs twice

Workers in the simulation can restart under their identifier: with nothing that ran, ends numbered from one, a clock that begins anew, leases limited as on the platform, and an entry that the owner learns of late. Calls that wait at a worker end with it.

An idle worker that restarts is given a run before the owner learns of the restart. The entry in the registry then ends that run for the owner, which starts the task again on another worker while the first run goes on: 'runs twice' in two tests, and in the third a gang that finds no free resources.

--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -175,6 +175,31 @@
     post(new JobEvent.WorkerUnlisted(id));
   }
 
+  /**
+   * Restarts a worker under its identifier; what it ran is lost.
+   *
+   * @param id the worker
+   * @param downMs time until it starts again
+   * @param registeredAfterMs time from its start until the owner learns of its new entry
+   */
+  public void restart(String id, long downMs, long registeredAfterMs) {
+    SimulatedPoolWorker ended = worker(id);
+    ended.terminate();
+    schedule(
+        downMs,
+        () -> {
+          SimulatedPoolWorker started = ended.restarted(nowMs);
+          workers.put(id, started);
+          schedule(
+              registeredAfterMs,
+              () -> {
+                if (!started.isGone()) {
+                  post(new JobEvent.WorkerListed(started.entry()));
+                }
+              });
+        });
+  }
+
   /** Marks a worker as draining; its runs continue. */
   public void drain(String id) {
     WorkerEntry entry = worker(id).entry();
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
@@ -101,8 +101,12 @@
     void onEnd(SimulatedPoolWorker worker, RunEnd end, double unsavedMs);
   }
 
+  /** Longest lease that the worker grants on the platform. */
+  private static final long LEASE_LIMIT_MS = 10_000;
+
   private final WorkerEntry entry;
   private final Environment environment;
+  private final long clockOffsetMs;
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private final List<RunEnd> ends = new ArrayList<>();
   private final Map<TaskName, Integer> highestSettledRun = new HashMap<>();
@@ -117,8 +121,29 @@
 
   /** Creates a worker that runs nothing. */
   public SimulatedPoolWorker(WorkerEntry entry, Environment pool) {
+    this(entry, pool, CLOCK_OFFSET_MS);
+  }
+
+  private SimulatedPoolWorker(WorkerEntry entry, Environment pool, long clockOffsetMs) {
     this.entry = entry;
     this.environment = pool;
+    this.clockOffsetMs = clockOffsetMs;
+  }
+
+  /** Returns the worker after a restart under its identifier: it runs nothing, its clock is new. */
+  public SimulatedPoolWorker restarted(long nowMs) {
+    WorkerEntry next =
+        new WorkerEntry(
+            entry.id(),
+            entry.service(),
+            entry.address(),
+            entry.zone(),
+            entry.rack(),
+            entry.labels(),
+            entry.capacity(),
+            entry.bornMs() + nowMs,
+            false);
+    return new SimulatedPoolWorker(next, environment, -nowMs);
   }
 
   /** Returns its entry in the registry. */
@@ -166,11 +191,19 @@
     return gone;
   }
 
-  /** Converts a virtual time to the worker's clock. */
+  /** Converts a virtual time to the clock of a worker that has not restarted. */
   public static long clock(long nowMs) {
     return nowMs + CLOCK_OFFSET_MS;
   }
 
+  private long clockMs(long nowMs) {
+    return nowMs + clockOffsetMs;
+  }
+
+  private void extendLease(long untilMs, long nowMs) {
+    leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs(nowMs) + LEASE_LIMIT_MS));
+  }
+
   /** Carries out a start order. */
   public StartReply start(
       RunName run, long untilMs, String checkpoint, long orderEpoch, long nowMs) {
@@ -179,19 +212,19 @@
     }
     epoch = orderEpoch;
     if (runs.containsKey(run)) {
-      return new StartReply.Started(clock(nowMs));
+      return new StartReply.Started(clockMs(nowMs));
     }
     if (highestSettledRun.getOrDefault(run.task(), 0) >= run.run()) {
       return new StartReply.Refused(Reason.OLD_RUN);
     }
-    if (untilMs <= clock(nowMs)) {
+    if (untilMs <= clockMs(nowMs)) {
       return new StartReply.Refused(Reason.EXPIRED);
     }
     StepSpec step = environment.step(run.task());
     if (!fits(step.each(), free())) {
       return new StartReply.Refused(Reason.NO_ROOM);
     }
-    leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+    extendLease(untilMs, nowMs);
     Run started = new Run(run, step, environment.workMs(run.task()), nowMs);
     started.fails = failing || environment.fails(run);
     started.hangs = hanging;
@@ -202,7 +235,7 @@
     }
     runs.put(run, started);
     environment.onStart(this, run);
-    return new StartReply.Started(clock(nowMs));
+    return new StartReply.Started(clockMs(nowMs));
   }
 
   /** Carries out a stop order and returns whether it was accepted. */
@@ -226,13 +259,13 @@
       return new HoldReply.Fenced();
     }
     epoch = orderEpoch;
-    leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+    extendLease(untilMs, nowMs);
     ends.removeIf(end -> end.number() <= acknowledged);
     List<ListedRun> running = new ArrayList<>();
     for (Run run : runs.values()) {
       running.add(new ListedRun(run.name, run.checkpoint(), run.percent()));
     }
-    return new HoldReply.Listed(clock(nowMs), entry.bornMs(), running, List.copyOf(ends));
+    return new HoldReply.Listed(clockMs(nowMs), entry.bornMs(), running, List.copyOf(ends));
   }
 
   /**
@@ -248,11 +281,11 @@
 
   /** Advances the virtual time. */
   public void advance(long fromMs, long toMs) {
-    if (clock(toMs) > leaseUntilMs) {
+    if (clockMs(toMs) > leaseUntilMs) {
       lastLapsedEnd = nextEnd - 1;
     }
     for (Run run : List.copyOf(runs.values())) {
-      if (clock(toMs) > leaseUntilMs) {
+      if (clockMs(toMs) > leaseUntilMs) {
         end(run, Cause.LAPSED);
       } else if (toMs >= run.stopAtMs) {
         end(run, Cause.STOPPED);
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Delivers an owner's calls to simulated workers with latency and faults: unreachable workers,
@@ -90,7 +91,10 @@
                         new JobEvent.HoldAnswered(
                             hold.worker().id(), list, sentMs, hold.refresh())));
     pool.schedule(
-        ONE_WAY_LATENCY_MS, () -> arrive(hold, epoch, pool.nowMs() + hold.waitMs(), reply));
+        ONE_WAY_LATENCY_MS,
+        () ->
+            arrive(
+                hold, workers.get(hold.worker().id()), epoch, pool.nowMs() + hold.waitMs(), reply));
   }
 
   private void arrive(JobEffect.StartRun start, long epoch, Consumer<JobEvent> answer) {
@@ -102,15 +106,21 @@
           CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, silent)));
       return;
     }
+    SimulatedPoolWorker worker = pool.worker(id);
     if (isDelayed()) {
       pool.schedule(
-          MIN_DELAY_MS + random.nextInt(MAX_EXTRA_DELAY_MS), () -> carryOut(start, epoch));
+          MIN_DELAY_MS + random.nextInt(MAX_EXTRA_DELAY_MS),
+          () -> {
+            if (!worker.isGone()) {
+              carryOut(start, worker, epoch);
+            }
+          });
       StartReply late = new StartReply.Unknown("late");
       pool.schedule(
           CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, late)));
       return;
     }
-    StartReply reply = carryOut(start, epoch);
+    StartReply reply = carryOut(start, worker, epoch);
     if (startAnswersToLose > 0) {
       startAnswersToLose--;
       StartReply lost = new StartReply.Unknown("lost");
@@ -119,15 +129,14 @@
       return;
     }
     if (reply instanceof StartReply.Refused refused && refused.reason() == Reason.NO_ROOM) {
-      observer.onNoRoom(pool.worker(id), run);
+      observer.onNoRoom(worker, run);
     }
     pool.schedule(
         ONE_WAY_LATENCY_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, reply)));
   }
 
-  private StartReply carryOut(JobEffect.StartRun start, long epoch) {
-    return pool.worker(start.worker().id())
-        .start(start.run(), start.untilMs(), start.checkpoint(), epoch, pool.nowMs());
+  private StartReply carryOut(JobEffect.StartRun start, SimulatedPoolWorker worker, long epoch) {
+    return worker.start(start.run(), start.untilMs(), start.checkpoint(), epoch, pool.nowMs());
   }
 
   private void arrive(JobEffect.StopRun stop, long epoch, Consumer<JobEvent> answer) {
@@ -139,19 +148,22 @@
         () -> answer.accept(new JobEvent.StopAnswered(id, stop.run(), confirmed)));
   }
 
+  /** Lets a call wait at the worker that it reached; it ends without an answer with that worker. */
   private void arrive(
-      JobEffect.HoldWorker hold, long epoch, long waitUntilMs, BiConsumer<Long, HoldReply> answer) {
-    String id = hold.worker().id();
-    if (isUnreachable(id)) {
+      JobEffect.HoldWorker hold,
+      @Nullable SimulatedPoolWorker worker,
+      long epoch,
+      long waitUntilMs,
+      BiConsumer<Long, HoldReply> answer) {
+    if (worker == null || isUnreachable(hold.worker().id()) || worker.isGone()) {
       answer.accept(CALL_TIMEOUT_MS, new HoldReply.Failed("silent"));
       return;
     }
-    SimulatedPoolWorker worker = pool.worker(id);
     worker.acknowledged(hold.acknowledged()).forEach(observer::onAcknowledged);
     HoldReply reply = worker.hold(hold.acknowledged(), hold.untilMs(), epoch, pool.nowMs());
     boolean ended = reply instanceof HoldReply.Listed listed && !listed.ended().isEmpty();
     if (!ended && pool.nowMs() < waitUntilMs) {
-      pool.schedule(HOLD_CHECK_MS, () -> arrive(hold, epoch, waitUntilMs, answer));
+      pool.schedule(HOLD_CHECK_MS, () -> arrive(hold, worker, epoch, waitUntilMs, answer));
       return;
     }
     answer.accept(ONE_WAY_LATENCY_MS + (listDelayMs == 0 ? 0 : random.nextInt(listDelayMs)), reply);
--- /dev/null
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/WorkerRestartTest.java
@@ -0,0 +1,57 @@
+package dev.bambootray.standins.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.bambootray.jobs.model.JobPhase;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests workers that restart under their identifier, which the owner learns of late. */
+final class WorkerRestartTest {
+  private static final int WORKERS = 4;
+  private static final long TASK_MS = 2_000;
+
+  private final SchedulerRig rig = SchedulerRig.owned(WORKERS, WORKERS, 0);
+
+  private void restartAll(long downMs, long registeredAfterMs) {
+    for (SimulatedPoolWorker worker : List.copyOf(rig.pool.workers())) {
+      rig.pool.restart(worker.entry().id(), downMs, registeredAfterMs);
+    }
+  }
+
+  private void assertCompletesWithStarts(int starts) {
+    rig.run(10_000);
+    assertEquals(JobPhase.COMPLETED, rig.phase("job"), () -> rig.decisionsAbout("job"));
+    assertEquals(starts, rig.starts, () -> rig.decisionsAbout("job"));
+  }
+
+  /** An idle worker is given work between its restart and the time at which the owner learns it. */
+  @Nested
+  final class OfIdleWorkers {
+    @Tag("known-red")
+    @Test
+    void keepsAConfirmedRunOfTheNewProcess() {
+      restartAll(0, 100);
+      rig.submit("job", 1, TASK_MS, SchedulerRig.tasks(1, 8));
+      assertCompletesWithStarts(1);
+    }
+
+    @Tag("known-red")
+    @Test
+    void keepsARunWhoseStartIsNotConfirmedYet() {
+      restartAll(0, 60);
+      rig.submit("job", 1, TASK_MS, SchedulerRig.tasks(1, 8));
+      assertCompletesWithStarts(1);
+    }
+
+    @Tag("known-red")
+    @Test
+    void keepsAGangOfTheNewProcesses() {
+      restartAll(0, 100);
+      rig.submit("job", 1, TASK_MS, SchedulerRig.gang(WORKERS, 8));
+      assertCompletesWithStarts(WORKERS);
+    }
+  }
+}
