Wait for the lease that a restarted worker grants by its own clock

A worker that restarts has another clock. An order that its new process carries out names the end of its lease by the clock of the process before, far ahead of the new one, so the worker grants its longest lease (10 s), while the owner assumed 6.3 s. If the worker was cut off before the owner learned of the restart, its runs were started elsewhere while they went on.

Change: a run that no list has shown yet may be at an unknown process, and counts as lost only after the longest lease since the last order or call that granted one. When a restart is noticed, the same bound is kept for what the new process was granted. Runs that a list has shown keep the shorter bound, so that runs of workers that are cut off start again as soon as before.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
@@ -31,6 +31,9 @@
   /** Start of the worker's process for which the run was planned, or which has listed it. */
   long bornMs;
 
+  /** Whether a list has shown the run. */
+  boolean listed;
+
   /** End of the lease by the worker's clock, fixed when the run was placed. */
   long untilMs;
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -85,7 +85,7 @@
   void sendStart(Placement placement, EventTime now) {
     WorkerState worker = placement.worker;
     placement.startOrders++;
-    worker.leaseEndMs = Math.max(worker.leaseEndMs, now.ms() + state.times.leaseBoundMs());
+    worker.grantLease(now.ms(), state.times);
     state.emit(
         new JobEffect.StartRun(
             worker.entry,
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
@@ -4,6 +4,7 @@
  * Holds the intervals and time limits of the scheduler, in milliseconds.
  *
  * @param leaseMs length of the lease on a worker's runs, measured by the worker's clock
+ * @param leaseLimitMs longest lease that a worker grants, whatever an order says
  * @param holdWaitMs longest time for which a worker keeps a long poll open until a run ends
  * @param orderMaxAgeMs age after which a start order is dropped instead of sent
  * @param orphanLeaseMs how long runs started by an earlier owner may continue on an unreachable
@@ -16,6 +17,7 @@
  */
 public record SchedulerTimes(
     long leaseMs,
+    long leaseLimitMs,
     long holdWaitMs,
     long orderMaxAgeMs,
     long orphanLeaseMs,
@@ -35,6 +37,7 @@
     long leaseMs = Math.min(DEFAULT_LEASE_MS, leaseLimitMs);
     return new SchedulerTimes(
         leaseMs,
+        leaseLimitMs,
         1_200,
         1_000,
         (long) (leaseMs * LEASE_MARGIN) + OWNER_WITHOUT_STORE_MS,
@@ -48,6 +51,7 @@
   public SchedulerTimes withDeclarationMaxAge(long maxAgeMs) {
     return new SchedulerTimes(
         leaseMs,
+        leaseLimitMs,
         holdWaitMs,
         orderMaxAgeMs,
         orphanLeaseMs,
@@ -59,7 +63,19 @@
 
   /** Returns the longest time that a lease can last by the owner's clock. */
   long leaseBoundMs() {
-    return (long) (leaseMs * LEASE_MARGIN) + 100;
+    return bound(leaseMs);
+  }
+
+  /**
+   * Returns the longest time that a lease can last if the order may have reached a worker that had
+   * restarted: its clock has begun anew, so the end of the lease lies far ahead of it.
+   */
+  long restartedLeaseBoundMs() {
+    return bound(leaseLimitMs);
+  }
+
+  private static long bound(long lengthMs) {
+    return (long) (lengthMs * LEASE_MARGIN) + 100;
   }
 
   /** Returns how long an owner that cannot reach the store keeps its workers. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -163,6 +163,7 @@
       return;
     }
     placement.bornMs = worker.bornMs;
+    placement.listed = true;
     if (placement.phase == Phase.STARTING || placement.phase == Phase.ADOPTING) {
       placement.enterPhase(Phase.RUNNING, now.ms());
       placement.percentSinceMs = now.ms();
@@ -223,6 +224,9 @@
         runs.stop(placement, StopCause.START_UNANSWERED, RESTARTED, now);
       }
     }
+    // The new process may have been granted leases by the clock of the one before.
+    worker.leaseEndMs =
+        Math.max(worker.leaseEndMs, worker.leaseSentMs + state.times.restartedLeaseBoundMs());
     worker.restart(bornMs, now.ms());
     worker.refreshWanted = true;
     worker.nextCallMs = 0;
@@ -244,12 +248,15 @@
   /** Ends all runs of unresponsive workers whose leases have certainly expired. */
   void expireLeases(EventTime now) {
     for (WorkerState worker : List.copyOf(state.workers.values())) {
-      if (worker.isUnresponsive() && now.ms() > worker.leaseEndMs) {
-        for (Placement placement : List.copyOf(worker.placements.values())) {
+      if (!worker.isUnresponsive() || now.ms() <= worker.leaseEndMs) {
+        continue;
+      }
+      for (Placement placement : List.copyOf(worker.placements.values())) {
+        if (now.ms() > worker.leaseEndMs(placement, state.times)) {
           runs.onLost(placement, "its lease has run out", now);
         }
-        dropIfGone(worker);
       }
+      dropIfGone(worker);
     }
   }
 
@@ -302,7 +309,7 @@
             && !worker.placements.isEmpty();
     long untilMs = extend ? worker.leaseUntilMs(now.ms(), state.times.leaseMs()) : 0;
     if (extend) {
-      worker.leaseEndMs = Math.max(worker.leaseEndMs, now.ms() + state.times.leaseBoundMs());
+      worker.grantLease(now.ms(), state.times);
     }
     // After a failed call the worker may have restarted, so nothing is acknowledged before a list.
     long acknowledged = worker.failedCalls == 0 ? worker.ends.take() : 0;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -44,9 +44,12 @@
   private long clockMs = -1;
   private long clockAtMs;
 
-  /** Time at which every lease granted to it has expired. */
+  /** Time at which every lease granted to its known process has expired. */
   long leaseEndMs;
 
+  /** Time of the last order or call that granted a lease by the clock of its known process. */
+  long leaseSentMs = Long.MIN_VALUE / 2;
+
   boolean pollInFlight;
   boolean refreshInFlight;
   boolean refreshWanted;
@@ -124,6 +127,22 @@
     return clockMs + (long) ((nowMs - clockAtMs) * 0.98) + leaseMs;
   }
 
+  /** Notes that an order or call grants a lease by the clock of the known process. */
+  void grantLease(long nowMs, SchedulerTimes times) {
+    leaseSentMs = nowMs;
+    leaseEndMs = Math.max(leaseEndMs, nowMs + times.leaseBoundMs());
+  }
+
+  /**
+   * Returns the time at which the lease of a run has expired. A run that no list shows yet may have
+   * been started by a process that the owner does not know of.
+   */
+  long leaseEndMs(Placement placement, SchedulerTimes times) {
+    return placement.listed
+        ? leaseEndMs
+        : Math.max(leaseEndMs, leaseSentMs + times.restartedLeaseBoundMs());
+  }
+
   /** Returns the resources that no placement uses. */
   Resources free() {
     Resources known = free;
