Start the soak with a previous build and crash workers in waves

Waves of crashes are drawn apart, so seeds keep the other faults that they had. A worker that is back may answer before its entry shows it, and refuses connections or is silent while it is down. Every node is asked about every accepted job at the end; each answer is compared with the first final one.

Ruled out: new kinds in the ordinary draw, which would change the plans of the seeds in regressions.txt.

--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -4,6 +4,7 @@
 import dev.bambootray.soak.wire.StandInStore;
 import dev.bambootray.soak.wire.StandInStore.Failure;
 import io.netty.channel.EventLoop;
+import java.nio.file.Path;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -30,17 +31,27 @@
   private final List<LoopbackProxy> callerLinks;
   private final SoakWorkers workers;
   private final StandInStore store;
+  private final Builds builds;
   private final Runnable declare;
   private final Map<LoopbackProxy, Map<Mode, Integer>> links = new HashMap<>();
   private int active;
 
+  /**
+   * Programs between which nodes change.
+   *
+   * @param current the build under test
+   * @param previous the build that the nodes begin with
+   */
+  record Builds(Path current, Path previous) {}
+
   /** Parts that faults act on. */
   record Targets(
       List<NodeProcess> nodes,
       List<LoopbackProxy> storeLinks,
       List<LoopbackProxy> callerLinks,
       SoakWorkers workers,
-      StandInStore store) {
+      StandInStore store,
+      Builds builds) {
     Targets {
       nodes = List.copyOf(nodes);
       storeLinks = List.copyOf(storeLinks);
@@ -71,6 +82,7 @@
     callerLinks = targets.callerLinks();
     workers = targets.workers();
     store = targets.store();
+    builds = targets.builds();
   }
 
   /** Schedules all faults of a plan, counted from now. */
@@ -95,6 +107,8 @@
     switch (fault.kind()) {
       case NODE_KILL -> signals.execute(() -> kill(nodes.get(target), forMs));
       case NODE_STOP -> signals.execute(() -> stop(nodes.get(target)));
+      case NODE_UPGRADE -> signals.execute(() -> replace(nodes.get(target), builds.current()));
+      case NODE_DOWNGRADE -> signals.execute(() -> replace(nodes.get(target), builds.previous()));
       case NODE_PAUSE -> signals.execute(() -> pause(nodes.get(target), forMs));
       case NODE_RELOAD -> signals.execute(nodes.get(target)::reload);
       case ALL_KILL -> signals.execute(() -> nodes.forEach(node -> kill(node, forMs)));
@@ -111,6 +125,7 @@
       case WORKER_CUT_BACK -> disturb(workers.proxy(target), Mode.CUT_BACK, forMs);
       case WORKER_DELAY -> disturb(workers.proxy(target), Mode.DELAY, forMs);
       case WORKER_CRASH -> workers.crash(target, forMs);
+      case WORKER_WAVE -> workers.crashSeveral(target, forMs);
       case WORKER_FAILS -> fail(target, forMs);
       case WORKER_HANGS -> hang(target, forMs);
       case WORKER_LEAVES -> workers.drain(target, forMs);
@@ -148,6 +163,12 @@
     node.start();
   }
 
+  /** Stops a node and starts it with another program; one that is down gets it at its start. */
+  private void replace(NodeProcess node, Path program) {
+    node.setProgram(program);
+    stop(node);
+  }
+
   private void pause(NodeProcess node, long forMs) {
     node.pause();
     var unusedTimer = signals.schedule(node::resume, forMs, TimeUnit.MILLISECONDS);
--- a/soak/src/main/java/dev/bambootray/soak/FaultKind.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultKind.java
@@ -8,6 +8,10 @@
   NODE_STOP(Scope.NODE, true),
   /** A node gets SIGSTOP and, after the time of the fault, SIGCONT. */
   NODE_PAUSE(Scope.NODE, false),
+  /** A node gets SIGTERM and is started again with the current build. */
+  NODE_UPGRADE(Scope.NODE, true),
+  /** A node gets SIGTERM and is started again with the previous build. */
+  NODE_DOWNGRADE(Scope.NODE, true),
   /** A node gets SIGHUP. */
   NODE_RELOAD(Scope.NODE, true),
   /** All nodes get SIGKILL at once. */
@@ -38,6 +42,8 @@
   WORKER_DELAY(Scope.WORKER, false),
   /** A worker crashes and begins another life. */
   WORKER_CRASH(Scope.WORKER, false),
+  /** Several workers crash at once and begin other lives under the identifiers that they had. */
+  WORKER_WAVE(Scope.WORKER, false),
   /** All runs that start at a worker fail. */
   WORKER_FAILS(Scope.WORKER, false),
   /** Runs that start at a worker make no progress. */
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** Draws the faults of a run; the same seed gives the same plan. */
@@ -21,6 +23,16 @@
   /** Every so many seeds a run has planned work only. */
   private static final int PLANNED_EVERY = 5;
 
+  /** Mean time between two waves of crashes. */
+  private static final double MEAN_WAVE_GAP_MS = 4_000;
+
+  private static final long SHORTEST_WAVE_MS = 100;
+  private static final long LONGEST_WAVE_MS = 3_000;
+
+  /** Kinds that are drawn apart, so that a seed keeps the other faults that it has. */
+  private static final Set<FaultKind> DRAWN_APART =
+      EnumSet.of(FaultKind.WORKER_WAVE, FaultKind.NODE_UPGRADE, FaultKind.NODE_DOWNGRADE);
+
   private FaultPlan() {}
 
   /** Returns whether the run of a seed has planned work only. */
@@ -40,6 +52,7 @@
     SplittableRandom random = new SplittableRandom(seed);
     List<FaultKind> kinds =
         Arrays.stream(FaultKind.values())
+            .filter(one -> !DRAWN_APART.contains(one))
             .filter(one -> one.isPlanned() || !isPlannedOnly(seed))
             .toList();
     List<Fault> faults = new ArrayList<>();
@@ -47,7 +60,7 @@
     FaultKind kind = kinds.get(0);
     int target = 0;
     while (true) {
-      atMs += -Math.log(1 - random.nextDouble()) * MEAN_GAP_MS;
+      atMs += gapMs(random, MEAN_GAP_MS);
       if (atMs >= lengthMs) {
         break;
       }
@@ -58,7 +71,25 @@
       long forMs = random.nextLong(SHORTEST_FAULT_MS, LONGEST_FAULT_MS);
       faults.add(new Fault((long) atMs, kind, target, forMs));
     }
+    if (!isPlannedOnly(seed)) {
+      faults.addAll(drawWaves(random.split(), workers, lengthMs));
+    }
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
   }
+
+  private static List<Fault> drawWaves(SplittableRandom random, int workers, long lengthMs) {
+    List<Fault> waves = new ArrayList<>();
+    double atMs = gapMs(random, MEAN_WAVE_GAP_MS);
+    while (atMs < lengthMs) {
+      long forMs = random.nextLong(SHORTEST_WAVE_MS, LONGEST_WAVE_MS);
+      waves.add(new Fault((long) atMs, FaultKind.WORKER_WAVE, random.nextInt(workers), forMs));
+      atMs += gapMs(random, MEAN_WAVE_GAP_MS);
+    }
+    return waves;
+  }
+
+  private static double gapMs(SplittableRandom random, double meanMs) {
+    return -Math.log(1 - random.nextDouble()) * meanMs;
+  }
 }
--- a/soak/src/main/java/dev/bambootray/soak/LoopbackProxy.java
+++ b/soak/src/main/java/dev/bambootray/soak/LoopbackProxy.java
@@ -45,6 +45,7 @@
   private final Set<Channel> open = new HashSet<>();
   private final Channel listener;
   private Mode mode = Mode.PASS;
+  private boolean down;
 
   private LoopbackProxy(EventLoop loop, int targetPort) {
     this.loop = loop;
@@ -86,6 +87,14 @@
     }
   }
 
+  /** Sets whether connections are reset in every mode, as by a machine without the program. */
+  void setDown(boolean value) {
+    down = value;
+    if (down) {
+      resetAll();
+    }
+  }
+
   /** Closes all open connections without the usual farewell. */
   void resetAll() {
     for (Channel channel : List.copyOf(open)) {
@@ -102,7 +111,7 @@
   }
 
   private void accept(Channel front) {
-    if (mode == Mode.RESET) {
+    if (down || mode == Mode.RESET) {
       reset(front);
       return;
     }
--- a/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
+++ b/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
@@ -1,8 +1,10 @@
 package dev.bambootray.soak;
 
+import static java.nio.file.StandardOpenOption.APPEND;
+import static java.nio.file.StandardOpenOption.CREATE;
+
 import dev.bambootray.soak.wire.Documents;
 import dev.bambootray.standins.FreePorts;
-import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -27,9 +29,9 @@
       List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
   private final String name;
-  private final Path jar;
   private final Path directory;
   private final int frontPort;
+  private Path program;
   private @Nullable Process process;
   private boolean stopping;
   private boolean killed;
@@ -37,15 +39,15 @@
   private long startedNanos;
   private boolean stoppedEarly;
 
-  private NodeProcess(String name, Path jar, Path directory, int frontPort) {
+  private NodeProcess(String name, Path program, Path directory, int frontPort) {
     this.name = name;
-    this.jar = jar;
+    this.program = program;
     this.directory = directory;
     this.frontPort = frontPort;
   }
 
   /** Writes the settings of a node that meets the store at a port; starts nothing. */
-  static NodeProcess create(String name, Path jar, Path directory, int storePort) {
+  static NodeProcess create(String name, Path program, Path directory, int storePort) {
     int frontPort = FreePorts.next();
     int readyPort = FreePorts.next();
     // The port for other nodes follows the one for metrics.
@@ -57,7 +59,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException("cannot write the settings of " + name, e);
     }
-    return new NodeProcess(name, jar, directory, frontPort);
+    return new NodeProcess(name, program, directory, frontPort);
   }
 
   String name() {
@@ -72,6 +74,11 @@
     return process != null && process.isAlive();
   }
 
+  /** Sets the program of the next start. */
+  void setProgram(Path newProgram) {
+    program = newProgram;
+  }
+
   /** Starts the node, if it is down: two processes of one node would share its name and ports. */
   void start() {
     if (isUp()) {
@@ -84,12 +91,13 @@
     startedNanos = System.nanoTime();
     List<String> command = new ArrayList<>(List.of("java"));
     command.addAll(JVM);
-    command.addAll(List.of("-jar", jar.toString()));
+    command.addAll(List.of("-jar", program.toString()));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("BAMBOOTRAY_SETTINGS", directory.resolve(name + ".json").toString());
-    File log = directory.resolve(name + ".log").toFile();
-    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    Path log = directory.resolve(name + ".log");
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     try {
+      Files.writeString(log, "soak: starts " + program + "\n", CREATE, APPEND);
       process = builder.start();
     } catch (IOException e) {
       throw new UncheckedIOException("cannot start " + name, e);
--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -5,11 +5,11 @@
 import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,6 +30,12 @@
   /** Answers to a submission that is well formed, for a queue that is always there. */
   private static final Set<Integer> EXPECTED = Set.of(ACCEPTED, TOO_MANY, 502, UNAVAILABLE, 504);
 
+  private static final Set<String> FINAL_STATES = Set.of("completed", "failed", "cancelled");
+
+  /** States in which a caller may be shown a job that was accepted. */
+  private static final Set<String> STATES =
+      Set.of("queued", "running", "completed", "failed", "cancelled");
+
   private static final class Entry {
     private final SoakJob job;
     private boolean accepted;
@@ -38,6 +44,7 @@
     private boolean started;
     private long cancelledAtMs = Long.MAX_VALUE;
     private String shown = "";
+    private String shownBy = "";
     private final Set<TaskName> done = new HashSet<>();
     private final Map<TaskName, RunName> noted = new HashMap<>();
     private final Set<String> checkpoints = new HashSet<>();
@@ -48,7 +55,7 @@
   }
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
-  private final List<String> violations = new ArrayList<>();
+  private final Set<String> violations = new LinkedHashSet<>();
   private final Map<String, Integer> counts = new TreeMap<>();
   private long lastFaultMs = Long.MIN_VALUE / 2;
 
@@ -94,14 +101,20 @@
     entry.cancelledAtMs = Math.min(entry.cancelledAtMs, nowMs);
   }
 
-  /** Notes a state that a caller was shown, or "gone". */
-  void shown(String id, String state) {
+  /**
+   * Notes what a caller was told about a job.
+   *
+   * @param state a state, or "gone" or a status if the node does not know the job
+   * @param node name of the node that told it
+   */
+  void shown(String id, String state, String node) {
     Entry entry = entry(id);
-    if (entry.accepted && state.equals("gone")) {
-      violate(id, "was accepted and is shown as gone");
+    if (entry.accepted && !STATES.contains(state)) {
+      violate(id, "was accepted and is shown as " + state + " by " + node);
     }
     if (isFinal(entry.shown) && !state.equals(entry.shown)) {
-      violate(id, "was shown as " + entry.shown + " and then as " + state);
+      String nodes = " (by " + entry.shownBy + ", then by " + node + ")";
+      violate(id, "was shown as " + entry.shown + " and then as " + state + nodes);
     }
     if (state.equals("completed") && !allDone(entry)) {
       violate(id, "is shown as completed, but only these tasks have ended: " + entry.done);
@@ -109,7 +122,10 @@
     if (state.equals("cancelled") && !entry.job.cancelled()) {
       violate(id, "is shown as cancelled, but nobody cancelled it");
     }
-    entry.shown = state;
+    if (!isFinal(entry.shown)) {
+      entry.shown = state;
+      entry.shownBy = node;
+    }
   }
 
   /**
@@ -190,6 +206,14 @@
     violations.add(subject + " " + what);
   }
 
+  /** Returns the accepted jobs. */
+  List<String> accepted() {
+    return entries.values().stream()
+        .filter(entry -> entry.accepted)
+        .map(entry -> entry.job.id())
+        .toList();
+  }
+
   /** Returns the accepted jobs that have not been shown as final. */
   List<String> open() {
     return entries.values().stream()
@@ -237,7 +261,7 @@
   }
 
   private static boolean isFinal(String state) {
-    return state.equals("completed") || state.equals("failed") || state.equals("cancelled");
+    return FINAL_STATES.contains(state);
   }
 
   private static boolean allDone(Entry entry) {
--- a/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
@@ -11,12 +11,16 @@
 import dev.bambootray.soak.wire.Documents;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ObjIntConsumer;
 
 /**
  * Callers that submit, watch and cancel jobs at any node, keep their connections open and repeat
@@ -42,6 +46,9 @@
   private static final int ACCEPTED = 200;
   private static final int GONE = 410;
 
+  /** Statuses that say nothing about a job: the caller has to ask again. */
+  private static final Set<Integer> NO_ANSWER = Set.of(0, 429, 502, 503, 504);
+
   private final EventLoop loop;
   private final PromiseBook book;
   private final LongSupplier clock;
@@ -105,11 +112,11 @@
             Documents.path(job.id()),
             Documents.submission(job.payload(), job.steps()),
             Lane.COMMAND);
-    send(request, outcome -> onSubmitted(job, attempt, outcome));
+    send(request, (outcome, node) -> onSubmitted(job, attempt, outcome));
   }
 
   private void onSubmitted(SoakJob job, int attempt, Outcome outcome) {
-    int status = outcome instanceof Answered answered ? answered.status() : 0;
+    int status = status(outcome);
     boolean givesUp = attempt == MOST_ATTEMPTS || random.nextDouble() < GIVES_UP_SHARE / attempt;
     boolean last = status != ACCEPTED && givesUp;
     if (!(outcome instanceof NotSent)) {
@@ -130,8 +137,11 @@
   private void cancel(SoakJob job) {
     send(
         Request.of("DELETE", Documents.path(job.id()), new byte[0], Lane.COMMAND),
-        outcome -> {
-          int status = outcome instanceof Answered answered ? answered.status() : 0;
+        (outcome, node) -> {
+          int status = status(outcome);
+          if (status == GONE) {
+            book.shown(job.id(), "gone", name(node));
+          }
           if (status == ACCEPTED || status == GONE) {
             book.cancelled(job.id(), clock.getAsLong());
           } else {
@@ -143,18 +153,76 @@
   private void watch(SoakJob job) {
     send(
         Request.get(Documents.path(job.id())),
+        (outcome, node) -> {
+          read(job.id(), node, outcome);
+          later(POLL_MS, () -> watch(job));
+        });
+  }
+
+  /** Notes what a node says about a job and returns whether it says anything. */
+  private boolean read(String job, int node, Outcome outcome) {
+    int status = status(outcome);
+    if (NO_ANSWER.contains(status)) {
+      return false;
+    }
+    String state = status == GONE ? "gone" : "status " + status;
+    if (outcome instanceof Answered answered && status == ACCEPTED) {
+      state = Documents.state(answered.body().bytes());
+    }
+    book.shown(job, state, name(node));
+    return true;
+  }
+
+  /** Asks every node about every accepted job, one after the other at each node. */
+  CompletableFuture<?> askEveryNode() {
+    List<CompletableFuture<?>> asked = new ArrayList<>();
+    for (int node = 0; node < nodes.size(); node++) {
+      CompletableFuture<Void> done = new CompletableFuture<>();
+      asked.add(done);
+      ask(node, book.accepted().iterator(), done);
+    }
+    return CompletableFuture.allOf(asked.toArray(CompletableFuture<?>[]::new));
+  }
+
+  private void ask(int node, Iterator<String> rest, CompletableFuture<Void> done) {
+    if (rest.hasNext()) {
+      ask(node, rest.next(), 1, rest, done);
+    } else {
+      done.complete(null);
+    }
+  }
+
+  private void ask(
+      int node, String job, int attempt, Iterator<String> rest, CompletableFuture<Void> done) {
+    sendTo(
+        node,
+        Request.get(Documents.path(job)),
         outcome -> {
-          if (outcome instanceof Answered answered && answered.status() == ACCEPTED) {
-            book.shown(job.id(), Documents.state(answered.body().bytes()));
-          } else if (outcome instanceof Answered answered && answered.status() == GONE) {
-            book.shown(job.id(), "gone");
+          if (read(job, node, outcome)) {
+            ask(node, rest, done);
+          } else if (attempt < MOST_ATTEMPTS) {
+            later(RETRY_MS, () -> ask(node, job, attempt + 1, rest, done));
+          } else {
+            book.violate(name(node), "does not answer at the end when it is asked about " + job);
+            done.complete(null);
           }
-          later(POLL_MS, () -> watch(job));
         });
   }
 
-  private void send(Request request, Consumer<Outcome> then) {
+  private static int status(Outcome outcome) {
+    return outcome instanceof Answered answered ? answered.status() : 0;
+  }
+
+  private static String name(int node) {
+    return "node" + node;
+  }
+
+  private void send(Request request, ObjIntConsumer<Outcome> then) {
     int node = random.nextInt(nodes.size());
+    sendTo(node, request, outcome -> then.accept(outcome, node));
+  }
+
+  private void sendTo(int node, Request request, Consumer<Outcome> then) {
     Request full = request.withHeaders(Documents.callerHeaders(TIMEOUT_MS));
     long sentMs = clock.getAsLong();
     var unusedThen =
@@ -166,7 +234,7 @@
                   boolean late = clock.getAsLong() - sentMs > LOSS_SLACK_MS;
                   if (plannedOnly && late && outcome instanceof NoReply lost) {
                     book.violate(
-                        "node" + node,
+                        name(node),
                         "left a request without an answer during planned work: "
                             + request.method()
                             + " after "
--- a/soak/src/main/java/dev/bambootray/soak/SoakMain.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakMain.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,6 +70,12 @@
       description = "Program of a node, default ${DEFAULT-VALUE}.")
   private Path jar = Path.of("target/bambootray-node.jar");
 
+  @Option(
+      names = "--previous",
+      paramLabel = "COMMIT",
+      description = "Begin with the build of a commit and replace it, node by node.")
+  private @Nullable Path previous;
+
   @Option(
       names = "--keep",
       defaultValue = "target/soak",
@@ -88,6 +95,10 @@
       System.err.println(jar + ": no such file; build it with mvn -pl platform -am package");
       return 2;
     }
+    if (previous != null && !Files.exists(previous)) {
+      System.err.println(previous + ": no such file; bin/soak builds the commit that it is given");
+      return 2;
+    }
     if (nodes < 1 || nodes * parallel > MOST_NODES || workers < 1) {
       System.err.println("--nodes, --workers, --jobs: expected 1 to " + MOST_NODES + " nodes");
       return 2;
@@ -111,6 +122,7 @@
   private SoakOptions options(long seed) {
     return new SoakOptions(
         jar.toAbsolutePath(),
+        previous == null ? null : previous.toAbsolutePath(),
         keep.resolve("seed-" + seed).toAbsolutePath(),
         nodes,
         workers,
--- a/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
@@ -1,11 +1,13 @@
 package dev.bambootray.soak;
 
 import java.nio.file.Path;
+import org.jspecify.annotations.Nullable;
 
 /**
  * How a run of the soak is set up.
  *
  * @param jar program of a node
+ * @param previousJar program that all nodes begin with before they are replaced, or null
  * @param directory where settings and logs go
  * @param nodes number of nodes
  * @param workers number of workers
@@ -13,4 +15,16 @@
  * @param settleMs time for work to end after the last fault
  */
 record SoakOptions(
-    Path jar, Path directory, int nodes, int workers, long faultsMs, long settleMs) {}
+    Path jar,
+    @Nullable Path previousJar,
+    Path directory,
+    int nodes,
+    int workers,
+    long faultsMs,
+    long settleMs) {
+
+  /** Returns the program that the nodes begin with. */
+  Path firstJar() {
+    return previousJar == null ? jar : previousJar;
+  }
+}
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -87,12 +88,12 @@
             defaults.waitMs());
     HttpApiServer storeServer = HttpApiServer.start(group, Documents.HOST, 0, store, limits);
     SoakWorkers workers =
-        new SoakWorkers(group, loop, store, book, this::nowMs, jobs, options.workers());
+        new SoakWorkers(group, loop, store, book, this::nowMs, jobs, options.workers(), seed);
     for (int i = 0; i < options.nodes(); i++) {
       storeLinks.add(LoopbackProxy.start(loop, storeServer.port()));
       NodeProcess node =
           NodeProcess.create(
-              "node" + i, options.jar(), options.directory(), storeLinks.get(i).port());
+              "node" + i, options.firstJar(), options.directory(), storeLinks.get(i).port());
       nodes.add(node);
       callerLinks.add(LoopbackProxy.start(loop, node.frontPort()));
     }
@@ -113,6 +114,7 @@
       TimeUnit.MILLISECONDS.sleep(LEAD_MS);
       disturb(workers, callers);
       settle(callers);
+      onLoop(callers::askEveryNode).get();
       onLoop(
           () -> {
             book.settle(workers.running());
@@ -154,16 +156,23 @@
 
   private void disturb(SoakWorkers workers, SoakCallers callers)
       throws IOException, InterruptedException, ExecutionException {
-    List<Fault> plan = FaultPlan.draw(seed, options.nodes(), options.workers(), options.faultsMs());
+    List<Fault> plan =
+        new ArrayList<>(
+            FaultPlan.draw(seed, options.nodes(), options.workers(), options.faultsMs()));
+    if (options.previousJar() != null) {
+      plan.addAll(UpgradePlan.draw(seed, options.nodes(), options.faultsMs()));
+      plan.sort(Comparator.comparingLong(Fault::atMs));
+    }
     Files.write(
         options.directory().resolve("plan.txt"), plan.stream().map(Fault::toString).toList());
+    var builds = new FaultInjector.Builds(options.jar(), options.firstJar());
     FaultInjector injector =
         new FaultInjector(
             loop,
             signals,
             book,
             this::nowMs,
-            new FaultInjector.Targets(nodes, storeLinks, callerLinks, workers, store),
+            new FaultInjector.Targets(nodes, storeLinks, callerLinks, workers, store, builds),
             this::declare);
     onLoop(
         () -> {
--- a/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -32,6 +33,14 @@
   /** The platform removes the entry of a silent worker after three of its beats. */
   private static final long REMOVED_AFTER_MS = 4_500;
 
+  /** Share of the workers that crash in a wave, and the longest time between their returns. */
+  private static final double WAVE_SHARE = 0.5;
+
+  private static final long WAVE_SPREAD_MS = 500;
+
+  /** A worker that is back answers up to this long before its entry in the registry shows it. */
+  private static final long LATEST_ENTRY_MS = 150;
+
   /** Every second worker has a clock that is 2% slow, which the platform allows. */
   private static final double SLOW_CLOCK = 0.98;
 
@@ -91,13 +100,22 @@
       endpoint.setLife(null);
       life.terminate();
       proxy.resetAll();
+      proxy.setDown(random.nextBoolean());
     }
 
     private void comeBack(String id) {
-      life = begin(id);
+      SimulatedPoolWorker begun = begin(id);
+      life = begun;
       draining = false;
       present = true;
-      register();
+      proxy.setDown(false);
+      later(
+          random.nextLong(LATEST_ENTRY_MS),
+          () -> {
+            if (present && life == begun) {
+              register();
+            }
+          });
     }
   }
 
@@ -106,6 +124,7 @@
   private final PromiseBook book;
   private final LongSupplier clock;
   private final Map<String, SoakJob> jobs;
+  private final SplittableRandom random;
   private final List<Seat> seats = new ArrayList<>();
 
   /**
@@ -113,6 +132,7 @@
    *
    * @param jobs jobs by identifier, filled by the callers
    * @param count number of workers
+   * @param seed decides how they come back
    */
   SoakWorkers(
       EventLoopGroup group,
@@ -121,12 +141,14 @@
       PromiseBook book,
       LongSupplier clock,
       Map<String, SoakJob> jobs,
-      int count) {
+      int count,
+      long seed) {
     this.loop = loop;
     this.store = store;
     this.book = book;
     this.clock = clock;
     this.jobs = jobs;
+    random = new SplittableRandom(seed);
     for (int i = 0; i < count; i++) {
       seats.add(new Seat(i, group));
     }
@@ -152,14 +174,25 @@
     return seats.get(worker).life;
   }
 
-  /** Ends a life without a word; the next one begins after a time, by turns under the same name. */
+  /** Ends a life without a word; the next one begins after a time, under either name. */
   void crash(int worker, long forMs) {
-    Seat seat = seats.get(worker);
+    crash(seats.get(worker), random.nextBoolean(), forMs);
+  }
+
+  /** Crashes a worker and about half of the others; they come back under the names they had. */
+  void crashSeveral(int worker, long forMs) {
+    for (Seat seat : seats) {
+      if (seat.number == worker || random.nextDouble() < WAVE_SHARE) {
+        crash(seat, true, forMs + random.nextLong(WAVE_SPREAD_MS));
+      }
+    }
+  }
+
+  private void crash(Seat seat, boolean sameName, long forMs) {
     if (!seat.present) {
       return;
     }
     seat.leave();
-    boolean sameName = seat.lives % 2 == 0;
     String old = seat.life.entry().id();
     if (!sameName) {
       later(REMOVED_AFTER_MS, () -> store.unregister(old));
--- a/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
@@ -36,6 +36,7 @@
     Set<FaultKind> seen = EnumSet.noneOf(FaultKind.class);
     for (long seed = 1; seed <= 50; seed++) {
       FaultPlan.draw(seed, NODES, WORKERS, 15_000).forEach(fault -> seen.add(fault.kind()));
+      UpgradePlan.draw(seed, NODES, 15_000).forEach(fault -> seen.add(fault.kind()));
     }
     assertEquals(EnumSet.allOf(FaultKind.class), seen);
   }
--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -17,6 +17,7 @@
 /** Each test breaks one promise, so that a check that sees nothing fails here. */
 final class PromiseBookTest {
   private static final String JOB = "00000000000000aa";
+  private static final String NODE = "node0";
   private final PromiseBook book = new PromiseBook();
 
   PromiseBookTest() {
@@ -48,7 +49,7 @@
     start(run(1, 1), run(0, 1), run(1, 1));
     book.ended(new RunEnd(1, run(0, 1), Cause.DONE, ""));
     book.ended(new RunEnd(2, run(1, 1), Cause.DONE, ""));
-    book.shown(JOB, "completed");
+    book.shown(JOB, "completed", NODE);
     book.settle(List.of());
     assertEquals(List.of(), book.violations());
     assertEquals(List.of(), book.open());
@@ -66,10 +67,33 @@
     @Test
     void seesAJobThatIsShownAsGone() {
       book.answered(JOB, 200, false);
-      book.shown(JOB, "gone");
+      book.shown(JOB, "gone", NODE);
       assertViolation("is shown as gone");
     }
 
+    @Test
+    void seesANodeThatDoesNotKnowAnAcceptedJob() {
+      book.answered(JOB, 200, false);
+      book.shown(JOB, "running", NODE);
+      book.shown(JOB, "status 404", "node1");
+      assertViolation("is shown as status 404 by node1");
+    }
+
+    @Test
+    void allowsAJobThatWasNotAcceptedToBeUnknown() {
+      book.answered(JOB, 0, false);
+      book.shown(JOB, "gone", NODE);
+      assertEquals(List.of(), book.violations());
+    }
+
+    @Test
+    void returnsTheAcceptedJobs() {
+      book.submitting(job("00000000000000bb", false));
+      book.answered(JOB, 200, false);
+      book.answered("00000000000000bb", 503, true);
+      assertEquals(List.of(JOB), book.accepted());
+    }
+
     @Test
     void seesARefusedJobThatRunsLater() {
       book.answered(JOB, 503, true);
@@ -155,7 +179,7 @@
     void seesARunThatOutlivesItsJob() {
       book.answered(JOB, 200, false);
       book.cancelled(JOB, 1_000);
-      book.shown(JOB, "failed");
+      book.shown(JOB, "failed", NODE);
       book.settle(List.of(run(0, 1)));
       assertViolation("still runs");
     }
@@ -167,20 +191,36 @@
     void seesACompletedJobWithOpenTasks() {
       book.answered(JOB, 200, false);
       book.ended(new RunEnd(1, run(0, 1), Cause.DONE, ""));
-      book.shown(JOB, "completed");
+      book.shown(JOB, "completed", NODE);
       assertViolation("only these tasks have ended");
     }
 
     @Test
     void seesAFinalStateThatChanges() {
-      book.shown(JOB, "failed");
-      book.shown(JOB, "running");
+      book.shown(JOB, "failed", NODE);
+      book.shown(JOB, "running", NODE);
       assertViolation("was shown as failed and then as running");
     }
 
+    @Test
+    void seesAnotherAnswerOfAnotherNode() {
+      book.shown(JOB, "failed", NODE);
+      book.shown(JOB, "gone", "node1");
+      assertViolation("failed and then as gone (by node0, then by node1)");
+    }
+
+    @Test
+    void comparesEveryAnswerWithTheFinalOne() {
+      book.answered(JOB, 200, false);
+      book.shown(JOB, "failed", NODE);
+      book.shown(JOB, "running", "node1");
+      book.shown(JOB, "running", "node2");
+      assertEquals(2, book.violations().size(), book.violations()::toString);
+    }
+
     @Test
     void seesAJobThatNobodyCancelled() {
-      book.shown(JOB, "cancelled");
+      book.shown(JOB, "cancelled", NODE);
       assertViolation("nobody cancelled it");
     }
   }
