--- a/soak/src/main/java/dev/bambootray/soak/SoakMain.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakMain.java
@@ -5,7 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -76,6 +78,13 @@
       description = "Begin with the build of a commit and replace it, node by node.")
   private @Nullable Path previous;
 
+  @Option(
+      names = "--without",
+      paramLabel = "KIND",
+      split = ",",
+      description = "Kinds of faults to leave out, such as those that a previous build fails.")
+  private Set<FaultKind> without = EnumSet.noneOf(FaultKind.class);
+
   @Option(
       names = "--keep",
       defaultValue = "target/soak",
@@ -127,7 +136,8 @@
         nodes,
         workers,
         seconds * 1_000L,
-        settleSeconds * 1_000L);
+        settleSeconds * 1_000L,
+        without);
   }
 
   private List<Long> seedsToPlay() throws IOException {
--- a/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
@@ -1,6 +1,7 @@
 package dev.bambootray.soak;
 
 import java.nio.file.Path;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,6 +14,7 @@
  * @param workers number of workers
  * @param faultsMs time within which faults begin
  * @param settleMs time for work to end after the last fault
+ * @param without kinds of faults that are left out of the plan
  */
 record SoakOptions(
     Path jar,
@@ -21,7 +23,11 @@
     int nodes,
     int workers,
     long faultsMs,
-    long settleMs) {
+    long settleMs,
+    Set<FaultKind> without) {
+  SoakOptions {
+    without = Set.copyOf(without);
+  }
 
   /** Returns the program that the nodes begin with. */
   Path firstJar() {
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -163,6 +163,7 @@
       plan.addAll(UpgradePlan.draw(seed, options.nodes(), options.faultsMs()));
       plan.sort(Comparator.comparingLong(Fault::atMs));
     }
+    plan.removeIf(fault -> options.without().contains(fault.kind()));
     Files.write(
         options.directory().resolve("plan.txt"), plan.stream().map(Fault::toString).toList());
     var builds = new FaultInjector.Builds(options.jar(), options.firstJar());
