--- a/soak/src/main/java/dev/bambootray/soak/SoakMain.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakMain.java
@@ -5,13 +5,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,6 +72,19 @@
       description = "Program of a node, default ${DEFAULT-VALUE}.")
   private Path jar = Path.of("target/bambootray-node.jar");
 
+  @Option(
+      names = "--previous",
+      paramLabel = "COMMIT",
+      description = "Begin with the build of a commit and replace it, node by node.")
+  private @Nullable Path previous;
+
+  @Option(
+      names = "--without",
+      paramLabel = "KIND",
+      split = ",",
+      description = "Kinds of faults to leave out, such as those that a previous build fails.")
+  private Set<FaultKind> without = EnumSet.noneOf(FaultKind.class);
+
   @Option(
       names = "--keep",
       defaultValue = "target/soak",
@@ -88,6 +104,10 @@
       System.err.println(jar + ": no such file; build it with mvn -pl platform -am package");
       return 2;
     }
+    if (previous != null && !Files.exists(previous)) {
+      System.err.println(previous + ": no such file; bin/soak builds the commit that it is given");
+      return 2;
+    }
     if (nodes < 1 || nodes * parallel > MOST_NODES || workers < 1) {
       System.err.println("--nodes, --workers, --jobs: expected 1 to " + MOST_NODES + " nodes");
       return 2;
@@ -111,11 +131,13 @@
   private SoakOptions options(long seed) {
     return new SoakOptions(
         jar.toAbsolutePath(),
+        previous == null ? null : previous.toAbsolutePath(),
         keep.resolve("seed-" + seed).toAbsolutePath(),
         nodes,
         workers,
         seconds * 1_000L,
-        settleSeconds * 1_000L);
+        settleSeconds * 1_000L,
+        without);
   }
 
   private List<Long> seedsToPlay() throws IOException {
