Show what the commit before the layout changed loses in an upgrade

Cause: moved the accepted jobs from partition `pool` to `jobs-0` to `jobs-15` and the rows of nodes to `nodes`. Builds before it read and write only `pool`, builds since only the new partitions.

Change: FormatTransitionTest plays rows of that this build reads, and both builds in turns, on an in-memory store with partitions. Seven of its eight tests fail: such a job is unknown to callers, is not cancelled, is not taken over, and its row stays after the rows of the job were removed; jobs and nodes of this build are invisible to the older one, and both accept the same identifier.

--- /dev/null
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatTransitionTest.java
@@ -0,0 +1,173 @@
+package dev.bambootray.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.daemon.jobs.JobApi.CancelOutcome;
+import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.jobs.reach.Peer;
+import dev.bambootray.jobs.reach.PeerSelector;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Nodes of this build beside nodes of commit 7193ad2, which keep all rows in one partition. */
+final class FormatTransitionTest {
+  private static final long TIME_MS = 2_000;
+
+  private final PartitionedStore.Content content = new PartitionedStore.Content();
+  private final FormatOneNode old = new FormatOneNode(content);
+
+  private static JobSpec job(String id) {
+    return new JobSpec(
+        id,
+        "w",
+        "t",
+        "s",
+        "p",
+        List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
+        new JobSpec.Objective(1, 1, 1, 1),
+        JobSpec.Schedule.ONCE,
+        1);
+  }
+
+  /** A node of this build that has started. */
+  private final class NewNode {
+    private final PartitionedStore store = new PartitionedStore(content, new JobPartitions());
+    private final ManualExecutor executor = new ManualExecutor();
+    private final DecisionLog log = DecisionLog.start();
+    private final JobRowCodec codec = new JobRowCodec();
+    private final OwnerRowStore ownerRows = new OwnerRowStore(store, codec, log);
+    private final Peer self;
+    private final JobApi api;
+
+    NewNode(String name) {
+      self = new Peer(name, "10.0.0.1:7011", "a", "r");
+      api =
+          new JobApi(
+              store,
+              executor,
+              codec,
+              new DeclarationFollower(
+                  store, new ManualExecutor(), new FakeDocuments(), log, declaration -> {}),
+              ownerRows,
+              log,
+              JobMetrics.create(),
+              new OwnerHintSender(ownerRows, name, (node, hint) -> {}, hint -> {}));
+      new NodeDirectory(store, executor, log, self, new PeerSelector(self)).start();
+      executor.runAll();
+    }
+
+    SubmitOutcome submit(String id) {
+      return api.submit(job(id), TIME_MS).join();
+    }
+
+    JobView poll(String id) {
+      return api.state(id, TIME_MS).join();
+    }
+
+    CancelOutcome cancel(String id) {
+      return api.cancel(id, TIME_MS).join();
+    }
+
+    JobEvent.TookOver takeOver() {
+      List<JobEvent> events = new ArrayList<>();
+      new PoolLoader(store, executor, new FakeDocuments(), codec, log)
+          .start(events::add, Optional::empty);
+      executor.runAll();
+      return (JobEvent.TookOver) events.get(0);
+    }
+  }
+
+  /** Rows that the older build wrote and this one reads. */
+  @Nested
+  @Tag("known-red")
+  final class RowsOfTheOlderBuild {
+    private final NewNode node;
+
+    RowsOfTheOlderBuild() {
+      old.submit(job("j"));
+      node = new NewNode("n1");
+    }
+
+    @Test
+    void areShownToCallers() {
+      assertEquals(JobView.of(JobPhase.QUEUED), node.poll("j"));
+    }
+
+    @Test
+    void canBeCancelled() {
+      assertEquals(CancelOutcome.CANCELLED, node.cancel("j"));
+      assertEquals(List.of("j", JobTables.cancelKey("j")), old.jobRows());
+      assertEquals(Set.of("j"), node.takeOver().cancelled());
+    }
+
+    @Test
+    void areTakenOver() {
+      assertEquals(List.of(job("j")), node.takeOver().jobs());
+    }
+
+    @Test
+    void remainOneJobIfSubmittedAgain() {
+      assertEquals(SubmitOutcome.ACCEPTED, node.submit("j"));
+      assertEquals(List.of(job("j")), node.takeOver().jobs());
+      assertTrue(node.ownerRows.removeJobRows("j").join());
+      // A row that stays would run the job again as soon as its record is removed.
+      assertEquals(0, content.count("jobs"));
+    }
+  }
+
+  /** Both builds in turns. */
+  @Nested
+  @Tag("known-red")
+  final class WhileAnOlderNodeIsAlive {
+    private final NewNode node;
+
+    WhileAnOlderNodeIsAlive() {
+      old.renew("n9");
+      node = new NewNode("n1");
+    }
+
+    @Test
+    void acceptedJobsAreStoredWhereItReadsThem() {
+      old.submit(job("a"));
+      assertEquals(SubmitOutcome.ACCEPTED, node.submit("b"));
+      old.submit(job("c"));
+      assertEquals(List.of("a", "b", "c"), old.jobRows());
+      assertEquals(List.of(job("a"), job("b"), job("c")), node.takeOver().jobs());
+    }
+
+    @Test
+    void itFindsTheNewerNodes() {
+      assertEquals(List.of("n1", "n9"), old.nodes());
+    }
+
+    @Test
+    void anIdentifierIsStoredOnce() {
+      old.submit(job("a"));
+      assertEquals(SubmitOutcome.ACCEPTED, node.submit("a"));
+      assertEquals(1, content.count("jobs"));
+    }
+  }
+
+  /** Guards against an upgrade that keeps the single partition, which a slow store cannot serve. */
+  @Test
+  void nodesOfThisBuildAloneSpreadTheJobs() {
+    NewNode node = new NewNode("n1");
+    node.executor.runLater();
+    for (int i = 0; i < 100; i++) {
+      assertEquals(SubmitOutcome.ACCEPTED, node.submit("job" + i));
+    }
+    assertEquals(16, content.partitionsWith("jobs").size());
+    assertEquals(Set.of("nodes"), content.partitionsWith("nodes"));
+  }
+}
