Test the change of formats at different moments

Cause: two nodes of this build switch their format at different moments, and nodes of older builds make store calls through them.

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatOneNode.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatOneNode.java
@@ -10,6 +10,7 @@
 import dev.bambootray.jobs.store.RowCondition;
 import dev.bambootray.ports.RowPartitions;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /** Makes the calls of the store that a node of commit 7193ad2 makes. */
 final class FormatOneNode {
@@ -42,6 +43,11 @@
     write(JobTables.NODES, name, row.getBytes(UTF_8));
   }
 
+  /** Removes a node's row, as every node does once it has been silent for long. */
+  void forget(String name) {
+    write(JobTables.NODES, name, null);
+  }
+
   void submit(JobSpec job) {
     var unused =
         store
@@ -52,7 +58,7 @@
             .join();
   }
 
-  private void write(String table, String key, byte[] value) {
+  private void write(String table, String key, byte @Nullable [] value) {
     CommitOutcome outcome =
         store
             .commit(List.of(), List.of(new RowChange(table, key, value)), CallTimeouts.COMMIT_MS)
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatTransitionTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatTransitionTest.java
@@ -1,6 +1,8 @@
 package dev.bambootray.daemon.jobs;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
@@ -12,6 +14,7 @@
 import dev.bambootray.jobs.reach.Peer;
 import dev.bambootray.jobs.reach.PeerSelector;
 import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.store.RowChange;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -158,6 +161,139 @@
     }
   }
 
+  /** Nodes of this build learn at different moments that the last older node is gone. */
+  @Nested
+  final class WhenTheLastOlderNodeIsGone {
+    private final NewNode first;
+    private final NewNode second;
+
+    WhenTheLastOlderNodeIsGone() {
+      old.renew("n9");
+      first = new NewNode("n1");
+      second = new NewNode("n2");
+      first.executor.runLater();
+      second.executor.runLater();
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("before"));
+      old.forget("n9");
+      first.executor.runLater();
+    }
+
+    @Test
+    void eachFindsTheJobsOfTheOther() {
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("spread"));
+      assertEquals(SubmitOutcome.ACCEPTED, second.submit("pooled"));
+      assertEquals(List.of("before", "pooled"), old.jobRows());
+      for (NewNode node : List.of(first, second)) {
+        for (String id : List.of("before", "spread", "pooled")) {
+          assertEquals(JobView.of(JobPhase.QUEUED), node.poll(id));
+        }
+        assertEquals(List.of(job("before"), job("pooled"), job("spread")), node.takeOver().jobs());
+      }
+    }
+
+    @Test
+    void anIdentifierThatBothStoreIsOneJob() {
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("j"));
+      assertEquals(SubmitOutcome.ACCEPTED, second.submit("j"));
+      assertEquals(CancelOutcome.CANCELLED, second.cancel("j"));
+      JobEvent.TookOver takeover = first.takeOver();
+      assertEquals(List.of(job("before"), job("j")), takeover.jobs());
+      assertEquals(Set.of("j"), takeover.cancelled());
+      assertTrue(first.ownerRows.removeJobRows("j").join());
+      assertEquals(1, content.count("jobs"));
+    }
+
+    @Test
+    void aCancellationFollowsItsJob() {
+      assertEquals(SubmitOutcome.ACCEPTED, second.submit("pooled"));
+      assertEquals(CancelOutcome.CANCELLED, first.cancel("pooled"));
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("spread"));
+      assertEquals(CancelOutcome.CANCELLED, second.cancel("spread"));
+      assertEquals(Set.of("pooled", "spread"), first.takeOver().cancelled());
+      assertEquals(CancelOutcome.GONE, first.cancel("none"));
+    }
+
+    @Test
+    void itsJobsAreCountedUntilTheyAreRemoved() {
+      var unused = first.takeOver();
+      assertEquals(1, first.formats.formatOneJobs());
+      assertTrue(first.ownerRows.removeJobRows("before").join());
+      assertEquals(0, first.formats.formatOneJobs());
+      assertEquals(0, content.count("jobs"));
+    }
+
+    @Test
+    void jobsOfTheNewFormatCostNoMoreCalls() {
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("spread"));
+      int commits = first.store.commits;
+      int reads = first.store.reads;
+      assertEquals(JobView.of(JobPhase.QUEUED), first.poll("spread"));
+      assertEquals(2, first.store.reads - reads);
+      assertTrue(first.ownerRows.removeJobRows("spread").join());
+      assertEquals(1, first.store.commits - commits);
+    }
+
+    @Test
+    void eachNodeIsListedOnce() {
+      second.executor.runLater();
+      first.executor.runLater();
+      second.executor.runLater();
+      assertEquals(List.of(), old.nodes());
+      assertEquals(2, content.count("nodes"));
+    }
+
+    @Test
+    void aNodeThatComesBackIsServedAgain() {
+      old.renew("n9");
+      first.executor.runLater();
+      assertEquals(SubmitOutcome.ACCEPTED, first.submit("again"));
+      assertEquals(List.of("again", "before"), old.jobRows());
+    }
+  }
+
+  /**
+   * Guards against an upgrade from commit e87b6cb that hides jobs from the nodes of that commit.
+   */
+  @Test
+  void jobsAreSpreadAtOnceBesideNodesThatSpreadThem() {
+    var unused =
+        new PartitionedStore(content, new JobPartitions())
+            .commit(
+                List.of(),
+                List.of(new RowChange(JobTables.NODES, "n9", "{}".getBytes(UTF_8))),
+                TIME_MS)
+            .join();
+    assertEquals(SubmitOutcome.ACCEPTED, new NewNode("n1").submit("j"));
+    assertEquals(Set.of("nodes"), content.partitionsWith("nodes"));
+    assertEquals(List.of(), old.jobRows());
+  }
+
+  @Test
+  void aNodeThatKnowsNoFormatAcceptsNothing() {
+    StoreFormats unknown = new StoreFormats();
+    assertFalse(unknown.isReady());
+    var unused = unknown.update(false, true, false);
+    assertTrue(unknown.isReady());
+  }
+
+  @Test
+  void aNodeIsNotReadyWhileAnotherStoresANewerFormat() {
+    NewNode node = new NewNode("n1");
+    assertTrue(node.formats.isReady());
+    NodeRow newer = new NodeRow("n2", "10.0.0.2:7011", "a", "r", 9, 9);
+    var unused =
+        node.store
+            .commit(
+                List.of(),
+                List.of(new RowChange(JobTables.NODES, "n2", node.codec.encode(newer))),
+                TIME_MS)
+            .join();
+    node.executor.runLater();
+    assertFalse(node.formats.isReady());
+    assertEquals(SubmitOutcome.NOT_STORED, node.submit("j"));
+    assertEquals(0, content.count("jobs"));
+  }
+
   /** Guards against an upgrade that keeps the single partition, which a slow store cannot serve. */
   @Test
   void nodesOfThisBuildAloneSpreadTheJobs() {
