Keep rows that a newer build may have written

Cause: a node that meets a newer format reported not ready, but as owner it went on to remove the rows of ended jobs, and every node removes the row of a silent node, which alone says that a newer format was stored.

Change: while a newer format is stored, an owner of this build removes no rows of jobs, and rows of nodes that store one are not removed. FormatTransitionTest and NodeDirectoryTest pass (22 tests); the age at which rows are removed is measured by the system's clock and has no test.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -336,6 +336,9 @@
   }
 
   private void removeRows(String job) {
+    if (formats.isNewerFound()) {
+      return; // A newer build may have stored rows of this job that this one does not know.
+    }
     long sentEpoch = epoch;
     var unused =
         ownerRows
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
@@ -165,7 +165,7 @@
             .decodeNode(row.value())
             .peek(node -> alive.put(node.name(), node.peer(row.table())))
             .peekLeft(error -> log.line("nodes:", row.key(), "ignored, " + error));
-      } else if (quietMs > REMOVED_AFTER_MS) {
+      } else if (quietMs > REMOVED_AFTER_MS && !isOfNewerFormat(row)) {
         remove(row);
       }
     }
@@ -177,6 +177,11 @@
     }
   }
 
+  /** Returns whether a node has stored rows that this build cannot read; its own row stays. */
+  private boolean isOfNewerFormat(Row row) {
+    return codec.decodeNode(row.value()).exists(node -> node.writes() > Peer.FORMAT);
+  }
+
   private static String place(Row row) {
     return row.table() + "/" + row.key();
   }
@@ -187,7 +192,7 @@
     boolean spread = settled;
     for (Row row : rows) {
       NodeRow node = codec.decodeNode(row.value()).getOrNull();
-      newer |= node != null && node.writes() > Peer.FORMAT;
+      newer |= isOfNewerFormat(row);
       if (row.key().equals(self.name())) {
         continue; // Of an earlier process on this VM, if not of this one.
       }
