--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
@@ -120,7 +120,7 @@
     if (closed) {
       return;
     }
-    var unused = renew().thenRunAsync(this::read, executor);
+    var unused = renew().thenComposeAsync(outcome -> read(), executor);
     var unusedNext = executor.schedule(this::renewAndRead, RENEW_MS, TimeUnit.MILLISECONDS);
   }
 
