Do not claim the pool if the owner row cannot be read

Cause: an owner row that fails to decode counted as no owner, so a node claimed the pool at once with epoch 1. A row without a holder decoded.

Change: such a row counts as not read, and a row needs a holder.

Ruled out: claiming with a higher epoch, as the epoch in force is not known then; workers refuse orders of lower epochs.

Result: OwnerRowStoreTest reportsARowThatFailsToDecodeAsNotRead failed before (OwnerRead without an owner) and passes.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
@@ -85,7 +85,11 @@
       return new LeaseEvent.OwnerRead(null, 0);
     }
     Row row = page.rows().get(0);
-    return new LeaseEvent.OwnerRead(decode(row), row.version());
+    OwnerRecord owner = decode(row);
+    // A row that a newer build may have written is no reason to claim the pool.
+    return owner == null
+        ? new LeaseEvent.ReadFailed()
+        : new LeaseEvent.OwnerRead(owner, row.version());
   }
 
   CompletableFuture<LeaseEvent> commit(LeaseEffect.Commit commit) {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
@@ -1,5 +1,6 @@
 package dev.bambootray.daemon.jobs;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -66,6 +67,13 @@
     assertEquals(OWNER, assertInstanceOf(LeaseEvent.OwnerRead.class, rows.read().join()).owner());
   }
 
+  @Test
+  void reportsARowThatFailsToDecodeAsNotRead() {
+    // Guards against a claim with a lower epoch beside the owner of a newer build.
+    store.put(JobTables.OWNER, JobTables.OWNER_KEY, "{\"holder\":\"n/1\"}".getBytes(UTF_8));
+    assertEquals(new LeaseEvent.ReadFailed(), rows.read().join());
+  }
+
   @Test
   void isReachableOnlyIfTheLatestCallWasAnswered() {
     // Guards against a node that stays ready for seconds after its store connections go silent.
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/OwnerRecord.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/OwnerRecord.java
@@ -1,5 +1,7 @@
 package dev.bambootray.jobs.lead;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.Map;
 
 /**
@@ -13,8 +15,9 @@
  */
 public record OwnerRecord(
     String holder, long epoch, long sequence, boolean released, Map<String, Long> pending) {
-  /** Copies the map. */
+  /** Copies the map and rejects null, so that decoding an incomplete stored row fails. */
   public OwnerRecord {
+    requireNonNull(holder, "holder");
     pending = Map.copyOf(pending);
   }
 
