Leave a job alone if its record cannot be read

Cause: at a takeover a record that fails to decode, or that lacks its tasks, counted as none, so the job started from the beginning beside the runs that it may have. The record of a job whose specification fails to decode was removed as left over from a removed job.

Change: the new owner leaves out a job whose record fails to decode, and keeps the record of a job whose specification fails to decode.

Ruled out: failing the takeover, which would leave the pool without an owner for one row.

Such runs are not counted on their workers, and their ends are forgotten; see docs/design/upgrades.md, "Left".

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
@@ -85,6 +85,9 @@
   Either<String, JobRecord> decodeRecord(byte[] value) {
     try {
       JsonNode row = json.readTree(value);
+      if (!row.path("job").isTextual() || !row.path("tasks").isArray()) {
+        return Either.left("the record of a job lacks the job or its tasks");
+      }
       List<TaskRecord> tasks = new ArrayList<>();
       for (JsonNode task : row.path("tasks")) {
         tasks.add(
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -80,6 +80,10 @@
     private final TableFollower records;
     private final TableFollower workers;
     private final Set<String> listed = new HashSet<>();
+
+    /** Jobs whose progress is unknown, so that starting them could repeat finished work. */
+    private final Set<String> unreadable = new HashSet<>();
+
     private @Nullable Map<String, Row> jobRows;
     private @Nullable List<Row> recordRows;
     private @Nullable Map<String, Row> workerRows;
@@ -194,14 +198,19 @@
               codec
                   .decodeRecord(row.value())
                   .peek(saved -> kept.put(saved.job(), saved))
-                  .peekLeft(error -> log.line("store:", row.key(), error)));
+                  .peekLeft(
+                      error -> {
+                        unreadable.add(row.key());
+                        log.line("store:", row.key(), error);
+                      }));
       List<JobSpec> accepted = new ArrayList<>();
       Set<String> cancelled = new HashSet<>();
       for (Row row : jobsRead.values()) {
         if (JobTables.isCancelKey(row.key())) {
           cancelled.add(JobTables.jobOfCancelKey(row.key()));
         } else {
-          job(row).ifPresent(accepted::add);
+          // The record of a job that exists must not count as left over from a removed one.
+          job(row).ifPresentOrElse(accepted::add, () -> kept.remove(row.key()));
         }
       }
       List<WorkerEntry> entries = new ArrayList<>();
@@ -301,6 +310,9 @@
     }
 
     private Optional<JobSpec> job(Row row) {
+      if (unreadable.contains(row.key())) {
+        return Optional.empty();
+      }
       return codec
           .decodeJob(row.value())
           .peekLeft(error -> log.line("store:", row.key(), error))
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.JobRecord;
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.scheduling.JobEvent;
@@ -153,6 +155,33 @@
     assertEquals(List.of(job("before")), tookOver().jobs());
   }
 
+  @Test
+  void leavesOutAJobWhoseRecordFailsToDecode() {
+    // Guards against a job that starts from the beginning because a newer build wrote its record.
+    accept("newer");
+    store.put(
+        JobTables.RECORDS,
+        "newer",
+        "{\"job\":\"newer\",\"phase\":\"PAUSED\",\"tasks\":[]}".getBytes(UTF_8));
+    start();
+    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertTrue(tookOver().records().isEmpty());
+    loader.lookUp("newer");
+    executor.runAll();
+    assertEquals(1, events.size());
+  }
+
+  @Test
+  void doesNotOfferTheRecordOfAJobThatFailsToDecode() {
+    // Guards against the removal of a record as left over, although its job exists.
+    store.put(JobTables.JOBS, "newer", "{\"id\":\"newer\"}".getBytes(UTF_8));
+    JobRecord saved = new JobRecord("newer", JobPhase.RUNNING, 0, List.of());
+    store.put(JobTables.RECORDS, "newer", codec.encode(saved));
+    start();
+    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertTrue(tookOver().records().isEmpty());
+  }
+
   @Test
   void continuesWhenTheListenerThrows() {
     events.clear();
