--- a/jobs/src/main/java/dev/bambootray/jobs/model/StepSpec.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/model/StepSpec.java
@@ -1,5 +1,7 @@
 package dev.bambootray.jobs.model;
 
+import static java.util.Objects.requireNonNull;
+
 import dev.bambootray.core.model.Resources;
 import java.util.List;
 
@@ -32,8 +34,11 @@
     int maxPerWorker,
     boolean longRunning) {
 
-  /** Copies the list. */
+  /** Copies the list and rejects null, so that decoding an incomplete stored step fails. */
   public StepSpec {
+    requireNonNull(each, "each");
+    requireNonNull(requiredLabel, "requiredLabel");
+    requireNonNull(dataRack, "dataRack");
     after = List.copyOf(after);
   }
 
