Let the soak wait for submissions that are repeated

Cause: settle() ended when no accepted job was open. A submission that had no answer yet was repeated after that, accepted, and its job counted as lost 3 s later.

Change: a job is open until its caller has given up or it is final. A test covers a submission that is repeated.

Ruled out: a job that the owner had lost; it was decided as completed just before the nodes were ended.

--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -40,6 +40,7 @@
     private final SoakJob job;
     private boolean accepted;
     private boolean perhapsAccepted;
+    private boolean givenUp;
     private boolean refused;
     private boolean started;
     private long cancelledAtMs = Long.MAX_VALUE;
@@ -87,6 +88,7 @@
     } else if (status != TOO_MANY && status != UNAVAILABLE) {
       entry.perhapsAccepted = true;
     }
+    entry.givenUp |= last;
     if (last && !entry.accepted && !entry.perhapsAccepted) {
       entry.refused = true;
       if (entry.started) {
@@ -214,10 +216,10 @@
         .toList();
   }
 
-  /** Returns the accepted jobs that have not been shown as final. */
+  /** Returns the jobs that may still be accepted or have not been shown as final. */
   List<String> open() {
     return entries.values().stream()
-        .filter(entry -> entry.accepted && !isFinal(entry.shown))
+        .filter(entry -> (entry.accepted || !entry.givenUp) && !isFinal(entry.shown))
         .map(entry -> entry.job.id())
         .toList();
   }
--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -86,6 +86,14 @@
       assertEquals(List.of(), book.violations());
     }
 
+    @Test
+    void waitsForAJobThatIsSubmittedAgain() {
+      book.answered(JOB, 0, false);
+      assertEquals(List.of(JOB), book.open());
+      book.answered(JOB, 503, true);
+      assertEquals(List.of(), book.open());
+    }
+
     @Test
     void returnsTheAcceptedJobs() {
       book.submitting(job("00000000000000bb", false));
