--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -78,6 +78,7 @@
   private final EventQueue queue = new EventQueue();
   private final GangMemberCounter gangs = new GangMemberCounter();
   private final SimulatedTransport transport;
+  private final WorkerCrashes crashes;
   private final Map<String, SimulatedPoolWorker> workers = new LinkedHashMap<>();
   private final Map<String, Double> speeds = new HashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
@@ -96,6 +97,7 @@
     this.policy = policy;
     this.observer = observer;
     transport = new SimulatedTransport(seed, workers, this, observer);
+    crashes = new WorkerCrashes(this);
   }
 
   /** Adds workers with consecutive names, which are listed from the next takeover on. */
@@ -103,22 +105,17 @@
     for (int i = 0; i < count; i++) {
       String id = "w" + workers.size();
       String rack = "rack" + workers.size() / perRack;
-      WorkerEntry entry =
-          new WorkerEntry(
-              id,
-              "s",
-              "10.0.0.1:80",
-              domainOf(rack),
-              rack,
-              Set.of("kind", rack),
-              capacity,
-              1,
-              false);
+      WorkerEntry entry = WorkerEntries.idle(id, domainOf(rack), rack, capacity);
       speeds.put(id, speed);
-      workers.put(id, new SimulatedPoolWorker(entry, this));
+      add(new SimulatedPoolWorker(entry, this));
     }
   }
 
+  /** Adds or replaces a worker without listing it. */
+  void add(SimulatedPoolWorker worker) {
+    workers.put(worker.entry().id(), worker);
+  }
+
   /** Returns the failure domain of a rack; each rack has its own. */
   public static String domainOf(String rack) {
     return "domain of " + rack;
@@ -183,38 +180,17 @@
    * @param registeredAfterMs time from its start until the owner learns of its new entry
    */
   public void restart(String id, long downMs, long registeredAfterMs) {
-    SimulatedPoolWorker ended = worker(id);
-    ended.terminate();
-    schedule(
-        downMs,
-        () -> {
-          SimulatedPoolWorker started = ended.restarted(nowMs);
-          workers.put(id, started);
-          schedule(
-              registeredAfterMs,
-              () -> {
-                if (!started.isGone()) {
-                  post(new JobEvent.WorkerListed(started.entry()));
-                }
-              });
-        });
+    crashes.restart(worker(id), downMs, registeredAfterMs);
+  }
+
+  /** Crashes a worker; its machine returns as another worker. */
+  public void crash(String id) {
+    crashes.crash(worker(id));
   }
 
   /** Marks a worker as draining; its runs continue. */
   public void drain(String id) {
-    WorkerEntry entry = worker(id).entry();
-    post(
-        new JobEvent.WorkerListed(
-            new WorkerEntry(
-                entry.id(),
-                entry.service(),
-                entry.address(),
-                entry.zone(),
-                entry.rack(),
-                entry.labels(),
-                entry.capacity(),
-                entry.bornMs(),
-                true)));
+    post(new JobEvent.WorkerListed(WorkerEntries.draining(worker(id).entry())));
   }
 
   /** Drops the answers to the next start orders, which are carried out without delay. */
@@ -322,7 +298,7 @@
     return Objects.requireNonNull(scheduler, "no owner yet");
   }
 
-  private void post(JobEvent event) {
+  void post(JobEvent event) {
     long startNanos = System.nanoTime();
     List<JobEffect> effects = owner().handle(event, new EventTime(nowMs, wallMs()));
     observer.onHandled(System.nanoTime() - startNanos);
@@ -408,6 +384,9 @@
   public void onStart(SimulatedPoolWorker worker, RunName run) {
     gangs.add(run, worker.entry().rack());
     observer.onStart(worker, run);
+    if (workOf(run.task()).crashesWorker(run.task().step(), run.task().index())) {
+      crashes.crashSoon(worker);
+    }
   }
 
   @Override
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
@@ -118,6 +118,7 @@
   private boolean hanging;
   private boolean unreachable;
   private boolean gone;
+  private boolean replaced;
 
   /** Creates a worker that runs nothing. */
   public SimulatedPoolWorker(WorkerEntry entry, Environment pool) {
@@ -191,6 +192,16 @@
     return gone;
   }
 
+  /** Marks a terminated worker as replaced by another one at its address. */
+  void setReplaced() {
+    replaced = true;
+  }
+
+  /** Returns whether another worker answers at its address. */
+  boolean isReplaced() {
+    return replaced;
+  }
+
   /** Converts a virtual time to the clock of a worker that has not restarted. */
   public static long clock(long nowMs) {
     return nowMs + CLOCK_OFFSET_MS;
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -100,6 +100,12 @@
   private void arrive(JobEffect.StartRun start, long epoch, Consumer<JobEvent> answer) {
     String id = start.worker().id();
     RunName run = start.run();
+    if (isReplaced(id)) {
+      StartReply restarted = new StartReply.WorkerRestarted();
+      pool.schedule(
+          ONE_WAY_LATENCY_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, restarted)));
+      return;
+    }
     if (isUnreachable(id)) {
       StartReply silent = new StartReply.Unknown("silent");
       pool.schedule(
@@ -155,6 +161,10 @@
       long epoch,
       long waitUntilMs,
       BiConsumer<Long, HoldReply> answer) {
+    if (worker != null && worker.isReplaced()) {
+      answer.accept(ONE_WAY_LATENCY_MS, new HoldReply.WorkerRestarted());
+      return;
+    }
     if (worker == null || isUnreachable(hold.worker().id()) || worker.isGone()) {
       answer.accept(CALL_TIMEOUT_MS, new HoldReply.Failed("silent"));
       return;
@@ -169,6 +179,11 @@
     answer.accept(ONE_WAY_LATENCY_MS + (listDelayMs == 0 ? 0 : random.nextInt(listDelayMs)), reply);
   }
 
+  private boolean isReplaced(String worker) {
+    SimulatedPoolWorker target = workers.get(worker);
+    return target != null && target.isReplaced();
+  }
+
   private boolean isUnreachable(String worker) {
     SimulatedPoolWorker target = workers.get(worker);
     boolean unreachable = target == null || target.isUnreachable() || target.isGone();
--- /dev/null
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
@@ -0,0 +1,67 @@
+package dev.bambootray.standins.jobs;
+
+import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.worker.WorkerEntry;
+
+/**
+ * Crashes simulated workers. The machine of a crashed worker returns as another worker at the same
+ * address, which then refuses the calls meant for the crashed one, or under its identifier.
+ */
+final class WorkerCrashes {
+  /** Time from the start of a task that crashes its worker to the crash, as on the platform. */
+  private static final long CRASH_DELAY_MS = 10;
+
+  /** Time for which the registry lists a crashed worker. */
+  private static final long UNLISTED_AFTER_MS = 3_000;
+
+  /** Time after which the machine of a crashed worker is back. */
+  private static final long BACK_AFTER_MS = 3_400;
+
+  private final PoolSimulation pool;
+  private int replacements;
+
+  WorkerCrashes(PoolSimulation pool) {
+    this.pool = pool;
+  }
+
+  /** Crashes a worker shortly after it has started a task. */
+  void crashSoon(SimulatedPoolWorker worker) {
+    pool.schedule(CRASH_DELAY_MS, () -> crash(worker));
+  }
+
+  /** Crashes a worker; all its runs are lost. */
+  void crash(SimulatedPoolWorker worker) {
+    if (worker.isGone()) {
+      return;
+    }
+    worker.terminate();
+    String id = worker.entry().id();
+    pool.schedule(UNLISTED_AFTER_MS, () -> pool.post(new JobEvent.WorkerUnlisted(id)));
+    pool.schedule(BACK_AFTER_MS, () -> replace(worker));
+  }
+
+  /** Restarts a worker under its identifier; all its runs are lost. */
+  void restart(SimulatedPoolWorker ended, long downMs, long registeredAfterMs) {
+    ended.terminate();
+    pool.schedule(
+        downMs,
+        () -> {
+          SimulatedPoolWorker started = ended.restarted(pool.nowMs());
+          pool.add(started);
+          pool.schedule(registeredAfterMs, () -> list(started));
+        });
+  }
+
+  private void list(SimulatedPoolWorker worker) {
+    if (!worker.isGone()) {
+      pool.post(new JobEvent.WorkerListed(worker.entry()));
+    }
+  }
+
+  private void replace(SimulatedPoolWorker worker) {
+    worker.setReplaced();
+    WorkerEntry entry = WorkerEntries.replacement(worker.entry(), "r" + replacements++);
+    pool.add(new SimulatedPoolWorker(entry, pool));
+    pool.post(new JobEvent.WorkerListed(entry));
+  }
+}
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -97,6 +97,11 @@
     submit(id, 1, SimulatedWork.poison(POISON_WORK_MS), 0, step);
   }
 
+  /** Submits a job whose first task crashes each worker that starts it. */
+  void submitDeadly(String id, StepSpec step) {
+    submit(id, 1, SimulatedWork.deadly(POISON_WORK_MS), 0, step);
+  }
+
   private void submit(
       String id, int priority, SimulatedWork work, long delayMs, StepSpec... steps) {
     pool.submit(
@@ -165,6 +170,11 @@
     }
   }
 
+  /** Returns how many workers have crashed. */
+  long crashes() {
+    return pool.workers().stream().filter(SimulatedPoolWorker::isGone).count();
+  }
+
   long completed() {
     return pool.jobs().stream().filter(job -> phase(job.id()) == JobPhase.COMPLETED).count();
   }
