Call a silent worker beside the long poll of its successor

Cause, by reading: connections belong to an address, and one of them serves long polls. Once the machine is back as another worker that is busy, its long poll occupies that connection, and the calls to the crashed worker time out in the queue, so that nothing tells of the crash. Calls that follow a failed one now use the connections for commands. isNoticedThoughTheMachineIsBusyAgain fails without the change; the simulated transport leaves polls of a replaced worker unanswered while its successor is busy.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
@@ -61,7 +61,7 @@
    * @param acknowledged number of the newest end that the worker may discard
    * @param untilMs end of the lease by the worker's clock, 0 to leave it unchanged
    * @param waitMs how long the worker may delay the answer until a run ends
-   * @param refresh whether the call runs in parallel with a long poll, to refresh the list of runs
+   * @param refresh whether the call runs in parallel with a long poll at the same address
    */
   record HoldWorker(
       WorkerEntry worker, long acknowledged, long untilMs, long waitMs, boolean refresh)
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -306,9 +306,15 @@
     boolean unknown =
         worker.listed
             && (!worker.adopted || worker.failedCalls > 0 || worker.isClockOutdated(now.ms()));
-    if (busy || unacknowledged || settling || unknown) {
+    if (worker.failedCalls > 0 && (busy || unacknowledged || settling || unknown)) {
+      if (!worker.refreshInFlight) {
+        worker.refreshInFlight = true;
+        // The long poll of another worker that has taken over the address may occupy its lane.
+        sendHold(worker, 0, true, now);
+      }
+    } else if (busy || unacknowledged || settling || unknown) {
       worker.pollInFlight = true;
-      boolean wait = busy && worker.adopted && worker.failedCalls == 0 && !settling;
+      boolean wait = busy && worker.adopted && !settling;
       sendHold(worker, wait ? state.times.holdWaitMs() : 0, false, now);
     }
   }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
@@ -18,6 +18,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Simulates a worker of the platform without a real clock or socket, including leases, fencing,
@@ -118,7 +120,7 @@
   private boolean hanging;
   private boolean unreachable;
   private boolean gone;
-  private boolean replaced;
+  private @Nullable SimulatedPoolWorker replacement;
 
   /** Creates a worker that runs nothing. */
   public SimulatedPoolWorker(WorkerEntry entry, Environment pool) {
@@ -192,14 +194,14 @@
     return gone;
   }
 
-  /** Marks a terminated worker as replaced by another one at its address. */
-  void setReplaced() {
-    replaced = true;
+  /** Sets the worker that answers at its address after its end. */
+  void setReplacement(SimulatedPoolWorker value) {
+    replacement = value;
   }
 
-  /** Returns whether another worker answers at its address. */
-  boolean isReplaced() {
-    return replaced;
+  /** Returns the worker that answers at its address after its end. */
+  Optional<SimulatedPoolWorker> replacement() {
+    return Optional.ofNullable(replacement);
   }
 
   /** Converts a virtual time to the clock of a worker that has not restarted. */
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -161,8 +161,12 @@
       long epoch,
       long waitUntilMs,
       BiConsumer<Long, HoldReply> answer) {
-    if (worker != null && worker.isReplaced()) {
-      answer.accept(ONE_WAY_LATENCY_MS, new HoldReply.WorkerRestarted());
+    if (worker != null && worker.replacement().isPresent()) {
+      // The long poll of a busy worker occupies the connection that other polls would use.
+      boolean occupied = !hold.refresh() && !worker.replacement().get().runs().isEmpty();
+      answer.accept(
+          occupied ? CALL_TIMEOUT_MS : ONE_WAY_LATENCY_MS,
+          occupied ? new HoldReply.Failed("no answer") : new HoldReply.WorkerRestarted());
       return;
     }
     if (worker == null || isUnreachable(hold.worker().id()) || worker.isGone()) {
@@ -181,7 +185,7 @@
 
   private boolean isReplaced(String worker) {
     SimulatedPoolWorker target = workers.get(worker);
-    return target != null && target.isReplaced();
+    return target != null && target.replacement().isPresent();
   }
 
   private boolean isUnreachable(String worker) {
--- a/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
@@ -77,9 +77,10 @@
   }
 
   private void replace(SimulatedPoolWorker worker) {
-    worker.setReplaced();
     WorkerEntry entry = WorkerEntries.replacement(worker.entry(), "r" + replacements++);
-    pool.add(new SimulatedPoolWorker(entry, pool));
+    SimulatedPoolWorker started = new SimulatedPoolWorker(entry, pool);
+    worker.setReplacement(started);
+    pool.add(started);
     pool.post(new JobEvent.WorkerListed(entry));
   }
 }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
@@ -146,4 +146,17 @@
       assertFalse(rig.decisionsAbout("job").contains("crashed run"));
     }
   }
+
+  @Test
+  void isNoticedThoughTheMachineIsBusyAgain() {
+    SchedulerRig two = SchedulerRig.owned(2, 2, 0);
+    two.submit("lost", 1, 8_000, tasks(2, 8));
+    two.run(1_000);
+    two.submit("waiting", 1, 20_000, tasks(1, 8));
+    two.pool.crash("w0");
+    two.run(5_500);
+    assertTrue(
+        two.decisionsAbout("lost").contains("why=the worker has restarted"),
+        () -> two.decisionsAbout("lost"));
+  }
 }
