--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
@@ -128,15 +128,15 @@
     void areReadWithUnknownMembersAndFurtherElements() {
       String further =
           RECORD
-              .replace("\"00ab\"]", "\"00ab\",2,\"x\"]")
-              .replace("[\"D\",1,0]", "[\"D\",1,0,\"\",\"\",2]");
+              .replace("\"00ab\"]", "\"00ab\",0,2,\"x\"]")
+              .replace("[\"D\",1,0]", "[\"D\",1,0,\"\",\"\",0,2]");
       assertEquals(EXPECTED, codec.decodeRecord(bytes(withUnknownMember(RECORD))).get());
       assertEquals(EXPECTED, codec.decodeRecord(bytes(further)).get());
     }
 
     @Test
     void areWrittenBackWithoutFurtherElements() {
-      String further = RECORD.replace("\"00ab\"]", "\"00ab\",2]");
+      String further = RECORD.replace("\"00ab\"]", "\"00ab\",0,2]");
       JobRecord read = codec.decodeRecord(bytes(withUnknownMember(further))).get();
       assertEquals(RECORD, new String(codec.encode(read), UTF_8));
     }
