Read rows of nodes by their place in the test of older rows

Rows of formats 1 and 2 have the same bytes; the partition tells them apart, and the sixth element of a task is the count of crashes. The former test read them with a method that the layout has replaced; this one is as strict and has one case more.

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
@@ -134,6 +134,12 @@
       assertEquals(EXPECTED, codec.decodeRecord(bytes(further)).get());
     }
 
+    @Test
+    void areReadWithTheCrashesOfWorkers() {
+      String row = RECORD.replace("\"00ab\"]", "\"00ab\",2]");
+      assertEquals(2, codec.decodeRecord(bytes(row)).get().tasks().get(0).crashes());
+    }
+
     @Test
     void areWrittenBackWithoutFurtherElements() {
       String further = RECORD.replace("\"00ab\"]", "\"00ab\",0,2]");
@@ -182,16 +188,20 @@
 
   @Nested
   final class Nodes {
-    private static final Peer EXPECTED = new Peer("n-1", "10.0.0.1:7011", "a", "r");
+    private static final Peer FORMAT_1 = new Peer("n-1", "10.0.0.1:7011", "a", "r", 1);
+    private static final Peer FORMAT_2 = new Peer("n-1", "10.0.0.1:7011", "a", "r", 2);
 
     @Test
-    void areReadAsBefore() {
-      assertEquals(EXPECTED, codec.decodePeer(bytes(NODE)).get());
+    void areReadByTheirPlaceIfTheyAnnounceNoFormat() {
+      NodeRow row = codec.decodeNode(bytes(NODE)).get();
+      assertEquals(FORMAT_1, row.peer(JobTables.NODES_FORMAT_1));
+      assertEquals(FORMAT_2, row.peer(JobTables.NODES));
     }
 
     @Test
     void areReadWithUnknownMembers() {
-      assertEquals(EXPECTED, codec.decodePeer(bytes(withUnknownMember(NODE))).get());
+      NodeRow row = codec.decodeNode(bytes(withUnknownMember(NODE))).get();
+      assertEquals(FORMAT_1, row.peer(JobTables.NODES_FORMAT_1));
     }
   }
 }
