Count crashes only for runs that their worker may have started

An order that another worker at the address refused counted as a crash under its task, so that a job could be given up that had never run (jobsWhoseOrdersReachedOtherWorkersAreNotGivenUp failed before). Under one identifier only confirmed runs counted: a task that an earlier owner had started crashed eight workers (isGivenUpThoughOwnersChangeAndItsWorkersKeepTheirIdentifiers failed before; four now, five are allowed). A worker that was leaving and returns under its identifier has not crashed.

All runs that a restarted worker does not list are now judged together. SchedulerRig counts crashes where they are made, as workers that keep their identifier are not gone. Worker*, Scheduler* and End* tests pass.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/CrashTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/CrashTracker.java
@@ -69,8 +69,9 @@
    * @param now time at which the owner learned of the crash
    */
   void onCrashed(WorkerState worker, List<Placement> lost, EventTime now) {
-    if (lost.isEmpty() || worker.entry.draining()) {
-      return; // A worker that leaves ends without a crash.
+    boolean leaves = worker.entry.draining() || worker.drainedBeforeRestart;
+    if (lost.isEmpty() || leaves) {
+      return; // Its end was planned.
     }
     long atMs = worker.silentSinceMs >= 0 ? worker.silentSinceMs : now.ms();
     Crash crash = new Crash(worker.id(), atMs, jobs(lost));
@@ -85,7 +86,8 @@
   }
 
   private static boolean mayHaveCrashed(Placement placement) {
-    return placement.phase != Phase.ORDERED
+    return placement.mayHaveRun()
+        && !placement.crashCounted
         && placement.task.run == placement.run.run()
         && placement.task.state != State.DONE
         && !placement.task.step.job.phase.isFinal();
@@ -93,6 +95,7 @@
 
   private void suspect(
       Placement placement, Crash crash, Map<String, Set<String>> others, EventTime now) {
+    placement.crashCounted = true;
     Task task = placement.task;
     Job job = task.step.job;
     long unrelated = others.values().stream().filter(jobs -> !jobs.contains(job.spec.id())).count();
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/EndAcknowledgements.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/EndAcknowledgements.java
@@ -21,7 +21,7 @@
   private long batch;
 
   /** Notes a listed end and returns whether it was not listed before. */
-  boolean see(long number) {
+  boolean recordListed(long number) {
     boolean isNew = number > seen;
     seen = Math.max(seen, number);
     return isNew;
@@ -56,7 +56,7 @@
    * Returns the number to acknowledge with the next call, 0 for none. An acknowledged number is not
    * repeated, as the worker may have restarted since.
    */
-  long take() {
+  long nextToAcknowledge() {
     if (!isPending()) {
       return 0;
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
@@ -29,11 +29,17 @@
   long phaseSinceMs;
 
   /** Start of the worker's process for which the run was planned, or which has listed it. */
-  long bornMs;
+  long workerBornMs;
 
   /** Whether a list has shown the run. */
   boolean listed;
 
+  /** Whether the worker has confirmed its start. */
+  boolean confirmed;
+
+  /** Whether a crash of its worker was counted for its task. */
+  boolean crashCounted;
+
   /** End of the lease by the worker's clock, fixed when the run was placed. */
   long untilMs;
 
@@ -59,7 +65,7 @@
     this.run = run;
     this.worker = worker;
     this.phase = phase;
-    bornMs = worker.bornMs;
+    workerBornMs = worker.bornMs;
     phaseSinceMs = nowMs;
     percentSinceMs = nowMs;
     startedMs = nowMs;
@@ -74,6 +80,11 @@
     phaseSinceMs = nowMs;
   }
 
+  /** Returns whether its worker may have started it. */
+  boolean mayHaveRun() {
+    return confirmed || listed || startOrders > 1 || phase == Phase.ADOPTING;
+  }
+
   /** Returns whether this is the current run of its task. */
   boolean isCurrent() {
     return task.run == run.run() && task.state == State.PLACED;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -106,13 +106,14 @@
       return;
     }
     if (reply instanceof StartReply.Started started) {
+      placement.confirmed = true;
       worker.recordClock(started.clockMs(), now.ms());
       if (placement.phase == Phase.STARTING) {
         placement.enterPhase(Phase.RUNNING, now.ms());
         placement.percentSinceMs = now.ms();
         placement.startedMs = now.ms();
         placement.runTimeKnown = placement.task.checkpoint.isEmpty();
-        worker.refreshWanted |= placement.bornMs != worker.bornMs;
+        worker.refreshWanted |= placement.workerBornMs != worker.bornMs;
         onStarted(placement);
       }
     } else if (reply instanceof StartReply.Refused refused) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
@@ -7,8 +7,8 @@
  * Repeats start orders that were not answered.
  *
  * <p>Workers may leave orders unanswered and carry some of them out seconds later. The worker may
- * already run the task, but it starts each run number only once. A repeated order is therefore
- * safe, while a new run under another number is not.
+ * already run the task, but it starts each run number only once. An order that is repeated to the
+ * same process is therefore safe, while a new run under another number is not.
  */
 final class StartRetrier {
   /**
@@ -66,7 +66,7 @@
   private boolean mayRepeat(Placement placement, EventTime now) {
     WorkerState worker = placement.worker;
     return placement.isCurrent()
-        && placement.bornMs == worker.bornMs
+        && placement.workerBornMs == worker.bornMs // The lease in the order is by its clock.
         && worker.acceptsRuns()
         && state.isDeclarationCurrent(now.ms())
         && now.ms() - placement.phaseSinceMs <= RETRY_WINDOW_MS;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -85,9 +85,7 @@
     }
   }
 
-  /**
-   * Handles a refusal by a worker of another identifier: all runs of the addressed one are lost.
-   */
+  /** Handles an answer by another worker at the address: all runs of the addressed one are lost. */
   void onRestartReported(WorkerState worker, EventTime now) {
     logRestart(worker, 0, "refused call");
     List<Placement> lost = List.copyOf(worker.placements.values());
@@ -114,7 +112,7 @@
   private void onList(WorkerState worker, HoldReply.Listed listed, long sentMs, EventTime now) {
     if (worker.isAnotherProcess(listed.bornMs())) {
       if (listed.bornMs() < worker.bornMs && sentMs <= worker.bornKnownSinceMs) {
-        worker.nextCallMs = 0; // The process before has answered this call before it ended.
+        worker.nextCallMs = 0; // The previous process answered this call before it ended.
         return;
       }
       onRestart(worker, listed.bornMs(), "list", now);
@@ -135,7 +133,7 @@
     boolean hasNewEnds = false;
     for (RunEnd end : listed.ended()) {
       known.add(end.run());
-      if (worker.ends.see(end.number())) {
+      if (worker.ends.recordListed(end.number())) {
         hasNewEnds = true;
         onEnd(worker, end, now);
       }
@@ -167,7 +165,7 @@
       }
       return;
     }
-    placement.bornMs = worker.bornMs;
+    placement.workerBornMs = worker.bornMs;
     placement.listed = true;
     if (placement.phase == Phase.STARTING || placement.phase == Phase.ADOPTING) {
       placement.enterPhase(Phase.RUNNING, now.ms());
@@ -196,23 +194,24 @@
   /** Ends the runs that are missing from a list that is recent enough to contain them. */
   private void dropUnlisted(WorkerState worker, Set<RunName> known, long sentMs, EventTime now) {
     List<Placement> crashed = new ArrayList<>();
+    for (Placement placement : worker.placements.values()) {
+      boolean restarted = placement.workerBornMs != worker.bornMs;
+      if (restarted && !known.contains(placement.run) && placement.phaseSinceMs <= sentMs) {
+        crashed.add(placement);
+      }
+    }
     for (Placement placement : List.copyOf(worker.placements.values())) {
       if (known.contains(placement.run)) {
         continue;
       }
-      boolean restarted = placement.bornMs != worker.bornMs;
+      boolean restarted = placement.workerBornMs != worker.bornMs;
       if (placement.phaseSinceMs > sentMs) {
         worker.refreshWanted |= restarted && placement.phase == Phase.RUNNING;
         continue;
       }
       switch (placement.phase) {
         case ADOPTING -> runs.onLost(placement, "not at the worker at takeover", now);
-        case RUNNING -> {
-          runs.onLost(placement, restarted ? RESTARTED : "not listed any more", now);
-          if (restarted) {
-            crashed.add(placement);
-          }
-        }
+        case RUNNING -> runs.onLost(placement, restarted ? RESTARTED : "not listed any more", now);
         case STOPPING -> {
           if (placement.stopConfirmed) {
             runs.finish(placement, RunEnd.Cause.STOPPED, "", now);
@@ -232,13 +231,14 @@
     logRestart(worker, bornMs, source);
     for (Placement placement : List.copyOf(worker.placements.values())) {
       if (placement.phase == Phase.ORDERED) {
-        // Its lease is measured by the clock of the process before.
+        // Its lease is measured by the clock of the previous process.
         runs.stop(placement, StopCause.START_UNANSWERED, RESTARTED, now);
       }
     }
-    // The new process may have been granted leases by the clock of the one before.
+    // The new process may have been granted leases by the clock of the previous one.
     worker.leaseEndMs =
         Math.max(worker.leaseEndMs, worker.leaseSentMs + state.times.restartedLeaseBoundMs());
+    worker.drainedBeforeRestart = worker.entry.draining();
     worker.restart(bornMs, now.ms());
     worker.refreshWanted = true;
     worker.nextCallMs = 0;
@@ -251,7 +251,7 @@
             + source
             + " born_ms="
             + bornMs
-            + " before_ms="
+            + " previous_born_ms="
             + worker.bornMs
             + " runs="
             + worker.placements.size());
@@ -330,8 +330,8 @@
       worker.grantLease(now.ms(), state.times);
     }
     // After a failed call the worker may have restarted, so nothing is acknowledged before a list.
-    long acknowledged = worker.failedCalls == 0 ? worker.ends.take() : 0;
-    // A call that waits at a new process with a number of the one before would discard its ends.
+    long acknowledged = worker.failedCalls == 0 ? worker.ends.nextToAcknowledge() : 0;
+    // A call that waits at a new process with a number of the previous one would discard its ends.
     long mayWaitMs = acknowledged > 0 ? 0 : waitMs;
     state.emit(new JobEffect.HoldWorker(worker.entry, acknowledged, untilMs, mayWaitMs, refresh));
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -21,6 +21,9 @@
   /** Whether the registry lists it; an unlisted worker gets no new runs but finishes its own. */
   boolean listed;
 
+  /** Whether its previous process was leaving when it ended. */
+  boolean drainedBeforeRestart;
+
   /** Whether its failure domain is closed; it gets no new runs but finishes its own. */
   boolean domainClosed;
 
@@ -47,7 +50,7 @@
   private long clockMs = -1;
   private long clockAtMs;
 
-  /** Time at which every lease granted to its known process has expired. */
+  /** Time at which the leases of runs that a list has shown have expired. */
   long leaseEndMs;
 
   /** Time of the last order or call that granted a lease by the clock of its known process. */
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/EndAcknowledgementsTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/EndAcknowledgementsTest.java
@@ -14,19 +14,19 @@
 
   @Test
   void handlesEachEndOnce() {
-    assertTrue(ends.see(2));
-    assertFalse(ends.see(1));
-    assertFalse(ends.see(2));
-    assertTrue(ends.see(3));
+    assertTrue(ends.recordListed(2));
+    assertFalse(ends.recordListed(1));
+    assertFalse(ends.recordListed(2));
+    assertTrue(ends.recordListed(3));
   }
 
   @Test
   void acknowledgesNothingBeforeItIsStored() {
-    ends.see(1);
+    ends.recordListed(1);
     ends.storeWith(1);
     ends.update(batches);
     assertTrue(ends.isAwaitingStore());
-    assertEquals(0, ends.take());
+    assertEquals(0, ends.nextToAcknowledge());
   }
 
   /** The worker has listed two ends that are stored. */
@@ -34,31 +34,31 @@
   final class WithStoredEnds {
     @BeforeEach
     void storeTwoEnds() {
-      ends.see(1);
-      ends.see(2);
+      ends.recordListed(1);
+      ends.recordListed(2);
       ends.update(batches);
     }
 
     @Test
     void acknowledgesThemOnce() {
-      assertEquals(2, ends.take());
-      assertEquals(0, ends.take());
+      assertEquals(2, ends.nextToAcknowledge());
+      assertEquals(0, ends.nextToAcknowledge());
       assertTrue(ends.isComplete());
     }
 
     @Test
     void acknowledgesThemAgainAfterAFailedCall() {
-      ends.take();
+      ends.nextToAcknowledge();
       ends.onFailed();
       assertTrue(ends.isPending());
-      assertEquals(2, ends.take());
+      assertEquals(2, ends.nextToAcknowledge());
     }
 
     @Test
     void acknowledgesNothingToANewProcess() {
       ends.restart();
-      assertEquals(0, ends.take());
-      assertTrue(ends.see(1));
+      assertEquals(0, ends.nextToAcknowledge());
+      assertTrue(ends.recordListed(1));
     }
   }
 }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -185,9 +185,9 @@
     crashes.restart(worker(id), downMs, registeredAfterMs);
   }
 
-  /** Crashes a worker; its machine returns as another worker. */
-  public void crash(String id) {
-    crashes.crash(worker(id));
+  /** Returns how workers crash. */
+  WorkerCrashes crashes() {
+    return crashes;
   }
 
   /** Marks a worker as draining; its runs continue. */
--- a/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
@@ -21,9 +21,13 @@
   /** Time after which the machine of a crashed worker is back. */
   private static final long BACK_AFTER_MS = 3_400;
 
+  private static final long REGISTERED_AFTER_MS = 100;
+
   private final PoolSimulation pool;
   private final Set<SimulatedPoolWorker> stillListed = new HashSet<>();
   private int replacements;
+  private int count;
+  private boolean keepsIdentifiers;
 
   WorkerCrashes(PoolSimulation pool) {
     this.pool = pool;
@@ -34,6 +38,24 @@
     return !worker.isGone() || stillListed.contains(worker);
   }
 
+  /** Returns how many workers have crashed. */
+  int count() {
+    return count;
+  }
+
+  /** Lets crashed workers return under their identifiers from now on. */
+  void keepIdentifiers() {
+    keepsIdentifiers = true;
+  }
+
+  /** Ends a worker whose machine is another worker at once, which the registry shows late. */
+  void replaceBeforeUnlisting(SimulatedPoolWorker worker) {
+    worker.terminate();
+    stillListed.add(worker);
+    pool.schedule(UNLISTED_AFTER_MS, () -> unlist(worker));
+    replace(worker);
+  }
+
   /** Crashes a worker shortly after it has started a task. */
   void crashSoon(SimulatedPoolWorker worker) {
     pool.schedule(CRASH_DELAY_MS, () -> crash(worker));
@@ -44,20 +66,24 @@
     if (worker.isGone()) {
       return;
     }
+    count++;
     List<RunName> lost = List.copyOf(worker.runs());
     worker.terminate();
     lost.forEach(run -> pool.workers().forEach(other -> other.endGangOf(run)));
-    String id = worker.entry().id();
+    if (keepsIdentifiers) {
+      restart(worker, BACK_AFTER_MS, REGISTERED_AFTER_MS);
+      return;
+    }
     stillListed.add(worker);
-    pool.schedule(
-        UNLISTED_AFTER_MS,
-        () -> {
-          stillListed.remove(worker);
-          pool.post(new JobEvent.WorkerUnlisted(id));
-        });
+    pool.schedule(UNLISTED_AFTER_MS, () -> unlist(worker));
     pool.schedule(BACK_AFTER_MS, () -> replace(worker));
   }
 
+  private void unlist(SimulatedPoolWorker worker) {
+    stillListed.remove(worker);
+    pool.post(new JobEvent.WorkerUnlisted(worker.entry().id()));
+  }
+
   /** Restarts a worker under its identifier; all its runs are lost. */
   void restart(SimulatedPoolWorker ended, long downMs, long registeredAfterMs) {
     ended.terminate();
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -172,7 +172,7 @@
 
   /** Returns how many workers have crashed. */
   long crashes() {
-    return pool.workers().stream().filter(SimulatedPoolWorker::isGone).count();
+    return pool.crashes().count();
   }
 
   long completed() {
--- a/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
@@ -18,6 +18,8 @@
   /** The platform allows two further starts after so many crashes. */
   private static final int MAX_CRASHES = 3;
 
+  private static final int PLATFORM_MAX_CRASHES = MAX_CRASHES + 2;
+
   private final SchedulerRig rig = SchedulerRig.owned(12, 4, 0);
 
   private void assertGivenUpWithin(int crashes) {
@@ -65,6 +67,29 @@
       assertCompleted("bystander");
     }
 
+    @Test
+    void isGivenUpThoughItsWorkersKeepTheirIdentifiers() {
+      rig.pool.crashes().keepIdentifiers();
+      rig.submit("bystander", 1, 6_000, tasks(40, 1));
+      rig.run(500);
+      rig.submitDeadly("deadly", tasks(4, 1));
+      rig.run(60_000);
+      assertGivenUpWithin(MAX_CRASHES);
+      assertCompleted("bystander");
+    }
+
+    @Test
+    void isGivenUpThoughOwnersChangeAndItsWorkersKeepTheirIdentifiers() {
+      rig.pool.crashes().keepIdentifiers();
+      rig.submitDeadly("deadly", tasks(1, 1));
+      for (int i = 0; i < 20; i++) {
+        rig.run(1_500);
+        rig.pool.takeOver();
+        rig.run(3_100);
+      }
+      assertGivenUpWithin(PLATFORM_MAX_CRASHES);
+    }
+
     @Test
     void isGivenUpAsAMemberOfAGang() {
       rig.submit("bystander", 1, 6_000, tasks(40, 1));
@@ -88,7 +113,7 @@
       rig.run(500);
       rig.submitDeadly("deadly", tasks(1, 1));
       rig.run(90_000);
-      assertGivenUpWithin(5);
+      assertGivenUpWithin(PLATFORM_MAX_CRASHES);
       assertCompleted("lasting");
     }
   }
@@ -101,7 +126,7 @@
               .filter(worker -> !worker.isGone())
               .map(worker -> worker.entry().id())
               .toList();
-      up.subList(first, first + count).forEach(rig.pool::crash);
+      up.subList(first, first + count).forEach(id -> rig.pool.crashes().crash(rig.worker(id)));
     }
 
     @Test
@@ -153,10 +178,30 @@
     two.submit("lost", 1, 8_000, tasks(2, 8));
     two.run(1_000);
     two.submit("waiting", 1, 20_000, tasks(1, 8));
-    two.pool.crash("w0");
+    two.pool.crashes().crash(two.worker("w0"));
     two.run(5_500);
     assertTrue(
         two.decisionsAbout("lost").contains("why=the worker has restarted"),
         () -> two.decisionsAbout("lost"));
   }
+
+  /** Workers end while they are idle, and others answer at their addresses. */
+  @Nested
+  final class WithoutARun {
+    @Test
+    void jobsWhoseOrdersReachedOtherWorkersAreNotGivenUp() {
+      for (int i = 0; i < 4; i++) {
+        List.copyOf(rig.pool.workers()).stream()
+            .filter(worker -> !worker.isGone() && worker.runs().isEmpty())
+            .forEach(rig.pool.crashes()::replaceBeforeUnlisting);
+        if (i == 0) {
+          rig.submit("job", 1, 6_000, tasks(1, 8));
+        }
+        rig.run(70);
+      }
+      rig.run(20_000);
+      assertCompleted("job");
+      assertEquals(0, rig.crashes());
+    }
+  }
 }
