--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/CrashTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/CrashTracker.java
@@ -16,16 +16,16 @@
  * Counts the crashes of workers for the tasks that ran there, and gives up the job of a task that
  * crashes its workers.
  *
- * <p>All tasks of a crashed worker are suspected, but a job is given up only after a crash of a
- * worker that ran nothing else. Workers that are lost together have a cause in common, which is no
- * task that ran on one of them only.
+ * <p>All tasks of a crashed worker are suspected, but a job is given up early only after a crash of
+ * a worker that ran no other job. If several workers are lost at the same time, a task that ran on
+ * only one of them is not suspected.
  */
 final class CrashTracker {
   /** Crashes after which a job is given up if the last worker ran nothing else. */
-  private static final int CERTAIN_CRASHES = 3;
+  private static final int CRASH_LIMIT = 3;
 
   /** The same for a task that had started only just before its worker crashed. */
-  private static final int CERTAIN_CRASHES_AFTER_START = 2;
+  private static final int EARLY_CRASH_LIMIT = 2;
 
   /**
    * Crashes after which a job is given up in any case. The platform allows two starts of a task
@@ -42,7 +42,7 @@
   /** Number of other workers lost at the same time from which on the cause is a common one. */
   private static final int MANY_WORKERS = 3;
 
-  /** Time for which crashes are remembered; longer than that to learn of the end of a process. */
+  /** Time for which crashes are remembered; the owner learns of a crash within seconds. */
   private static final long RETENTION_MS = 20_000;
 
   /**
@@ -126,9 +126,9 @@
             + others.size()
             + " isolated="
             + task.crashes.isolated);
-    int certain = afterStart ? CERTAIN_CRASHES_AFTER_START : CERTAIN_CRASHES;
+    int limit = afterStart ? EARLY_CRASH_LIMIT : CRASH_LIMIT;
     boolean alone = crash.jobs().size() == 1 && others.size() < MANY_WORKERS;
-    if ((alone && task.crashes.count >= certain) || task.crashes.count >= MAX_CRASHES) {
+    if ((alone && task.crashes.count >= limit) || task.crashes.count >= MAX_CRASHES) {
       runs.endJob(job, JobPhase.FAILED, now);
     }
   }
