Let a request name the connection on which alone it is sent

A connection belongs to one process of a peer. A call that is meant for that process, and must not be carried out by the next one at the address, can now be bound to a connection over which the process has answered: Answered names its connection, Request.onConnection binds to one. If that connection is closed or in use, the exchange ends as NotSent at once; it is never sent on another or a new one.

So that this stays rare, a poll reuses the connection of the last poll, other requests open a second connection rather than take that one while the pool may open one, and the pool keeps it open when all its connections exist. The number of connections to a peer does not change: a command that took the poll's connection made the next poll open another one.

Idle connections are in a class of their own (IdleConnections).

--- a/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/ConnectionPool.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/ConnectionPool.java
@@ -21,8 +21,8 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Keep-alive connections to one peer. All state belongs to one event loop, on which all connections
@@ -31,6 +31,7 @@
 public final class ConnectionPool {
   private static final long IDLE_TIMEOUT_MS = 30_000;
   private static final long PEER_CLOSE_TIMEOUT_MS = 1_000;
+  private static final String UNAVAILABLE = "the connection of the request is closed or in use";
 
   /**
    * Limits of a pool.
@@ -53,7 +54,7 @@
   private final long delayMicros;
   private final Map<Lane, Deque<PooledExchange>> queues = new EnumMap<>(Lane.class);
   private final Map<Lane, Integer> inUse = new EnumMap<>(Lane.class);
-  private final Deque<PooledConnection> idle = new ArrayDeque<>();
+  private final IdleConnections idle = new IdleConnections();
   private final List<PooledExchange> active = new ArrayList<>();
   private int connections;
   private boolean closed;
@@ -112,7 +113,7 @@
         .flatMap(queue -> List.copyOf(queue).stream())
         .forEach(exchange -> fail(exchange, "the client is closed"));
     List.copyOf(active).forEach(exchange -> fail(exchange, "the client is closed"));
-    closeIdle();
+    idle.closeAll();
   }
 
   private void enqueue(PooledExchange exchange, long timeoutMs) {
@@ -120,6 +121,10 @@
       exchange.complete(new NotSent("the client is closed"));
       return;
     }
+    if (idle.lacksConnectionOf(exchange.request())) {
+      exchange.complete(new NotSent(UNAVAILABLE));
+      return;
+    }
     exchange.setTimer(
         loop.schedule(
             () -> fail(exchange, "no answer within " + timeoutMs + " ms"),
@@ -137,7 +142,12 @@
     for (Lane lane : List.of(Lane.POLL, Lane.COMMAND, Lane.RUN)) {
       Deque<PooledExchange> queue = queues.getOrDefault(lane, new ArrayDeque<>());
       while (!queue.isEmpty() && hasFreeConnection(lane)) {
-        start(queue.remove());
+        PooledExchange exchange = queue.remove();
+        if (idle.lacksConnectionOf(exchange.request())) {
+          exchange.complete(new NotSent(UNAVAILABLE));
+        } else {
+          start(exchange);
+        }
       }
     }
   }
@@ -154,9 +164,10 @@
   private void start(PooledExchange exchange) {
     active.add(exchange);
     inUse.merge(exchange.request().lane(), 1, Integer::sum);
-    PooledConnection reused = exchange.request().fresh() ? null : takeIdle();
-    if (reused != null) {
-      writeAfterDelay(exchange, reused);
+    boolean mayOpen = connections < limits.connections();
+    Optional<PooledConnection> reused = idle.take(exchange.request(), mayOpen);
+    if (reused.isPresent()) {
+      writeAfterDelay(exchange, reused.get());
       return;
     }
     closeIdleIfFull();
@@ -239,8 +250,8 @@
       return;
     }
     release(exchange);
-    if (connection.isReusable() && !closed && connections < limits.connections()) {
-      idle.push(connection);
+    if (connection.isReusable() && !closed && mayKeep(exchange.request())) {
+      idle.add(connection);
       connection.startIdleTimer(loop.schedule(connection::close, IDLE_TIMEOUT_MS, MILLISECONDS));
     } else {
       connection.close();
@@ -249,6 +260,11 @@
     dispatch();
   }
 
+  /** Returns whether a connection may stay open; that of a poll may be named by the next one. */
+  private boolean mayKeep(Request request) {
+    return connections < limits.connections() || request.lane() == Lane.POLL;
+  }
+
   /**
    * Counts a fresh connection as in use until it is closed, normally by the peer, so that the peer
    * never sees more connections than the limit.
@@ -280,7 +296,7 @@
     release(exchange);
     exchange.closeConnection();
     if (exchange.isWritten()) {
-      closeIdle();
+      idle.closeAll();
       exchange.complete(new NoReply(reason));
     } else {
       exchange.complete(new NotSent(reason));
@@ -297,29 +313,11 @@
   private void onClosed(PooledConnection connection) {
     connections--;
     idle.remove(connection);
-    connection.cancelIdleTimer();
-  }
-
-  private @Nullable PooledConnection takeIdle() {
-    while (!idle.isEmpty()) {
-      PooledConnection connection = idle.pop();
-      connection.cancelIdleTimer();
-      if (connection.channel().isActive()) {
-        return connection;
-      }
-    }
-    return null;
   }
 
   private void closeIdleIfFull() {
     while (connections >= limits.connections() && !idle.isEmpty()) {
-      idle.removeLast().close();
-    }
-  }
-
-  private void closeIdle() {
-    while (!idle.isEmpty()) {
-      idle.pop().close();
+      idle.closeOldest();
     }
   }
 
--- a/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/HttpExchange.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/HttpExchange.java
@@ -41,6 +41,7 @@
    * @param body body, may be empty
    * @param lane lane whose limit applies
    * @param fresh whether it must not reuse a connection
+   * @param connection the connection on which alone it may be sent, or {@link #ANY_CONNECTION}
    * @param tag identifies the exchange so that its connection can be closed, or null
    */
   public record Request(
@@ -50,7 +51,10 @@
       Body body,
       Lane lane,
       boolean fresh,
+      long connection,
       @Nullable Object tag) {
+    /** Identity that no connection has. */
+    public static final long ANY_CONNECTION = 0;
 
     /** Returns a request without a body. */
     public static Request get(String path) {
@@ -64,17 +68,27 @@
 
     /** Returns a request of a lane. */
     public static Request of(String method, String path, byte[] body, Lane lane) {
-      return new Request(method, path, Map.of(), new Body(body), lane, false, null);
+      return new Request(method, path, Map.of(), new Body(body), lane, false, ANY_CONNECTION, null);
     }
 
     /** Returns the same request with headers. */
     public Request withHeaders(Map<String, String> values) {
-      return new Request(method, path, Map.copyOf(values), body, lane, fresh, tag);
+      return new Request(method, path, Map.copyOf(values), body, lane, fresh, connection, tag);
     }
 
     /** Returns the same request, to be sent on a new connection. */
     public Request onFreshConnection() {
-      return new Request(method, path, headers, body, lane, true, tag);
+      return new Request(method, path, headers, body, lane, true, ANY_CONNECTION, tag);
+    }
+
+    /**
+     * Returns the same request, to be sent on the given connection or not at all. The exchange ends
+     * as {@link NotSent} at once if that connection is closed or in use.
+     *
+     * @param id identity from {@link Answered}, or {@link #ANY_CONNECTION}
+     */
+    public Request onConnection(long id) {
+      return new Request(method, path, headers, body, lane, false, id, tag);
     }
   }
 
@@ -86,8 +100,9 @@
    *
    * @param status HTTP status
    * @param body its body
+   * @param connection identity of the connection over which it arrived, unique in this process
    */
-  public record Answered(int status, Body body) implements Outcome {}
+  public record Answered(int status, Body body, long connection) implements Outcome {}
 
   /**
    * No byte of the request was written.
--- a/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/PooledConnection.java
+++ b/adapters/httpclient/src/main/java/dev/bambootray/adapters/httpclient/PooledConnection.java
@@ -2,6 +2,7 @@
 
 import dev.bambootray.adapters.httpclient.HttpExchange.Answered;
 import dev.bambootray.adapters.httpclient.HttpExchange.Body;
+import dev.bambootray.adapters.httpclient.HttpExchange.Lane;
 import dev.bambootray.adapters.httpclient.HttpExchange.NoReply;
 import dev.bambootray.adapters.httpclient.HttpExchange.Outcome;
 import dev.bambootray.adapters.httpclient.HttpExchange.Request;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /** One keep-alive connection of a {@link ConnectionPool}; confined to the pool's event loop. */
@@ -30,12 +32,16 @@
     void onEnd(PooledConnection connection, PooledExchange exchange, Outcome outcome);
   }
 
+  private static final AtomicLong LAST_ID = new AtomicLong();
+
+  private final long id = LAST_ID.incrementAndGet();
   private final EndListener listener;
   private final int maxResponseBytes;
   private @Nullable Channel channel;
   private @Nullable PooledExchange currentExchange;
   private @Nullable Future<?> idleTimer;
   private boolean reusable = true;
+  private Lane lastLane = Lane.COMMAND;
 
   PooledConnection(EndListener listener, int maxResponseBytes) {
     this.listener = listener;
@@ -56,6 +62,16 @@
     return channel;
   }
 
+  /** Returns its identity, which no other connection of this process has. */
+  long id() {
+    return id;
+  }
+
+  /** Returns the lane of its last exchange. */
+  Lane lastLane() {
+    return lastLane;
+  }
+
   boolean isReusable() {
     return reusable && channel().isActive();
   }
@@ -63,6 +79,7 @@
   void write(PooledExchange exchange, String host) {
     currentExchange = exchange;
     Request request = exchange.request();
+    lastLane = request.lane();
     var message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -132,7 +149,7 @@
         return;
       }
       Body body = new Body(ByteBufUtil.getBytes(response.content()));
-      end(new Answered(response.status().code(), body));
+      end(new Answered(response.status().code(), body, id));
     }
 
     @Override
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpTableStore.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/HttpTableStore.java
@@ -87,7 +87,7 @@
 
   private Either<StoreError, CommitResult> readCommit(Outcome outcome) {
     if (outcome instanceof Answered answered && answered.status() == 409) {
-      Outcome conflict = new Answered(200, answered.body());
+      Outcome conflict = new Answered(200, answered.body(), answered.connection());
       return calls.read(PEER, conflict, true, HttpTableStore::conflict);
     }
     return calls.read(PEER, outcome, true, HttpTableStore::committed);
--- a/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerCommandJson.java
+++ b/adapters/platform/src/main/java/dev/bambootray/adapters/platform/WorkerCommandJson.java
@@ -89,7 +89,8 @@
 
   private static Request post(String command, ObjectNode json, Lane lane, @Nullable TaskId tag) {
     Body body = new Body(json.toString().getBytes(UTF_8));
-    return new Request("POST", "/agent/" + command, Map.of(), body, lane, false, tag);
+    return new Request(
+        "POST", "/agent/" + command, Map.of(), body, lane, false, Request.ANY_CONNECTION, tag);
   }
 
   private static ObjectNode putTask(ObjectNode json, TaskId task) {
