Log answers to calls that were meant for another process of a worker

Cause: the events on answered calls named the identifier of the worker only, so neither the scheduler nor its log could tell whether an answer belongs to the process that is known now.

Change: a call names the start of the process that it is meant for, its answer carries the same entry, and an answer whose process or address is not the known one is logged as `outdated answer`. Nothing else changes.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -361,8 +361,7 @@
             .thenAccept(
                 reply ->
                     postReply(
-                        sentEpoch,
-                        new JobEvent.StartAnswered(start.worker().id(), start.run(), reply)));
+                        sentEpoch, new JobEvent.StartAnswered(start.worker(), start.run(), reply)));
   }
 
   private void stop(JobEffect.StopRun stop) {
@@ -381,8 +380,7 @@
             .thenAccept(
                 taken ->
                     postReply(
-                        sentEpoch,
-                        new JobEvent.StopAnswered(stop.worker().id(), stop.run(), taken)));
+                        sentEpoch, new JobEvent.StopAnswered(stop.worker(), stop.run(), taken)));
   }
 
   private void hold(JobEffect.HoldWorker hold) {
@@ -396,8 +394,7 @@
                 reply ->
                     postReply(
                         sentEpoch,
-                        new JobEvent.HoldAnswered(
-                            hold.worker().id(), reply, sentMs, hold.refresh())));
+                        new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh())));
   }
 
   /** Logs an unexpected error of a worker call, which then counts as unanswered. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
@@ -64,28 +64,34 @@
     public static final long NEVER = Long.MIN_VALUE;
   }
 
+  /** The outcome of a call to a worker. */
+  sealed interface CallAnswered extends JobEvent {
+    /** Returns the worker as the call named it; its process may have ended since. */
+    WorkerEntry worker();
+  }
+
   /** A start order was answered, or has failed without an answer. */
-  record StartAnswered(String worker, RunName run, StartReply reply) implements JobEvent {}
+  record StartAnswered(WorkerEntry worker, RunName run, StartReply reply) implements CallAnswered {}
 
   /**
    * A stop order was answered, or has failed without an answer.
    *
-   * @param worker the worker
+   * @param worker the worker as the order named it
    * @param run the run
    * @param confirmed whether the worker accepted the order
    */
-  record StopAnswered(String worker, RunName run, boolean confirmed) implements JobEvent {}
+  record StopAnswered(WorkerEntry worker, RunName run, boolean confirmed) implements CallAnswered {}
 
   /**
    * A hold call was answered, or has failed without an answer.
    *
-   * @param worker the worker
+   * @param worker the worker as the call named it
    * @param reply the outcome
    * @param sentMs time at which the call was sent
    * @param refresh whether the call ran in parallel with a long poll, to refresh the list of runs
    */
-  record HoldAnswered(String worker, HoldReply reply, long sentMs, boolean refresh)
-      implements JobEvent {}
+  record HoldAnswered(WorkerEntry worker, HoldReply reply, long sentMs, boolean refresh)
+      implements CallAnswered {}
 
   /** A batch of records is in the store. */
   record Durable(long batch) implements JobEvent {}
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -181,25 +181,10 @@
       changeDeclaration(changed.declaration());
     } else if (event instanceof JobEvent.DeclarationConfirmed confirmed) {
       onDeclarationConfirmed(confirmed.asOfMs(), now);
-    } else if (event instanceof JobEvent.StartAnswered answered) {
-      state.worker(answered.worker()).ifPresent(worker -> onStart(worker, answered, now));
-    } else if (event instanceof JobEvent.StopAnswered answered) {
+    } else if (event instanceof JobEvent.CallAnswered answered) {
       state
-          .worker(answered.worker())
-          .ifPresent(
-              worker -> {
-                runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now);
-                workerMonitor.sendDueCalls(worker, now);
-              });
-    } else if (event instanceof JobEvent.HoldAnswered answered) {
-      state
-          .worker(answered.worker())
-          .ifPresent(
-              worker -> {
-                workerMonitor.onHoldAnswered(
-                    worker, answered.reply(), answered.sentMs(), answered.refresh(), now);
-                workerMonitor.sendDueCalls(worker, now);
-              });
+          .worker(answered.worker().id())
+          .ifPresent(worker -> onCallAnswered(worker, answered, now));
     } else if (event instanceof JobEvent.JobRowsRemoved removed) {
       onRowsRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
@@ -232,6 +217,37 @@
     }
   }
 
+  private void onCallAnswered(WorkerState worker, JobEvent.CallAnswered event, EventTime now) {
+    if (!worker.isCurrent(event.worker())) {
+      logOutdated(worker, event);
+    }
+    if (event instanceof JobEvent.StartAnswered answered) {
+      onStart(worker, answered, now);
+      return;
+    }
+    if (event instanceof JobEvent.StopAnswered answered) {
+      runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now);
+    } else if (event instanceof JobEvent.HoldAnswered answered) {
+      workerMonitor.onHoldAnswered(
+          worker, answered.reply(), answered.sentMs(), answered.refresh(), now);
+    }
+    workerMonitor.sendDueCalls(worker, now);
+  }
+
+  private void logOutdated(WorkerState worker, JobEvent.CallAnswered event) {
+    WorkerEntry called = event.worker();
+    state.logDecision(
+        worker.id(),
+        "outdated answer event="
+            + event.getClass().getSimpleName()
+            + " called_born_ms="
+            + called.bornMs()
+            + " born_ms="
+            + worker.bornMs
+            + " moved="
+            + !called.address().equals(worker.entry.address()));
+  }
+
   private void onStart(WorkerState worker, JobEvent.StartAnswered answered, EventTime now) {
     if (answered.reply() instanceof StartReply.WorkerRestarted) {
       workerMonitor.onRestartReported(worker, now);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -88,7 +88,7 @@
     worker.grantLease(now.ms(), state.times);
     state.emit(
         new JobEffect.StartRun(
-            worker.entry,
+            worker.callee(),
             placement.run,
             placement.task.step.job.spec.payload(),
             placement.untilMs,
@@ -212,7 +212,7 @@
     placement.stopSentMs = now.ms();
     state.emit(
         new JobEffect.StopRun(
-            placement.worker.entry, placement.run, placement.stopCause, repeated));
+            placement.worker.callee(), placement.run, placement.stopCause, repeated));
   }
 
   void onStopAnswered(WorkerState worker, RunName run, boolean confirmed, EventTime now) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -333,7 +333,8 @@
     long acknowledged = worker.failedCalls == 0 ? worker.ends.nextToAcknowledge() : 0;
     // A call that waits at a new process with a number of the previous one would discard its ends.
     long mayWaitMs = acknowledged > 0 ? 0 : waitMs;
-    state.emit(new JobEffect.HoldWorker(worker.entry, acknowledged, untilMs, mayWaitMs, refresh));
+    state.emit(
+        new JobEffect.HoldWorker(worker.callee(), acknowledged, untilMs, mayWaitMs, refresh));
   }
 
   private static boolean mayBeAtWorker(Placement placement) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -83,6 +83,16 @@
     return entry.id();
   }
 
+  /** Returns the worker for a call, with the start of the process that the call is meant for. */
+  WorkerEntry callee() {
+    return entry.bornMs() == bornMs ? entry : entry.withBornMs(bornMs);
+  }
+
+  /** Returns whether a call was meant for the known process at its address. */
+  boolean isCurrent(WorkerEntry callee) {
+    return callee.bornMs() == bornMs && callee.address().equals(entry.address());
+  }
+
   String rack() {
     return entry.rack();
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/worker/WorkerEntry.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/worker/WorkerEntry.java
@@ -30,4 +30,9 @@
   public WorkerEntry {
     labels = Set.copyOf(labels);
   }
+
+  /** Returns the same worker with another start of its process. */
+  public WorkerEntry withBornMs(long value) {
+    return new WorkerEntry(id, service, address, zone, rack, labels, capacity, value, draining);
+  }
 }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
@@ -103,10 +103,10 @@
       String... domains) {
     List<WorkerEntry> workers = List.of(domains).stream().map(ClosedDomainTest::worker).toList();
     handle(new JobEvent.TookOver(declaration, jobs, records, Set.of(), workers));
-    workers.forEach(worker -> list(worker.id(), List.of()));
+    workers.forEach(worker -> list(worker, List.of()));
   }
 
-  private void list(String worker, List<ListedRun> running) {
+  private void list(WorkerEntry worker, List<ListedRun> running) {
     handle(
         new JobEvent.HoldAnswered(
             worker, new HoldReply.Listed(nowMs, 1, running, List.of()), nowMs, false));
@@ -164,7 +164,7 @@
     void excludesWorkersThatAreListedLater() {
       takeOver(OPEN.withClosedDomains(Set.of("a")), "b");
       handle(new JobEvent.WorkerListed(worker("a")));
-      list("w-a", List.of());
+      list(worker("a"), List.of());
       submit("j", 12, 1, false);
       storeBatches();
       assertEquals(List.of("w-b"), startedAt());
@@ -222,7 +222,7 @@
       nowMs += 300;
       handle(
           new JobEvent.StartAnswered(
-              first.worker().id(), first.run(), new StartReply.Unknown("no answer")));
+              first.worker(), first.run(), new StartReply.Unknown("no answer")));
       assertEquals(1, starts.size());
       assertEquals(List.of(first.run()), stops.stream().map(JobEffect.StopRun::run).toList());
     }
@@ -234,8 +234,7 @@
       storeBatches();
       JobEffect.StartRun first = starts.get(0);
       handle(
-          new JobEvent.StartAnswered(
-              first.worker().id(), first.run(), new StartReply.Started(nowMs)));
+          new JobEvent.StartAnswered(first.worker(), first.run(), new StartReply.Started(nowMs)));
       close(first.worker().zone());
       advance(1_000);
       assertEquals(List.of(), stops);
@@ -259,7 +258,7 @@
           "a",
           "b");
       nowMs += 10;
-      list("w-a", List.of());
+      list(worker("a"), List.of());
       storeBatches();
       assertEquals(List.of("w-b"), startedAt());
     }
@@ -311,7 +310,7 @@
       nowMs += 300;
       handle(
           new JobEvent.StartAnswered(
-              "w-a", starts.get(0).run(), new StartReply.Unknown("no answer")));
+              worker("a"), starts.get(0).run(), new StartReply.Unknown("no answer")));
       assertEquals(1, starts.size());
     }
 
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -88,8 +88,7 @@
                 delayMs,
                 () ->
                     answer.accept(
-                        new JobEvent.HoldAnswered(
-                            hold.worker().id(), list, sentMs, hold.refresh())));
+                        new JobEvent.HoldAnswered(hold.worker(), list, sentMs, hold.refresh())));
     pool.schedule(
         ONE_WAY_LATENCY_MS,
         () ->
@@ -103,13 +102,15 @@
     if (isReplaced(id)) {
       StartReply restarted = new StartReply.WorkerRestarted();
       pool.schedule(
-          ONE_WAY_LATENCY_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, restarted)));
+          ONE_WAY_LATENCY_MS,
+          () -> answer.accept(new JobEvent.StartAnswered(start.worker(), run, restarted)));
       return;
     }
     if (isUnreachable(id)) {
       StartReply silent = new StartReply.Unknown("silent");
       pool.schedule(
-          CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, silent)));
+          CALL_TIMEOUT_MS,
+          () -> answer.accept(new JobEvent.StartAnswered(start.worker(), run, silent)));
       return;
     }
     SimulatedPoolWorker worker = pool.worker(id);
@@ -123,7 +124,8 @@
           });
       StartReply late = new StartReply.Unknown("late");
       pool.schedule(
-          CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, late)));
+          CALL_TIMEOUT_MS,
+          () -> answer.accept(new JobEvent.StartAnswered(start.worker(), run, late)));
       return;
     }
     StartReply reply = carryOut(start, worker, epoch);
@@ -131,14 +133,16 @@
       startAnswersToLose--;
       StartReply lost = new StartReply.Unknown("lost");
       pool.schedule(
-          CALL_TIMEOUT_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, lost)));
+          CALL_TIMEOUT_MS,
+          () -> answer.accept(new JobEvent.StartAnswered(start.worker(), run, lost)));
       return;
     }
     if (reply instanceof StartReply.Refused refused && refused.reason() == Reason.NO_ROOM) {
       observer.onNoRoom(worker, run);
     }
     pool.schedule(
-        ONE_WAY_LATENCY_MS, () -> answer.accept(new JobEvent.StartAnswered(id, run, reply)));
+        ONE_WAY_LATENCY_MS,
+        () -> answer.accept(new JobEvent.StartAnswered(start.worker(), run, reply)));
   }
 
   private StartReply carryOut(JobEffect.StartRun start, SimulatedPoolWorker worker, long epoch) {
@@ -151,7 +155,7 @@
         !isUnreachable(id) && !isDelayed() && pool.worker(id).stop(stop.run(), epoch, pool.nowMs());
     pool.schedule(
         confirmed ? ONE_WAY_LATENCY_MS : CALL_TIMEOUT_MS,
-        () -> answer.accept(new JobEvent.StopAnswered(id, stop.run(), confirmed)));
+        () -> answer.accept(new JobEvent.StopAnswered(stop.worker(), stop.run(), confirmed)));
   }
 
   /** Lets a call wait at the worker that it reached; it ends without an answer with that worker. */
