Tell late lists by the process that was called, not by its start time

What callers could see: a finished task runs again, or two runs of one task, if the wall clock of a worker's machine went back between the starts of two processes.

Cause: a list of another process counted as a restart if its start was later. The previous process then has the later start, so its late list made the owner take it for the newest process: it acknowledged the ends of the one to the other and granted leases by its clock. A registry entry with an earlier start was ignored, so that the restart of an idle worker stayed unnoticed.

Change: an answer names the process that was called. A list of another process counts only if the call was meant for the known one; otherwise the owner asks again. An entry with an earlier start makes it ask for the list, which decides.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -37,12 +37,11 @@
     boolean restarted = false;
     if (worker == null) {
       worker = new WorkerState(entry);
-      worker.bornKnownSinceMs = now.ms();
       state.workers.put(entry.id(), worker);
       state.logDecision(entry.id(), "worker listed service=" + entry.service());
-    } else if (worker.isAnotherProcess(entry.bornMs()) && entry.bornMs() > worker.bornMs) {
+    } else if (entry.bornMs() != worker.entry.bornMs() && worker.isAnotherProcess(entry.bornMs())) {
       restarted = true;
-      onRestart(worker, entry.bornMs(), "registry", now);
+      onOtherProcessListed(worker, entry.bornMs(), now);
     }
     if (worker.entry.draining() != entry.draining()) {
       state.logDecision(entry.id(), "worker draining=" + entry.draining());
@@ -56,6 +55,20 @@
     }
   }
 
+  /** Handles an entry of another process, which may be older than what a list has shown. */
+  private void onOtherProcessListed(WorkerState worker, long bornMs, EventTime now) {
+    if (bornMs > worker.bornMs) {
+      onRestart(worker, bornMs, "registry", now);
+      return;
+    }
+    // Either the entry is late or the machine's wall clock went back, which the next list tells.
+    state.logDecision(
+        worker.id(),
+        "worker listed with an earlier start born_ms=" + bornMs + " known_ms=" + worker.bornMs);
+    worker.adopted = false;
+    worker.nextCallMs = 0;
+  }
+
   void onUnlisted(String id, EventTime now) {
     WorkerState worker = state.workers.get(id);
     if (worker == null) {
@@ -75,7 +88,7 @@
     }
     HoldReply reply = answered.reply();
     if (reply instanceof HoldReply.Listed listed) {
-      onList(worker, listed, answered.sentMs(), now);
+      onList(worker, listed, answered, now);
     } else if (reply instanceof HoldReply.WorkerRestarted) {
       if (worker.isCurrent(answered.worker())) {
         onRestartReported(worker, now);
@@ -93,7 +106,7 @@
     List<Placement> lost = List.copyOf(worker.placements.values());
     lost.forEach(placement -> runs.onLost(placement, RESTARTED, now));
     crashes.onCrashed(worker, lost, now);
-    worker.restart(0, now.ms());
+    worker.restart(0);
     worker.nextCallMs = now.ms() + state.times.retryMs();
     dropIfGone(worker);
   }
@@ -111,12 +124,14 @@
     }
   }
 
-  private void onList(WorkerState worker, HoldReply.Listed listed, long sentMs, EventTime now) {
+  private void onList(
+      WorkerState worker, HoldReply.Listed listed, JobEvent.HoldAnswered answered, EventTime now) {
+    long sentMs = answered.sentMs();
+    if (listed.bornMs() != worker.bornMs && !worker.isCurrent(answered.worker())) {
+      worker.nextCallMs = 0; // An earlier process has answered.
+      return;
+    }
     if (worker.isAnotherProcess(listed.bornMs())) {
-      if (listed.bornMs() < worker.bornMs && sentMs <= worker.bornKnownSinceMs) {
-        worker.nextCallMs = 0; // The previous process answered this call before it ended.
-        return;
-      }
       onRestart(worker, listed.bornMs(), "list", now);
     }
     worker.bornMs = listed.bornMs() > 0 ? listed.bornMs() : worker.bornMs;
@@ -244,7 +259,7 @@
     worker.leaseEndMs =
         Math.max(worker.leaseEndMs, worker.leaseSentMs + state.times.restartedLeaseBoundMs());
     worker.drainedBeforeRestart = worker.entry.draining();
-    worker.restart(bornMs, now.ms());
+    worker.restart(bornMs);
     worker.refreshWanted = true;
     worker.nextCallMs = 0;
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -36,9 +36,6 @@
   /** Start of its process as far as the owner knows it, 0 if unknown. */
   long bornMs;
 
-  /** Time at which the owner learned of that start. */
-  long bornKnownSinceMs;
-
   final EndAcknowledgements ends = new EndAcknowledgements();
 
   /** Times at which runs ended, to ignore lists that were requested before. */
@@ -232,9 +229,8 @@
   }
 
   /** Resets the state after a restart of the worker. */
-  void restart(long newBornMs, long nowMs) {
+  void restart(long newBornMs) {
     bornMs = newBornMs;
-    bornKnownSinceMs = nowMs;
     adopted = false;
     ends.restart();
     clockMs = -1;
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
@@ -199,6 +199,39 @@
     }
   }
 
+  /** The wall clock of the machine went back between the starts of the two processes. */
+  @Nested
+  final class ListsOfAProcessWithALaterStart {
+    private static final WorkerEntry EARLIER = worker(40, "10.0.0.1:80");
+
+    @Test
+    void areIgnored() {
+      long sentMs = nowMs;
+      JobEffect.StartRun order = start("j");
+      nowMs += 10;
+      list(EARLIER, FIRST, SECOND_CLOCK_MS, List.of(running(order.run())), List.of(), nowMs);
+      nowMs += 10;
+      holds.clear();
+      RunEnd end = new RunEnd(7, new RunName(order.run().task(), 9), RunEnd.Cause.DONE, "");
+      list(FIRST, FIRST_CLOCK_MS, List.of(), List.of(end), sentMs);
+      storeBatches();
+      advance(1_000);
+      assertTrue(holds.stream().allMatch(hold -> hold.acknowledged() == 0), holds::toString);
+      assertTrue(
+          holds.stream().allMatch(hold -> hold.worker().bornMs() == EARLIER.bornMs()),
+          holds::toString);
+      assertEquals(1, scheduler.load().runs());
+    }
+
+    @Test
+    void doNotHideARestartThatTheRegistryShows() {
+      holds.clear();
+      nowMs += 10;
+      handle(new JobEvent.WorkerListed(EARLIER));
+      assertEquals(1, holds.size());
+    }
+  }
+
   private static ListedRun running(RunName run) {
     return new ListedRun(run, "", 1);
   }
