Do not take a worker for silent because of calls to its previous process

What callers could see: work that waits longer than needed after a worker restarted.

Cause: the long poll that waits at a process fails when the process ends. If the owner knew of the restart by then, the failure counted against the next process: the worker got no new runs until another call was answered, and runs that were about to start there were dropped.

Evidence: OutdatedAnswersTest.FailedCalls failed before (failed=1 for a worker that has just listed its runs).

Change: a failed call counts only if it was meant for the known process.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -96,7 +96,9 @@
     } else if (reply instanceof HoldReply.Fenced) {
       state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
     } else if (reply instanceof HoldReply.Failed failed) {
-      onFailed(worker, failed.detail(), now);
+      if (worker.isCurrent(answered.worker())) {
+        onFailed(worker, failed.detail(), now);
+      }
     }
   }
 
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
@@ -232,6 +232,20 @@
     }
   }
 
+  @Nested
+  final class FailedCalls {
+    @Test
+    void toThePreviousProcessDoNotMakeTheNextOneSilent() {
+      startAndRestart();
+      nowMs += 10;
+      list(SECOND, SECOND_CLOCK_MS, List.of(), List.of(), nowMs);
+      handle(new JobEvent.HoldAnswered(FIRST, new HoldReply.Failed("closed"), 1_000, false));
+      int before = starts.size();
+      start("k");
+      assertTrue(starts.size() > before, scheduler::describe);
+    }
+  }
+
   private static ListedRun running(RunName run) {
     return new ListedRun(run, "", 1);
   }
