Take a worker for gone once another one answers at its address

What operators could see: hundreds of lines `worker restarted` a minute, and calls for workers that do not exist any more.

Cause: the registry lists a worker for some seconds after its end. If another one has its address, each call is refused (421), and the owner asked again every 0.3 s, as the entry was still there.

Evidence: WorkerCrashTest.aReplacedWorkerIsAskedOnce failed before (nine notices where one is due).

Change: after such a refusal by the known address the worker counts as unlisted until its entry changes. A worker that is alive changes its entry with each heartbeat.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -109,6 +109,7 @@
     lost.forEach(placement -> runs.onLost(placement, RESTARTED, now));
     crashes.onCrashed(worker, lost, now);
     worker.restart(0);
+    worker.listed = false; // It is gone, whatever the registry shows, until its entry changes.
     worker.nextCallMs = now.ms() + state.times.retryMs();
     dropIfGone(worker);
   }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/WorkerCrashTest.java
@@ -186,6 +186,18 @@
   }
 
   /** Workers end while they are idle, and others answer at their addresses. */
+  /** The registry lists a worker for some seconds after another one has its address. */
+  @Test
+  void aReplacedWorkerIsAskedOnce() {
+    rig.submit("job", 1, 6_000, tasks(96, 1));
+    rig.run(500);
+    rig.pool.crashes().replaceBeforeUnlisting(rig.worker("w0"));
+    rig.run(3_500);
+    List<String> notices =
+        rig.pool.decisions().stream().filter(line -> line.contains("w0 worker restarted")).toList();
+    assertEquals(1, notices.size(), notices::toString);
+  }
+
   @Nested
   final class WithoutARun {
     @Test
