Let tests read the lines of the decision log

The log wrote to standard output only, so no test could check a line. A package-private factory returns a log that writes its queue when it is closed, without a writer thread, which gives tests the lines in order and without waiting. DecisionLog.start uses it and behaves as before. An interface in front of the log was ruled out: it has one implementation, and all callers take the class.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
@@ -32,11 +32,16 @@
   /** Returns a log that writes to standard output. */
   public static DecisionLog start() {
     DecisionLog log =
-        new DecisionLog(new PrintStream(new FileOutputStream(FileDescriptor.out), true, UTF_8));
+        writingOnClose(new PrintStream(new FileOutputStream(FileDescriptor.out), true, UTF_8));
     log.writer.start();
     return log;
   }
 
+  /** Returns a log that keeps its lines in the queue and writes them when it is closed. */
+  static DecisionLog writingOnClose(PrintStream out) {
+    return new DecisionLog(out);
+  }
+
   /**
    * Queues a line for writing.
    *
