Move the reports of load and formats out of JobNode

LoadReporter sets the metrics of the load and writes its line at most once a second; FormatReporter shows how many jobs are stored in format 1 and logs each change. One class for both was ruled out, since they have different inputs, state and intervals.

LoadReporterTest and FormatReporterTest cover the intervals and the changes, which no test checked.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -39,8 +39,6 @@
   /** Time within which a healthy change feed delivers a job, also between regions. */
   private static final long HINT_GRACE_MS = 100;
 
-  private static final long LOAD_LOG_INTERVAL_MS = 1_000;
-
   private static final JobEvent.DeclarationConfirmed UNCONFIRMED =
       new JobEvent.DeclarationConfirmed(JobEvent.DeclarationConfirmed.NEVER);
 
@@ -50,6 +48,8 @@
   private final JobWorkerGateway workers;
   private final DecisionLog log;
   private final JobMetrics metrics;
+  private final LoadReporter loadReporter;
+  private final FormatReporter formatReporter;
   private final DeclarationFollower declarations;
   private final OwnerRowStore ownerRows;
   private final PoolLoader loader;
@@ -65,8 +65,6 @@
   private JobEvent.DeclarationConfirmed confirmation = UNCONFIRMED;
 
   private long epoch;
-  private long nextLoadLineMs;
-  private int loggedFormatOneJobs;
   private boolean releasing;
 
   private JobNode(Builder builder) {
@@ -79,6 +77,8 @@
     JobRowCodec codec = new JobRowCodec();
     loop = ControlLoop.create(Runnable::run, metrics::recordControlEvent, "job-control");
     formats = builder.parts.formats();
+    loadReporter = new LoadReporter(name, log, metrics);
+    formatReporter = new FormatReporter(name, log, metrics, formats);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
     declarations =
         new DeclarationFollower(
@@ -176,32 +176,14 @@
     JobScheduler current = scheduler;
     if (current != null) {
       onLease(new LeaseEvent.PendingChanged(current.pendingByTemplate()));
-      reportLoad(current.load());
+      formatReporter.report();
+      loadReporter.report(current.load(), epoch, now().ms());
     }
     onLease(new LeaseEvent.Tick());
     onScheduler(new JobEvent.Tick());
     completeRelease();
   }
 
-  private void reportLoad(JobScheduler.Load load) {
-    metrics.setLoad(load);
-    reportFormatOneJobs();
-    long nowMs = now().ms();
-    if (load.openJobs() > 0 && nowMs >= nextLoadLineMs) {
-      nextLoadLineMs = nowMs + LOAD_LOG_INTERVAL_MS;
-      log.line("sched:", name, "epoch=" + epoch + " load " + load);
-    }
-  }
-
-  private void reportFormatOneJobs() {
-    int count = formats.formatOneJobs();
-    metrics.setFormatOneJobs(count);
-    if (count != loggedFormatOneJobs) {
-      loggedFormatOneJobs = count;
-      log.line("format:", name, "jobs_in_format_1=" + count);
-    }
-  }
-
   private void completeRelease() {
     if (releasing && lease.isReleased()) {
       released.complete(true);
