Build the example job of the daemon's tests in one place

FormatTransitionTest, JobApiTest, PoolLoaderTest and SlowStoreReplayTest each wrote out the same job of nine arguments; only its identifier differed, and in SlowStoreReplayTest its priority. TestJob builds it, with the identifier and the priority as its only values.

ExpiredJobRemovalTest and JobSchedulerMissingUpdateTest in jobs keep their own job. No module shares test code through a test-jar, and standins, which the tests of daemon use, depends on jobs, so sharing would need a new Maven arrangement. Jobs of other tests, such as that of JobRowCodecTest, differ in most values on purpose and stay.

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatTransitionTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FormatTransitionTest.java
@@ -5,12 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.bambootray.core.model.Resources;
 import dev.bambootray.daemon.jobs.JobApi.CancelOutcome;
 import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
 import dev.bambootray.jobs.model.JobPhase;
-import dev.bambootray.jobs.model.JobSpec;
-import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.reach.Peer;
 import dev.bambootray.jobs.reach.PeerSelector;
 import dev.bambootray.jobs.scheduling.JobEvent;
@@ -29,19 +26,6 @@
   private final PartitionedStore.Content content = new PartitionedStore.Content();
   private final FormatOneNode old = new FormatOneNode(content);
 
-  private static JobSpec job(String id) {
-    return new JobSpec(
-        id,
-        "w",
-        "t",
-        "s",
-        "p",
-        List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
-        new JobSpec.Objective(1, 1, 1, 1),
-        JobSpec.Schedule.ONCE,
-        1);
-  }
-
   /** A node of this build that has started. */
   private final class NewNode {
     private final PartitionedStore store = new PartitionedStore(content, new JobPartitions());
@@ -72,7 +56,7 @@
     }
 
     SubmitOutcome submit(String id) {
-      return api.submit(job(id), TIME_MS).join();
+      return api.submit(TestJob.of(id), TIME_MS).join();
     }
 
     JobView poll(String id) {
@@ -98,7 +82,7 @@
     private final NewNode node;
 
     RowsOfTheOlderBuild() {
-      old.submit(job("j"));
+      old.submit(TestJob.of("j"));
       node = new NewNode("n1");
     }
 
@@ -116,13 +100,13 @@
 
     @Test
     void areTakenOver() {
-      assertEquals(List.of(job("j")), node.takeOver().jobs());
+      assertEquals(List.of(TestJob.of("j")), node.takeOver().jobs());
     }
 
     @Test
     void remainOneJobIfSubmittedAgain() {
       assertEquals(SubmitOutcome.ACCEPTED, node.submit("j"));
-      assertEquals(List.of(job("j")), node.takeOver().jobs());
+      assertEquals(List.of(TestJob.of("j")), node.takeOver().jobs());
       assertTrue(node.ownerRows.removeJobRows("j").join());
       // A row that stays would run the job again as soon as its record is removed.
       assertEquals(0, content.count("jobs"));
@@ -141,11 +125,12 @@
 
     @Test
     void acceptedJobsAreStoredWhereItReadsThem() {
-      old.submit(job("a"));
+      old.submit(TestJob.of("a"));
       assertEquals(SubmitOutcome.ACCEPTED, node.submit("b"));
-      old.submit(job("c"));
+      old.submit(TestJob.of("c"));
       assertEquals(List.of("a", "b", "c"), old.jobRows());
-      assertEquals(List.of(job("a"), job("b"), job("c")), node.takeOver().jobs());
+      assertEquals(
+          List.of(TestJob.of("a"), TestJob.of("b"), TestJob.of("c")), node.takeOver().jobs());
     }
 
     @Test
@@ -155,7 +140,7 @@
 
     @Test
     void anIdentifierIsStoredOnce() {
-      old.submit(job("a"));
+      old.submit(TestJob.of("a"));
       assertEquals(SubmitOutcome.ACCEPTED, node.submit("a"));
       assertEquals(1, content.count("jobs"));
     }
@@ -187,7 +172,9 @@
         for (String id : List.of("before", "spread", "pooled")) {
           assertEquals(JobView.of(JobPhase.QUEUED), node.poll(id));
         }
-        assertEquals(List.of(job("before"), job("pooled"), job("spread")), node.takeOver().jobs());
+        assertEquals(
+            List.of(TestJob.of("before"), TestJob.of("pooled"), TestJob.of("spread")),
+            node.takeOver().jobs());
       }
     }
 
@@ -197,7 +184,7 @@
       assertEquals(SubmitOutcome.ACCEPTED, second.submit("j"));
       assertEquals(CancelOutcome.CANCELLED, second.cancel("j"));
       JobEvent.TookOver takeover = first.takeOver();
-      assertEquals(List.of(job("before"), job("j")), takeover.jobs());
+      assertEquals(List.of(TestJob.of("before"), TestJob.of("j")), takeover.jobs());
       assertEquals(Set.of("j"), takeover.cancelled());
       assertTrue(first.ownerRows.removeJobRows("j").join());
       assertEquals(1, content.count("jobs"));
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import dev.bambootray.core.model.Resources;
 import dev.bambootray.daemon.jobs.JobApi.CancelOutcome;
 import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
 import dev.bambootray.daemon.jobs.ScriptedStore.CommitBehavior;
@@ -12,7 +11,6 @@
 import dev.bambootray.jobs.model.JobPhase;
 import dev.bambootray.jobs.model.JobRecord;
 import dev.bambootray.jobs.model.JobSpec;
-import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.ports.JobHintSender.Hint;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,17 +22,7 @@
 
 final class JobApiTest {
   private static final long TIME_MS = 2_000;
-  private static final JobSpec JOB =
-      new JobSpec(
-          "j",
-          "w",
-          "t",
-          "s",
-          "p",
-          List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
-          new JobSpec.Objective(1, 1, 1, 1),
-          JobSpec.Schedule.ONCE,
-          1);
+  private static final JobSpec JOB = TestJob.of("j");
 
   private final ScriptedStore store = new ScriptedStore();
   private final JobRowCodec codec = new JobRowCodec();
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -4,11 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.JobPhase;
 import dev.bambootray.jobs.model.JobRecord;
-import dev.bambootray.jobs.model.JobSpec;
-import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.scheduling.JobEvent;
 import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.ArrayList;
@@ -29,21 +26,8 @@
       new PoolLoader(
           store, executor, new FakeDocuments(), codec, DecisionLog.start(), TestFormats.spread());
 
-  private static JobSpec job(String id) {
-    return new JobSpec(
-        id,
-        "w",
-        "t",
-        "s",
-        "p",
-        List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
-        new JobSpec.Objective(1, 1, 1, 1),
-        JobSpec.Schedule.ONCE,
-        1);
-  }
-
   private void accept(String id) {
-    store.put(JobTables.JOBS, id, codec.encode(job(id)));
+    store.put(JobTables.JOBS, id, codec.encode(TestJob.of(id)));
   }
 
   private JobEvent.TookOver tookOver() {
@@ -68,7 +52,7 @@
   @Test
   void readsJobsAndWorkers() {
     start();
-    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertEquals(List.of(TestJob.of("before")), tookOver().jobs());
     assertEquals(1, tookOver().workers().size());
   }
 
@@ -96,7 +80,7 @@
     store.put(JobTables.JOBS, JobTables.cancelKey("after"), new byte[0]);
     store.remove(WORKERS, "w1");
     executor.runAll();
-    assertTrue(events.contains(new JobEvent.Accepted(job("after"))));
+    assertTrue(events.contains(new JobEvent.Accepted(TestJob.of("after"))));
     assertTrue(events.contains(new JobEvent.CancelRequested("after")));
     assertTrue(events.contains(new JobEvent.WorkerUnlisted("w1")));
   }
@@ -112,7 +96,8 @@
     loader.lookUp("hinted");
     executor.runAll();
     assertEquals(
-        List.of(new JobEvent.Accepted(job("hinted")), new JobEvent.CancelRequested("hinted")),
+        List.of(
+            new JobEvent.Accepted(TestJob.of("hinted")), new JobEvent.CancelRequested("hinted")),
         events.subList(1, events.size()));
   }
 
@@ -148,12 +133,12 @@
   @Test
   void ignoresAJobThatFailsToDecode() {
     // Guards against a job without an objective that is decoded and fails the scheduler later.
-    String complete = new String(codec.encode(job("broken")), UTF_8);
+    String complete = new String(codec.encode(TestJob.of("broken")), UTF_8);
     String broken = complete.replaceAll("\"objective\":\\{[^}]*},", "");
     assertTrue(broken.length() < complete.length(), complete);
     store.put(JobTables.JOBS, "broken", broken.getBytes(UTF_8));
     start();
-    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertEquals(List.of(TestJob.of("before")), tookOver().jobs());
   }
 
   @Test
@@ -165,7 +150,7 @@
         "newer",
         "{\"job\":\"newer\",\"phase\":\"PAUSED\",\"tasks\":[]}".getBytes(UTF_8));
     start();
-    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertEquals(List.of(TestJob.of("before")), tookOver().jobs());
     assertTrue(tookOver().records().isEmpty());
     loader.lookUp("newer");
     executor.runAll();
@@ -179,7 +164,7 @@
     JobRecord saved = new JobRecord("newer", JobPhase.RUNNING, 0, List.of());
     store.put(JobTables.RECORDS, "newer", codec.encode(saved));
     start();
-    assertEquals(List.of(job("before")), tookOver().jobs());
+    assertEquals(List.of(TestJob.of("before")), tookOver().jobs());
     assertTrue(tookOver().records().isEmpty());
   }
 
@@ -189,7 +174,7 @@
     List<JobEvent> handled = new ArrayList<>();
     loader.start(
         event -> {
-          if (event.equals(new JobEvent.Accepted(job("bad")))) {
+          if (event.equals(new JobEvent.Accepted(TestJob.of("bad")))) {
             throw new IllegalStateException("an event that cannot be handled");
           }
           handled.add(event);
@@ -200,7 +185,7 @@
     executor.runAll();
     accept("good");
     executor.runAll();
-    assertTrue(handled.contains(new JobEvent.Accepted(job("good"))));
+    assertTrue(handled.contains(new JobEvent.Accepted(TestJob.of("good"))));
   }
 
   @Test
@@ -209,7 +194,7 @@
     store.historyLost = true;
     accept("after");
     executor.runAll();
-    assertTrue(events.contains(new JobEvent.Accepted(job("after"))));
+    assertTrue(events.contains(new JobEvent.Accepted(TestJob.of("after"))));
   }
 
   @Test
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
@@ -3,11 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.bambootray.core.model.Resources;
 import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
 import dev.bambootray.jobs.lead.OwnerRecord;
-import dev.bambootray.jobs.model.JobSpec;
-import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.store.CommitOutcome;
 import dev.bambootray.jobs.store.RowChange;
 import dev.bambootray.ports.RowPartitions;
@@ -125,7 +122,7 @@
 
     private void submit(String id, long endMs) {
       var unused =
-          api.submit(job(id), endMs - store.nowMs())
+          api.submit(TestJob.builder(id).priority(0).build(), endMs - store.nowMs())
               .thenAccept(
                   outcome -> {
                     boolean inTime = store.nowMs() <= endMs;
@@ -146,19 +143,6 @@
       }
       return Math.max(gapMs, SLOW_FOR_MS - lastMs);
     }
-
-    private static JobSpec job(String id) {
-      return new JobSpec(
-          id,
-          "w",
-          "t",
-          "s",
-          "p",
-          List.of(StepSpec.builder(1, new Resources(1, 1, 1)).build()),
-          new JobSpec.Objective(0, 1, 1, 1),
-          JobSpec.Schedule.ONCE,
-          1);
-    }
   }
 
   @Test
