Move the calls to workers out of JobNode

JobNode mixed the ownership of the pool with the calls that the scheduler requests. WorkerCalls now makes the starts, stops and holds, counts them, and turns an unexpected error into the answer that leaves the outcome open. Timeouts, counters, log lines and events are the same. JobNode still decides whether an answer belongs to its epoch, since only it knows the epoch, and receives the answers through CallAnswers. A consumer made for each call was ruled out, as the epoch would be passed twice.

WorkerCallsTest covers the timeouts, the counting of repeated stops, the epoch of answers and unexpected errors, which no test checked; its 10 tests pass, as do LoadReporterTest and FormatReporterTest.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -12,8 +12,6 @@
 import dev.bambootray.jobs.scheduling.JobEvent;
 import dev.bambootray.jobs.scheduling.JobScheduler;
 import dev.bambootray.jobs.scheduling.SchedulerTimes;
-import dev.bambootray.jobs.worker.HoldReply;
-import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.ports.JobHintSender;
 import dev.bambootray.ports.JobHintSender.Hint;
 import dev.bambootray.ports.JobWorkerGateway;
@@ -45,11 +43,11 @@
   private final String name;
   private final SchedulerTimes times;
   private final ScheduledExecutorService executor;
-  private final JobWorkerGateway workers;
   private final DecisionLog log;
   private final JobMetrics metrics;
   private final LoadReporter loadReporter;
   private final FormatReporter formatReporter;
+  private final WorkerCalls workerCalls;
   private final DeclarationFollower declarations;
   private final OwnerRowStore ownerRows;
   private final PoolLoader loader;
@@ -71,7 +69,6 @@
     name = builder.name;
     times = builder.times;
     executor = builder.parts.executor();
-    workers = builder.parts.workers();
     log = builder.parts.log();
     metrics = builder.parts.metrics();
     JobRowCodec codec = new JobRowCodec();
@@ -79,6 +76,7 @@
     formats = builder.parts.formats();
     loadReporter = new LoadReporter(name, log, metrics);
     formatReporter = new FormatReporter(name, log, metrics, formats);
+    workerCalls = new WorkerCalls(builder.parts.workers(), log, metrics, this::postReply);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
     declarations =
         new DeclarationFollower(
@@ -300,11 +298,11 @@
     } else if (effect instanceof JobEffect.RemoveJobRows removal) {
       removeRows(removal.job());
     } else if (effect instanceof JobEffect.StartRun start) {
-      start(start);
+      workerCalls.start(start, epoch);
     } else if (effect instanceof JobEffect.StopRun stop) {
-      stop(stop);
+      workerCalls.stop(stop, epoch);
     } else if (effect instanceof JobEffect.HoldWorker hold) {
-      hold(hold);
+      workerCalls.hold(hold, epoch, now().ms());
     } else if (effect instanceof JobEffect.StepDown stepDown) {
       abandon(stepDown.reason());
     } else if (effect instanceof JobEffect.Decided decided) {
@@ -333,58 +331,6 @@
                 });
   }
 
-  private void start(JobEffect.StartRun start) {
-    long sentEpoch = epoch;
-    metrics.recordStart();
-    var unused =
-        workers
-            .start(start, sentEpoch, CallTimeouts.ORDER_MS)
-            .exceptionally(e -> new StartReply.Unknown(failed("start", start.worker().id(), e)))
-            .thenAccept(
-                reply ->
-                    postReply(
-                        sentEpoch, new JobEvent.StartAnswered(start.worker(), start.run(), reply)));
-  }
-
-  private void stop(JobEffect.StopRun stop) {
-    long sentEpoch = epoch;
-    if (!stop.repeated()) {
-      metrics.recordStop(stop.cause());
-    }
-    var unused =
-        workers
-            .stop(stop, sentEpoch, CallTimeouts.ORDER_MS)
-            .exceptionally(
-                e -> {
-                  failed("stop", stop.worker().id(), e);
-                  return false;
-                })
-            .thenAccept(
-                taken ->
-                    postReply(
-                        sentEpoch, new JobEvent.StopAnswered(stop.worker(), stop.run(), taken)));
-  }
-
-  private void hold(JobEffect.HoldWorker hold) {
-    long sentEpoch = epoch;
-    long sentMs = now().ms();
-    var unused =
-        workers
-            .hold(hold, sentEpoch, hold.waitMs() + CallTimeouts.HOLD_MARGIN_MS)
-            .exceptionally(e -> new HoldReply.Failed(failed("hold", hold.worker().id(), e)))
-            .thenAccept(
-                reply ->
-                    postReply(
-                        sentEpoch,
-                        new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh())));
-  }
-
-  /** Logs an unexpected error of a worker call, which then counts as unanswered. */
-  private String failed(String call, String worker, Throwable error) {
-    log.failure("worker:", worker, call + " failed unexpectedly", error);
-    return "unexpected error " + error;
-  }
-
   private void postReply(long sentEpoch, JobEvent event) {
     loop.post(
         () -> {
