Move the calls of the store out of JobNode

StoreCalls makes the calls that the lease and the scheduler request: it reads the owner row, commits with the record of the time, and removes the rows of a job unless a newer format is in use. Results, metrics and threads are the same.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -48,6 +48,7 @@
   private final LoadReporter loadReporter;
   private final FormatReporter formatReporter;
   private final WorkerCalls workerCalls;
+  private final StoreCalls storeCalls;
   private final DeclarationFollower declarations;
   private final OwnerRowStore ownerRows;
   private final PoolLoader loader;
@@ -78,6 +79,9 @@
     formatReporter = new FormatReporter(name, log, metrics, formats);
     workerCalls = new WorkerCalls(builder.parts.workers(), log, metrics, this::postReply);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
+    storeCalls =
+        new StoreCalls(
+            ownerRows, formats, metrics, event -> loop.post(() -> onLease(event)), this::postReply);
     declarations =
         new DeclarationFollower(
             builder.parts.store(),
@@ -219,17 +223,9 @@
 
   private void carryOut(LeaseEffect effect) {
     if (effect instanceof LeaseEffect.ReadOwner) {
-      var unused = ownerRows.read().thenAccept(event -> loop.post(() -> onLease(event)));
+      storeCalls.readOwner();
     } else if (effect instanceof LeaseEffect.Commit commit) {
-      long startMs = now().ms();
-      var unused =
-          ownerRows
-              .commit(commit)
-              .thenAccept(
-                  event -> {
-                    metrics.recordCommit(now().ms() - startMs);
-                    loop.post(() -> onLease(event));
-                  });
+      storeCalls.commit(commit);
     } else if (effect instanceof LeaseEffect.Won won) {
       onWon(won.epoch());
     } else if (effect instanceof LeaseEffect.Lost lost) {
@@ -296,7 +292,7 @@
     if (effect instanceof JobEffect.Persist persist) {
       onLease(new LeaseEvent.Persist(persist));
     } else if (effect instanceof JobEffect.RemoveJobRows removal) {
-      removeRows(removal.job());
+      storeCalls.removeJobRows(removal.job(), epoch);
     } else if (effect instanceof JobEffect.StartRun start) {
       workerCalls.start(start, epoch);
     } else if (effect instanceof JobEffect.StopRun stop) {
@@ -315,22 +311,6 @@
     onLease(new LeaseEvent.Abandon(reason));
   }
 
-  private void removeRows(String job) {
-    if (formats.isNewerFound()) {
-      return; // A newer build may have stored rows of this job that this one does not know.
-    }
-    long sentEpoch = epoch;
-    var unused =
-        ownerRows
-            .removeJobRows(job)
-            .thenAccept(
-                removed -> {
-                  if (removed) {
-                    postReply(sentEpoch, new JobEvent.JobRowsRemoved(job));
-                  }
-                });
-  }
-
   private void postReply(long sentEpoch, JobEvent event) {
     loop.post(
         () -> {
--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreCalls.java
@@ -0,0 +1,69 @@
+package dev.bambootray.daemon.jobs;
+
+import dev.bambootray.jobs.lead.LeaseEffect;
+import dev.bambootray.jobs.lead.LeaseEvent;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import java.util.function.Consumer;
+
+/** Makes the calls of the store that the lease and the scheduler request. */
+final class StoreCalls {
+  private final OwnerRowStore rows;
+  private final StoreFormats formats;
+  private final JobMetrics metrics;
+  private final Consumer<LeaseEvent> leaseAnswers;
+  private final CallAnswers schedulerAnswers;
+
+  /**
+   * Creates an instance.
+   *
+   * @param rows reads and writes the rows
+   * @param formats knows whether a newer format is in use
+   * @param metrics records the time of transactions
+   * @param leaseAnswers receives the answers to calls of the lease, on any thread
+   * @param schedulerAnswers receives the answers to calls of the scheduler
+   */
+  StoreCalls(
+      OwnerRowStore rows,
+      StoreFormats formats,
+      JobMetrics metrics,
+      Consumer<LeaseEvent> leaseAnswers,
+      CallAnswers schedulerAnswers) {
+    this.rows = rows;
+    this.formats = formats;
+    this.metrics = metrics;
+    this.leaseAnswers = leaseAnswers;
+    this.schedulerAnswers = schedulerAnswers;
+  }
+
+  /** Reads the owner row. */
+  void readOwner() {
+    var unused = rows.read().thenAccept(leaseAnswers);
+  }
+
+  /** Writes the owner row and records in one transaction. */
+  void commit(LeaseEffect.Commit commit) {
+    long startMs = JobNode.now().ms();
+    var unused =
+        rows.commit(commit)
+            .thenAccept(
+                event -> {
+                  metrics.recordCommit(JobNode.now().ms() - startMs);
+                  leaseAnswers.accept(event);
+                });
+  }
+
+  /** Removes the rows of a job; there is an answer only if they are certainly removed. */
+  void removeJobRows(String job, long epoch) {
+    if (formats.isNewerFound()) {
+      return; // A newer build may have stored rows of this job that this one does not know.
+    }
+    var unused =
+        rows.removeJobRows(job)
+            .thenAccept(
+                removed -> {
+                  if (removed) {
+                    schedulerAnswers.onAnswer(epoch, new JobEvent.JobRowsRemoved(job));
+                  }
+                });
+  }
+}
