--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -218,18 +218,19 @@
   }
 
   private void onCallAnswered(WorkerState worker, JobEvent.CallAnswered event, EventTime now) {
-    if (!worker.isCurrent(event.worker())) {
+    boolean current = worker.isCurrent(event.worker());
+    if (!current) {
       logOutdated(worker, event);
     }
     if (event instanceof JobEvent.StartAnswered answered) {
-      onStart(worker, answered, now);
+      onStart(worker, answered, current, now);
       return;
     }
     if (event instanceof JobEvent.StopAnswered answered) {
-      runs.onStopAnswered(worker, answered.run(), answered.confirmed(), now);
+      boolean confirmed = answered.confirmed() && current;
+      runs.onStopAnswered(worker, answered.run(), confirmed, now);
     } else if (event instanceof JobEvent.HoldAnswered answered) {
-      workerMonitor.onHoldAnswered(
-          worker, answered.reply(), answered.sentMs(), answered.refresh(), now);
+      workerMonitor.onHoldAnswered(worker, answered, now);
     }
     workerMonitor.sendDueCalls(worker, now);
   }
@@ -248,12 +249,19 @@
             + !called.address().equals(worker.entry.address()));
   }
 
-  private void onStart(WorkerState worker, JobEvent.StartAnswered answered, EventTime now) {
-    if (answered.reply() instanceof StartReply.WorkerRestarted) {
-      workerMonitor.onRestartReported(worker, now);
-    } else {
-      runs.onStartAnswered(worker, answered.run(), answered.reply(), now);
+  private void onStart(
+      WorkerState worker, JobEvent.StartAnswered answered, boolean current, EventTime now) {
+    StartReply reply = answered.reply();
+    if (reply instanceof StartReply.WorkerRestarted) {
+      if (current) {
+        workerMonitor.onRestartReported(worker, now);
+        return;
+      }
+      reply = new StartReply.Unknown("another worker has the address that was called");
+    } else if (reply instanceof StartReply.Started started && current) {
+      worker.recordClock(started.clockMs(), now.ms());
     }
+    runs.onStartAnswered(worker, answered.run(), reply, now);
   }
 
   private void takeOver(JobEvent.TookOver takeover, EventTime now) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -37,12 +37,11 @@
     boolean restarted = false;
     if (worker == null) {
       worker = new WorkerState(entry);
-      worker.bornKnownSinceMs = now.ms();
       state.workers.put(entry.id(), worker);
       state.logDecision(entry.id(), "worker listed service=" + entry.service());
-    } else if (worker.isAnotherProcess(entry.bornMs()) && entry.bornMs() > worker.bornMs) {
+    } else if (entry.bornMs() != worker.entry.bornMs() && worker.isAnotherProcess(entry.bornMs())) {
       restarted = true;
-      onRestart(worker, entry.bornMs(), "registry", now);
+      onOtherProcessListed(worker, entry.bornMs(), now);
     }
     if (worker.entry.draining() != entry.draining()) {
       state.logDecision(entry.id(), "worker draining=" + entry.draining());
@@ -56,6 +55,20 @@
     }
   }
 
+  /** Handles an entry of another process, which may be older than what a list has shown. */
+  private void onOtherProcessListed(WorkerState worker, long bornMs, EventTime now) {
+    if (bornMs > worker.bornMs) {
+      onRestart(worker, bornMs, "registry", now);
+      return;
+    }
+    // Either the entry is late or the machine's wall clock went back, which the next list tells.
+    state.logDecision(
+        worker.id(),
+        "worker listed with an earlier start born_ms=" + bornMs + " known_ms=" + worker.bornMs);
+    worker.adopted = false;
+    worker.nextCallMs = 0;
+  }
+
   void onUnlisted(String id, EventTime now) {
     WorkerState worker = state.workers.get(id);
     if (worker == null) {
@@ -67,31 +80,35 @@
     state.planWanted = true;
   }
 
-  void onHoldAnswered(
-      WorkerState worker, HoldReply reply, long sentMs, boolean refresh, EventTime now) {
-    if (refresh) {
+  void onHoldAnswered(WorkerState worker, JobEvent.HoldAnswered answered, EventTime now) {
+    if (answered.refresh()) {
       worker.refreshInFlight = false;
     } else {
       worker.pollInFlight = false;
     }
+    HoldReply reply = answered.reply();
     if (reply instanceof HoldReply.Listed listed) {
-      onList(worker, listed, sentMs, now);
+      onList(worker, listed, answered, now);
     } else if (reply instanceof HoldReply.WorkerRestarted) {
-      onRestartReported(worker, now);
+      if (worker.isCurrent(answered.worker())) {
+        onRestartReported(worker, now);
+      }
     } else if (reply instanceof HoldReply.Fenced) {
       state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
     } else if (reply instanceof HoldReply.Failed failed) {
-      onFailed(worker, failed.detail(), now);
+      if (worker.isCurrent(answered.worker())) {
+        onFailed(worker, failed.detail(), now);
+      }
     }
   }
 
-  /** Handles an answer by another worker at the address: all runs of the addressed one are lost. */
+  /** Handles an answer by another worker at the known address: all runs are lost. */
   void onRestartReported(WorkerState worker, EventTime now) {
     logRestart(worker, 0, "refused call");
     List<Placement> lost = List.copyOf(worker.placements.values());
     lost.forEach(placement -> runs.onLost(placement, RESTARTED, now));
     crashes.onCrashed(worker, lost, now);
-    worker.restart(0, now.ms());
+    worker.restart(0);
     worker.nextCallMs = now.ms() + state.times.retryMs();
     dropIfGone(worker);
   }
@@ -109,12 +126,14 @@
     }
   }
 
-  private void onList(WorkerState worker, HoldReply.Listed listed, long sentMs, EventTime now) {
+  private void onList(
+      WorkerState worker, HoldReply.Listed listed, JobEvent.HoldAnswered answered, EventTime now) {
+    long sentMs = answered.sentMs();
+    if (listed.bornMs() != worker.bornMs && !worker.isCurrent(answered.worker())) {
+      worker.nextCallMs = 0; // An earlier process has answered.
+      return;
+    }
     if (worker.isAnotherProcess(listed.bornMs())) {
-      if (listed.bornMs() < worker.bornMs && sentMs <= worker.bornKnownSinceMs) {
-        worker.nextCallMs = 0; // The previous process answered this call before it ended.
-        return;
-      }
       onRestart(worker, listed.bornMs(), "list", now);
     }
     worker.bornMs = listed.bornMs() > 0 ? listed.bornMs() : worker.bornMs;
@@ -233,13 +252,16 @@
       if (placement.phase == Phase.ORDERED) {
         // Its lease is measured by the clock of the previous process.
         runs.stop(placement, StopCause.START_UNANSWERED, RESTARTED, now);
+      } else if (placement.phase == Phase.STOPPING) {
+        // The new process has not seen the stop, so that a late order would start the run there.
+        placement.resetStop();
       }
     }
     // The new process may have been granted leases by the clock of the previous one.
     worker.leaseEndMs =
         Math.max(worker.leaseEndMs, worker.leaseSentMs + state.times.restartedLeaseBoundMs());
     worker.drainedBeforeRestart = worker.entry.draining();
-    worker.restart(bornMs, now.ms());
+    worker.restart(bornMs);
     worker.refreshWanted = true;
     worker.nextCallMs = 0;
   }
