--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -12,8 +12,6 @@
 import dev.bambootray.jobs.scheduling.JobEvent;
 import dev.bambootray.jobs.scheduling.JobScheduler;
 import dev.bambootray.jobs.scheduling.SchedulerTimes;
-import dev.bambootray.jobs.worker.HoldReply;
-import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.ports.JobHintSender;
 import dev.bambootray.ports.JobHintSender.Hint;
 import dev.bambootray.ports.JobWorkerGateway;
@@ -39,17 +37,18 @@
   /** Time within which a healthy change feed delivers a job, also between regions. */
   private static final long HINT_GRACE_MS = 100;
 
-  private static final long LOAD_LOG_INTERVAL_MS = 1_000;
-
   private static final JobEvent.DeclarationConfirmed UNCONFIRMED =
       new JobEvent.DeclarationConfirmed(JobEvent.DeclarationConfirmed.NEVER);
 
   private final String name;
   private final SchedulerTimes times;
   private final ScheduledExecutorService executor;
-  private final JobWorkerGateway workers;
   private final DecisionLog log;
   private final JobMetrics metrics;
+  private final LoadReporter loadReporter;
+  private final FormatReporter formatReporter;
+  private final WorkerCalls workerCalls;
+  private final StoreCalls storeCalls;
   private final DeclarationFollower declarations;
   private final OwnerRowStore ownerRows;
   private final PoolLoader loader;
@@ -65,21 +64,24 @@
   private JobEvent.DeclarationConfirmed confirmation = UNCONFIRMED;
 
   private long epoch;
-  private long nextLoadLineMs;
-  private int loggedFormatOneJobs;
   private boolean releasing;
 
   private JobNode(Builder builder) {
     name = builder.name;
     times = builder.times;
     executor = builder.parts.executor();
-    workers = builder.parts.workers();
     log = builder.parts.log();
     metrics = builder.parts.metrics();
     JobRowCodec codec = new JobRowCodec();
     loop = ControlLoop.create(Runnable::run, metrics::recordControlEvent, "job-control");
     formats = builder.parts.formats();
+    loadReporter = new LoadReporter(name, log, metrics);
+    formatReporter = new FormatReporter(name, log, metrics, formats);
+    workerCalls = new WorkerCalls(builder.parts.workers(), log, metrics, this::postReply);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
+    storeCalls =
+        new StoreCalls(
+            ownerRows, formats, metrics, event -> loop.post(() -> onLease(event)), this::postReply);
     declarations =
         new DeclarationFollower(
             builder.parts.store(),
@@ -176,32 +178,14 @@
     JobScheduler current = scheduler;
     if (current != null) {
       onLease(new LeaseEvent.PendingChanged(current.pendingByTemplate()));
-      reportLoad(current.load());
+      formatReporter.report();
+      loadReporter.report(current.load(), epoch, now().ms());
     }
     onLease(new LeaseEvent.Tick());
     onScheduler(new JobEvent.Tick());
     completeRelease();
   }
 
-  private void reportLoad(JobScheduler.Load load) {
-    metrics.setLoad(load);
-    reportFormatOneJobs();
-    long nowMs = now().ms();
-    if (load.openJobs() > 0 && nowMs >= nextLoadLineMs) {
-      nextLoadLineMs = nowMs + LOAD_LOG_INTERVAL_MS;
-      log.line("sched:", name, "epoch=" + epoch + " load " + load);
-    }
-  }
-
-  private void reportFormatOneJobs() {
-    int count = formats.formatOneJobs();
-    metrics.setFormatOneJobs(count);
-    if (count != loggedFormatOneJobs) {
-      loggedFormatOneJobs = count;
-      log.line("format:", name, "jobs_in_format_1=" + count);
-    }
-  }
-
   private void completeRelease() {
     if (releasing && lease.isReleased()) {
       released.complete(true);
@@ -239,17 +223,9 @@
 
   private void carryOut(LeaseEffect effect) {
     if (effect instanceof LeaseEffect.ReadOwner) {
-      var unused = ownerRows.read().thenAccept(event -> loop.post(() -> onLease(event)));
+      storeCalls.readOwner();
     } else if (effect instanceof LeaseEffect.Commit commit) {
-      long startMs = now().ms();
-      var unused =
-          ownerRows
-              .commit(commit)
-              .thenAccept(
-                  event -> {
-                    metrics.recordCommit(now().ms() - startMs);
-                    loop.post(() -> onLease(event));
-                  });
+      storeCalls.commit(commit);
     } else if (effect instanceof LeaseEffect.Won won) {
       onWon(won.epoch());
     } else if (effect instanceof LeaseEffect.Lost lost) {
@@ -316,13 +292,13 @@
     if (effect instanceof JobEffect.Persist persist) {
       onLease(new LeaseEvent.Persist(persist));
     } else if (effect instanceof JobEffect.RemoveJobRows removal) {
-      removeRows(removal.job());
+      storeCalls.removeJobRows(removal.job(), epoch);
     } else if (effect instanceof JobEffect.StartRun start) {
-      start(start);
+      workerCalls.start(start, epoch);
     } else if (effect instanceof JobEffect.StopRun stop) {
-      stop(stop);
+      workerCalls.stop(stop, epoch);
     } else if (effect instanceof JobEffect.HoldWorker hold) {
-      hold(hold);
+      workerCalls.hold(hold, epoch, now().ms());
     } else if (effect instanceof JobEffect.StepDown stepDown) {
       abandon(stepDown.reason());
     } else if (effect instanceof JobEffect.Decided decided) {
@@ -335,74 +311,6 @@
     onLease(new LeaseEvent.Abandon(reason));
   }
 
-  private void removeRows(String job) {
-    if (formats.isNewerFound()) {
-      return; // A newer build may have stored rows of this job that this one does not know.
-    }
-    long sentEpoch = epoch;
-    var unused =
-        ownerRows
-            .removeJobRows(job)
-            .thenAccept(
-                removed -> {
-                  if (removed) {
-                    postReply(sentEpoch, new JobEvent.JobRowsRemoved(job));
-                  }
-                });
-  }
-
-  private void start(JobEffect.StartRun start) {
-    long sentEpoch = epoch;
-    metrics.recordStart();
-    var unused =
-        workers
-            .start(start, sentEpoch, CallTimeouts.ORDER_MS)
-            .exceptionally(e -> new StartReply.Unknown(failed("start", start.worker().id(), e)))
-            .thenAccept(
-                reply ->
-                    postReply(
-                        sentEpoch, new JobEvent.StartAnswered(start.worker(), start.run(), reply)));
-  }
-
-  private void stop(JobEffect.StopRun stop) {
-    long sentEpoch = epoch;
-    if (!stop.repeated()) {
-      metrics.recordStop(stop.cause());
-    }
-    var unused =
-        workers
-            .stop(stop, sentEpoch, CallTimeouts.ORDER_MS)
-            .exceptionally(
-                e -> {
-                  failed("stop", stop.worker().id(), e);
-                  return false;
-                })
-            .thenAccept(
-                taken ->
-                    postReply(
-                        sentEpoch, new JobEvent.StopAnswered(stop.worker(), stop.run(), taken)));
-  }
-
-  private void hold(JobEffect.HoldWorker hold) {
-    long sentEpoch = epoch;
-    long sentMs = now().ms();
-    var unused =
-        workers
-            .hold(hold, sentEpoch, hold.waitMs() + CallTimeouts.HOLD_MARGIN_MS)
-            .exceptionally(e -> new HoldReply.Failed(failed("hold", hold.worker().id(), e)))
-            .thenAccept(
-                reply ->
-                    postReply(
-                        sentEpoch,
-                        new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh())));
-  }
-
-  /** Logs an unexpected error of a worker call, which then counts as unanswered. */
-  private String failed(String call, String worker, Throwable error) {
-    log.failure("worker:", worker, call + " failed unexpectedly", error);
-    return "unexpected error " + error;
-  }
-
   private void postReply(long sentEpoch, JobEvent event) {
     loop.post(
         () -> {
