--- a/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
+++ b/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
@@ -61,13 +61,11 @@
     }
 
     @Test
-    @Tag("known-red")
     void firstDeploymentIsServedBetterWithSlowWorkers() {
       assertBetter(JobDeployment.first(), LoadPattern.SLOW_WORKERS);
     }
 
     @Test
-    @Tag("known-red")
     void firstDeploymentIsServedBetterWithUnevenWorkers() {
       assertBetter(JobDeployment.first(), LoadPattern.UNEVEN_WORKERS);
     }
