Replace control characters in the lines of the decision log

What operators would see: an entry whose identifier has a line break writes lines of its own into the log of a node, such as "owner: id=n1 won epoch=9", or control sequences to a terminal.

Cause: identifiers that other writers chose were logged as they are. The length of a line was bounded before.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
 
 /**
  * Writes one line for each decision to standard output without blocking the caller.
@@ -17,13 +18,15 @@
 public final class DecisionLog implements AutoCloseable {
   private static final int QUEUE_LINES = 4_096;
   private static final int MAX_LINE_CHARS = 600;
+  private static final Pattern UNPRINTABLE = Pattern.compile("[\\p{Cc}\\u2028\\u2029]");
 
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
   private final AtomicLong dropped = new AtomicLong();
   private final PrintStream out;
   private final Thread writer;
 
-  private DecisionLog(PrintStream out) {
+  /** Creates a log that writes nothing until {@link #close}. */
+  DecisionLog(PrintStream out) {
     this.out = out;
     writer = new Thread(this::write, "decision-log");
     writer.setDaemon(true);
@@ -46,7 +49,9 @@
    */
   public void line(String part, String subject, String text) {
     String line = part + " id=" + subject + " " + text;
-    if (!lines.offer(line.length() <= MAX_LINE_CHARS ? line : line.substring(0, MAX_LINE_CHARS))) {
+    String cut = line.length() <= MAX_LINE_CHARS ? line : line.substring(0, MAX_LINE_CHARS);
+    // Subjects may come from other writers; a line break in one would forge a line.
+    if (!lines.offer(UNPRINTABLE.matcher(cut).replaceAll("?"))) {
       dropped.incrementAndGet();
     }
   }
