Log an unusable worker entry once until it is gone

What operators would see: an entry that describes no usable worker and is written again and again fills the log of the owner, while one that was there when the owner took over is in no log at all.

Cause: each change of such a row was logged, and the rows that a takeover reads were not.

PoolLoaderTest.logsAnUnusableEntryOnceUntilItIsGone failed before: "expected: <1> but was: <5>". usesAWorkerAgainWhoseEntryIsReplacedByAValidOne passed before.

The loader remembers which rows it has logged until they are valid or gone.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -84,6 +84,9 @@
     private final TableFollower workers;
     private final Set<String> listed = new HashSet<>();
 
+    /** Entries that name no usable worker and are in the log, which repeats none of them. */
+    private final Set<String> unusable = new HashSet<>();
+
     /** Jobs whose progress is unknown, so that starting them could repeat finished work. */
     private final Set<String> unreadable = new HashSet<>();
 
@@ -193,6 +196,7 @@
           unlist(id);
         }
       }
+      unusable.retainAll(found);
     }
 
     private void takeOver() {
@@ -291,13 +295,8 @@
     }
 
     private void onWorker(Row row) {
-      if (row.removed()) {
-        unlist(row.key());
-        return;
-      }
       Optional<WorkerEntry> entry = worker(row);
       if (entry.isEmpty()) {
-        log.line("worker:", row.key(), "entry describes no usable worker");
         unlist(row.key());
         return;
       }
@@ -305,12 +304,29 @@
       events.accept(new JobEvent.WorkerListed(entry.get()));
     }
 
-    /** Decodes a worker entry; an entry that fails to decode in any way counts as no worker. */
+    /** Decodes a worker entry; one that was removed or names no usable worker is empty. */
     private Optional<WorkerEntry> worker(Row row) {
+      if (row.removed()) {
+        unusable.remove(row.key());
+        return Optional.empty();
+      }
+      Optional<WorkerEntry> entry = decodeWorker(row);
+      if (entry.isPresent()) {
+        unusable.remove(row.key());
+      } else if (unusable.add(row.key())) {
+        log.line(
+            "worker:", row.key(), "entry describes no usable worker bytes=" + row.value().length);
+      }
+      return entry;
+    }
+
+    private Optional<WorkerEntry> decodeWorker(Row row) {
       try {
         return documents.worker(row);
       } catch (RuntimeException e) {
-        log.failure("worker:", row.key(), "entry cannot be read", e);
+        if (!unusable.contains(row.key())) {
+          log.failure("worker:", row.key(), "entry cannot be read", e);
+        }
         return Optional.empty();
       }
     }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -11,6 +11,8 @@
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.scheduling.JobEvent;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -25,9 +27,10 @@
   private final ManualExecutor executor = new ManualExecutor();
   private final JobRowCodec codec = new JobRowCodec();
   private final List<JobEvent> events = new ArrayList<>();
+  private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+  private final DecisionLog log = new DecisionLog(new PrintStream(logged, true, UTF_8));
   private final PoolLoader loader =
-      new PoolLoader(
-          store, executor, new FakeDocuments(), codec, DecisionLog.start(), TestFormats.spread());
+      new PoolLoader(store, executor, new FakeDocuments(), codec, log, TestFormats.spread());
 
   private static JobSpec job(String id) {
     return new JobSpec(
@@ -145,6 +148,48 @@
     assertTrue(events.contains(new JobEvent.WorkerUnlisted("w1")));
   }
 
+  @Test
+  void usesAWorkerAgainWhoseEntryIsReplacedByAValidOne() {
+    start();
+    store.put(WORKERS, "w1", FakeDocuments.BROKEN.getBytes(UTF_8));
+    executor.runAll();
+    store.put(WORKERS, "w1", "ready".getBytes(UTF_8));
+    executor.runAll();
+    assertEquals(new JobEvent.WorkerUnlisted("w1"), events.get(1));
+    assertEquals(JobEvent.WorkerListed.class, events.get(2).getClass());
+  }
+
+  @Test
+  void logsAnUnusableEntryOnceUntilItIsGone() {
+    // Guards against a line for every heartbeat, and against none after a takeover.
+    store.put(WORKERS, "odd\nid", FakeDocuments.BROKEN.getBytes(UTF_8));
+    start();
+    for (int i = 0; i < 5; i++) {
+      store.put(WORKERS, "odd\nid", FakeDocuments.BROKEN.getBytes(UTF_8));
+      executor.runAll();
+    }
+    assertEquals(1, countOfUnusableEntries());
+    store.historyLost = true;
+    store.put(WORKERS, "odd\nid", FakeDocuments.BROKEN.getBytes(UTF_8));
+    executor.runAll();
+    store.historyLost = false;
+    assertEquals(1, countOfUnusableEntries());
+    store.remove(WORKERS, "odd\nid");
+    executor.runAll();
+    store.put(WORKERS, "odd\nid", FakeDocuments.BROKEN.getBytes(UTF_8));
+    executor.runAll();
+    assertEquals(2, countOfUnusableEntries());
+  }
+
+  private long countOfUnusableEntries() {
+    log.close();
+    return logged
+        .toString(UTF_8)
+        .lines()
+        .filter(line -> line.startsWith("worker: id=odd?id entry describes no usable worker"))
+        .count();
+  }
+
   @Test
   void ignoresAJobThatFailsToDecode() {
     // Guards against a job without an objective that is decoded and fails the scheduler later.
