Cover no jobs whose number of accelerators overflows

What callers would see: after a workspace has submitted an urgent job of 2 tasks with 1,073,741,824 accelerators each, all its urgent jobs count as covered by its guarantee, and runs of other workspaces are stopped for them.

Cause: the accelerators of a step and of a workspace were added up as int; the sum became -2,147,483,648, which every later job left below the guarantee.

GuaranteeCoverageTest.doesNotCoverJobsWhoseAcceleratorsOverflow failed before: "expected: <false> but was: <true>".

The sums are long now; 5,000 tasks of the largest size fit many times over. Other sums of sizes were looked at: they are formed only of tasks that fit on a worker, or as floating-point numbers.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
@@ -27,11 +27,11 @@
             .filter(job -> !job.phase.isFinal() && job.spec.objective().priority() == 0)
             .sorted(Comparator.comparingLong(job -> job.acceptedMs))
             .toList();
-    Map<String, Integer> used = new HashMap<>();
+    Map<String, Long> used = new HashMap<>();
     Set<Job> covered = new HashSet<>();
     for (Job job : jobs) {
       String workspace = job.spec.workspace();
-      int sum = used.getOrDefault(workspace, 0) + widestStepAccelerators(job);
+      long sum = used.getOrDefault(workspace, 0L) + widestStepAccelerators(job);
       used.put(workspace, sum);
       if (sum <= state.declaration().guaranteedAccelerators(workspace)) {
         covered.add(job);
@@ -45,9 +45,9 @@
   }
 
   /** Returns the accelerators of the job's widest step, since steps of a job rarely overlap. */
-  private static int widestStepAccelerators(Job job) {
+  private static long widestStepAccelerators(Job job) {
     return job.spec.steps().stream()
-        .mapToInt(step -> step.count() * step.each().accelerators())
+        .mapToLong(step -> (long) step.count() * step.each().accelerators())
         .max()
         .orElse(0);
   }
