Add up the accelerators of the pool without overflow

What operators would see: with an entry of the largest representable capacity the log and the metrics of the load show a negative or small number of accelerators.

Cause: the sums over all workers were int. They decide about nothing.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -120,8 +120,8 @@
     long open = state.jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
     long running = 0;
     long runningInClosedDomains = 0;
-    int free = 0;
-    int capacity = 0;
+    long free = 0;
+    long capacity = 0;
     for (WorkerState worker : state.workers.values()) {
       running += worker.placements.size();
       runningInClosedDomains += worker.domainClosed ? worker.placements.size() : 0;
@@ -164,7 +164,11 @@
    * @param accelerators all accelerators
    */
   public record Load(
-      long openJobs, long runs, long runsInClosedDomains, int freeAccelerators, int accelerators) {}
+      long openJobs,
+      long runs,
+      long runsInClosedDomains,
+      long freeAccelerators,
+      long accelerators) {}
 
   private void apply(JobEvent event, EventTime now) {
     if (event instanceof JobEvent.TookOver takeover) {
