Call a worker seldom at whose address another one answers

What operators would see: an entry that has the address of another worker is called several times a second as long as it is listed, each call at the price of a probe, with a line in the log for each.

Cause: an answer that names another worker at the address was treated as a restart each time. It is one the first time; afterwards nothing is left to lose there.

OddWorkerEntryTest.callsAWorkerSeldomAtWhoseAddressAnotherAnswers failed before: "expected: <1> but was: <200>" lines in a minute.

The next calls are made at the longest delay for workers that do not answer, 1 s, and the log has one line until the worker lists its runs. Ruled out: harm to the worker that has the address; it refuses the calls, which name the other one.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -87,12 +87,15 @@
 
   /** Handles an answer by another worker at the address: all runs of the addressed one are lost. */
   void onRestartReported(WorkerState worker, EventTime now) {
-    logRestart(worker, 0, "refused call");
+    if (!worker.isReplaced) {
+      logRestart(worker, 0, "refused call");
+    }
     List<Placement> lost = List.copyOf(worker.placements.values());
     lost.forEach(placement -> runs.onLost(placement, RESTARTED, now));
     crashes.onCrashed(worker, lost, now);
     worker.restart(0, now.ms());
-    worker.nextCallMs = now.ms() + state.times.retryMs();
+    worker.nextCallMs = now.ms() + (worker.isReplaced ? MAX_RETRY_MS : state.times.retryMs());
+    worker.isReplaced = true;
     dropIfGone(worker);
   }
 
@@ -123,6 +126,7 @@
       state.planWanted = true;
     }
     worker.failedCalls = 0;
+    worker.isReplaced = false;
     worker.lastReplyMs = now.ms();
     worker.recordClock(listed.clockMs(), now.ms());
     Set<RunName> known = new HashSet<>();
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -33,6 +33,9 @@
   /** Whether it has reported its runs to this owner. */
   boolean adopted;
 
+  /** Whether another worker answered at its address since it last listed its runs. */
+  boolean isReplaced;
+
   /** Start of its process as far as the owner knows it, 0 if unknown. */
   long bornMs;
 
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OddWorkerEntryTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OddWorkerEntryTest.java
@@ -1,10 +1,13 @@
 package dev.bambootray.jobs.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.JobDeclaration;
+import dev.bambootray.jobs.worker.HoldReply;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +19,8 @@
       new Resources(Integer.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE);
 
   private final JobScheduler scheduler = JobScheduler.create(SchedulerTimes.withLeaseLimit(10_000));
+  private final List<String> decisions = new ArrayList<>();
+  private int holds;
 
   private void takeOver(String... ids) {
     List<WorkerEntry> entries =
@@ -36,7 +41,12 @@
   }
 
   private void handle(JobEvent event, long nowMs) {
-    List<JobEffect> unused = scheduler.handle(event, new EventTime(nowMs, nowMs));
+    for (JobEffect effect : scheduler.handle(event, new EventTime(nowMs, nowMs))) {
+      if (effect instanceof JobEffect.Decided decided) {
+        decisions.add(decided.text());
+      }
+      holds += effect instanceof JobEffect.HoldWorker ? 1 : 0;
+    }
   }
 
   @Test
@@ -45,4 +55,21 @@
     assertEquals(3L * Integer.MAX_VALUE, scheduler.load().accelerators());
     assertEquals(3L * Integer.MAX_VALUE, scheduler.load().freeAccelerators());
   }
+
+  @Test
+  void callsAWorkerSeldomAtWhoseAddressAnotherAnswers() {
+    // Guards against a line and a priced call every few ticks for an entry with a foreign address.
+    takeOver("a");
+    int answered = 0;
+    for (long nowMs = 50; nowMs <= 60_000; nowMs += 50) {
+      handle(new JobEvent.Tick(), nowMs);
+      if (holds > answered) {
+        answered++;
+        handle(
+            new JobEvent.HoldAnswered("a", new HoldReply.WorkerRestarted(), nowMs, false), nowMs);
+      }
+    }
+    assertEquals(1, decisions.stream().filter(text -> text.contains("restarted")).count());
+    assertTrue(holds <= 62, () -> "calls in a minute: " + holds);
+  }
 }
