Pass over the row of a node whose address nobody can have

What operators would see: a node that relays calls of the store through others counts a row with the port 99999 or the host 999.0.0.1 among them and spends the time of attempts there.

Cause: the check of a node's address looked at its form only, another one than that of workers' entries. Both use PeerAddress now.

NodeDirectoryTest.ignoresInvalidRows failed before with the new rows: "expected: <[Peer[name=n2, ...]]> but was: <[Peer[name=0.0.0.0:7011, ...], Peer[name=10.0.0.3:0, ...], ...". Its rows with deep nesting and with 1e400000000 were passed over before as well.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.bambootray.adapters.httpclient.PeerAddress;
 import dev.bambootray.jobs.lead.OwnerRecord;
 import dev.bambootray.jobs.model.JobPhase;
 import dev.bambootray.jobs.model.JobRecord;
@@ -20,7 +21,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /**
@@ -30,8 +30,6 @@
  * arrays, because the row of a job with many tasks is written often.
  */
 final class JobRowCodec {
-  private static final Pattern ADDRESS = Pattern.compile("[0-9.]{7,15}:[0-9]{1,5}");
-
   private final ObjectMapper json =
       JsonMapper.builder()
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -115,7 +113,7 @@
   private static boolean isComplete(NodeRow node) {
     return Stream.of(node.name(), node.address(), node.failureDomain(), node.region())
             .allMatch(Objects::nonNull)
-        && ADDRESS.matcher(node.address()).matches();
+        && PeerAddress.isValid(node.address());
   }
 
   private static String stateCode(State state) {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/NodeDirectoryTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/NodeDirectoryTest.java
@@ -44,10 +44,15 @@
   void ignoresInvalidRows() {
     store.put(JobTables.NODES, "bad", "{\"name\":\"bad\"}".getBytes(UTF_8));
     store.put(JobTables.NODES, "worse", "\u0000".getBytes(UTF_8));
-    store.put(
-        JobTables.NODES,
-        "address",
-        new JobRowCodec().encode(NodeRow.of(new Peer("address", "nowhere", "a", "r"), 2)));
+    for (String address :
+        List.of("nowhere", "999.0.0.1:7011", "10.0.0.3:99999", "10.0.0.3:0", "0.0.0.0:7011")) {
+      store.put(
+          JobTables.NODES,
+          address,
+          new JobRowCodec().encode(NodeRow.of(new Peer(address, address, "a", "r"), 2)));
+    }
+    store.put(JobTables.NODES, "deep", "{\"a\":[[".repeat(10_000).getBytes(UTF_8));
+    store.put(JobTables.NODES, "number", "{\"format\":1e400000000}".getBytes(UTF_8));
     store.put(JobTables.NODES, OTHER.name(), new JobRowCodec().encode(NodeRow.of(OTHER, 2)));
     directory.start();
     executor.runAll();
