Answer requests that have arrived when a server stops

Cause: stopping closed the listener and the idle connections in one batch of tasks of the event loop. A loop that was held up, by load or a long task, had not read from its sockets since, so connections that waited to be accepted and requests that waited to be read were reset. The server reported all requests as answered, as it had not seen these.

The time at the end of the grace period is as before.

aStopAnswersRequestsThatArrivedBeforeTheyWereRead failed before with "SocketException: Connection reset" on the connection that had not been accepted.

Ruled out: shutting down the output first, as the caller then reads the end of the stream and cannot get its answer; half-closing avoids only the reset.

--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -56,22 +56,27 @@
     startIdleTimer(added);
   }
 
-  /** Closes the connection once the request in progress is answered. */
-  void stop() {
+  /** Closes the connection after the next answer. */
+  void closeAfterAnswer() {
     ChannelHandlerContext added = context;
-    if (added == null) {
-      return;
+    if (added != null) {
+      added.executor().execute(() -> stopping = true);
+    }
+  }
+
+  /** Closes the connection if no request has arrived that waits for its answer. */
+  void closeWhenIdle() {
+    ChannelHandlerContext added = context;
+    if (added != null) {
+      LoopReads.catchUp(added.executor(), () -> closeIfIdle(added));
+    }
+  }
+
+  private void closeIfIdle(ChannelHandlerContext added) {
+    if (current == null) {
+      closing = true;
+      var unused = added.close();
     }
-    added
-        .executor()
-        .execute(
-            () -> {
-              stopping = true;
-              if (current == null) {
-                closing = true;
-                var unused = added.close();
-              }
-            });
   }
 
   @Override
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -28,6 +28,7 @@
   private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
   private final Channel listener;
   private volatile boolean stopping;
+  private volatile boolean listenerClosed;
 
   private HttpApiServer(
       EventLoopGroup group,
@@ -101,21 +102,16 @@
 
   /**
    * Stops accepting connections, lets requests in progress finish and closes each connection after
-   * its answer. Connections that remain after the grace period are closed.
+   * its answer. Requests that have arrived but were not read yet are answered too. Connections that
+   * remain after the grace period are closed.
    *
    * @param graceMs time for requests in progress, in milliseconds
    * @return completes with whether all requests were answered
    */
   public CompletableFuture<Boolean> stop(long graceMs) {
     stopping = true;
-    var unusedListener =
-        listener
-            .close()
-            .addListener(
-                done -> {
-                  connections.values().forEach(ConnectionHandler::stop);
-                  completeIfIdle();
-                });
+    connections.values().forEach(ConnectionHandler::closeAfterAnswer);
+    LoopReads.catchUp(listener.eventLoop(), this::closeListener);
     var unused = group.schedule(this::endGrace, graceMs, TimeUnit.MILLISECONDS);
     return stopped;
   }
@@ -125,9 +121,24 @@
     stop(0).join();
   }
 
+  private void closeListener() {
+    var unused =
+        listener
+            .close()
+            .addListener(
+                done -> {
+                  listenerClosed = true;
+                  connections.values().forEach(ConnectionHandler::closeWhenIdle);
+                  completeIfIdle();
+                });
+  }
+
   private void endGrace() {
+    if (stopped.isDone()) {
+      return;
+    }
+    closeListener();
     if (connections.isEmpty()) {
-      completeIfIdle();
       return;
     }
     Logger.warn("http: {} connections closed at the end of the grace period", connections.size());
@@ -138,7 +149,7 @@
   }
 
   private void completeIfIdle() {
-    if (stopping && connections.isEmpty()) {
+    if (listenerClosed && connections.isEmpty()) {
       stopped.complete(true);
     }
   }
@@ -173,7 +184,10 @@
             new BoundedAggregator(limits.bodyBytes(), handler),
             handler);
     if (stopping) {
-      handler.stop();
+      handler.closeAfterAnswer();
+    }
+    if (listenerClosed) {
+      handler.closeWhenIdle();
     }
   }
 }
--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
@@ -224,6 +224,28 @@
       }
     }
 
+    /** A node that is held up reads late, and a stop must not overtake the read. */
+    @Test
+    void aStopAnswersRequestsThatArrivedBeforeTheyWereRead() throws Exception {
+      try (Socket idle = fixture.connect()) {
+        idle.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+        ServerFixture.readBody(idle.getInputStream());
+        CompletableFuture<Boolean> stopped;
+        try (HeldLoops held = HeldLoops.hold(fixture.group);
+            Socket unaccepted = fixture.connect()) {
+          idle.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+          unaccepted.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+          stopped = fixture.server.stop(3_600_000);
+          held.release();
+          assertEquals("ok\n", ServerFixture.readBody(unaccepted.getInputStream()));
+          assertEquals(-1, unaccepted.getInputStream().read());
+        }
+        assertEquals("ok\n", ServerFixture.readBody(idle.getInputStream()));
+        assertEquals(-1, idle.getInputStream().read());
+        assertTrue(stopped.get());
+      }
+    }
+
     /**
      * Returns whether a new connection gets any byte of an answer. The kernel may still complete
      * the handshake of a connection that nobody accepts any more, and resets it later.
