Wait for requests that are arriving when a server stops

A caller whose request was sent in several packets while a node ended saw the connection close without an answer, also within the grace period.

Cause: a connection counted as idle until its request was whole, and idle connections were closed.

A connection on which the headers of a request have arrived is now kept until the request is answered, the time to receive it is over or the grace period ends.

aStopWaitsForARequestThatHasBegunToArrive failed before with "IOException: connection closed after:" and no byte of an answer.

--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -38,6 +38,7 @@
 
   private final RequestRouter router;
   private final HttpLimits limits;
+  private final ReceiveDeadline arrival;
   private final Deque<Queued> queue = new ArrayDeque<>();
   private @Nullable PendingResponse current;
   private @Nullable Future<?> idleTimer;
@@ -45,9 +46,10 @@
   private boolean stopping;
   private boolean closing;
 
-  ConnectionHandler(RequestRouter router, HttpLimits limits) {
+  ConnectionHandler(RequestRouter router, HttpLimits limits, ReceiveDeadline arrival) {
     this.router = router;
     this.limits = limits;
+    this.arrival = arrival;
   }
 
   @Override
@@ -64,7 +66,7 @@
     }
   }
 
-  /** Closes the connection if no request has arrived that waits for its answer. */
+  /** Closes the connection if no request is arriving or waits for its answer. */
   void closeWhenIdle() {
     ChannelHandlerContext added = context;
     if (added != null) {
@@ -73,7 +75,7 @@
   }
 
   private void closeIfIdle(ChannelHandlerContext added) {
-    if (current == null) {
+    if (current == null && !arrival.isReceiving()) {
       closing = true;
       var unused = added.close();
     }
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -159,7 +159,8 @@
       var unused = channel.close();
       return;
     }
-    ConnectionHandler handler = new ConnectionHandler(router, limits);
+    ReceiveDeadline arrival = new ReceiveDeadline(limits.receiveMs());
+    ConnectionHandler handler = new ConnectionHandler(router, limits, arrival);
     connections.put(channel, handler);
     var unusedListener =
         channel
@@ -180,7 +181,7 @@
         .pipeline()
         .addLast(
             new HttpServerCodec(decoding),
-            new ReceiveDeadline(limits.receiveMs()),
+            arrival,
             new BoundedAggregator(limits.bodyBytes(), handler),
             handler);
     if (stopping) {
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ReceiveDeadline.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ReceiveDeadline.java
@@ -17,6 +17,11 @@
     this.receiveMs = receiveMs;
   }
 
+  /** Returns whether a request has begun to arrive and is not whole yet. */
+  boolean isReceiving() {
+    return timer != null;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof HttpRequest) {
--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
@@ -246,6 +246,27 @@
       }
     }
 
+    /** The body of a request may be on its way while its connection looks idle. */
+    @Test
+    void aStopWaitsForARequestThatHasBegunToArrive() throws Exception {
+      try (Socket slow = fixture.connect();
+          Socket idle = fixture.connect();
+          Socket idleToo = fixture.connect()) {
+        String head =
+            "POST /v1/node/drain HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer root\r\n"
+                + "Content-Length: 4\r\n\r\n{ ";
+        slow.getOutputStream().write((ServerFixture.get("/healthz") + head).getBytes(ISO_8859_1));
+        ServerFixture.readBody(slow.getInputStream());
+        CompletableFuture<Boolean> stopped = fixture.server.stop(3_600_000);
+        assertEquals(-1, idle.getInputStream().read());
+        assertEquals(-1, idleToo.getInputStream().read());
+        slow.getOutputStream().write(" }".getBytes(ISO_8859_1));
+        assertEquals("{\"draining\":true}", ServerFixture.readBody(slow.getInputStream()));
+        assertEquals(-1, slow.getInputStream().read());
+        assertTrue(stopped.get());
+      }
+    }
+
     /**
      * Returns whether a new connection gets any byte of an answer. The kernel may still complete
      * the handshake of a connection that nobody accepts any more, and resets it later.
