Ask callers to close before a stopping server closes idle connections

Callers of a node that ended lost a request that crossed with the close of its idle connection ("the peer closed the connection").

Cause: only answers to requests that were in progress at that moment said "Connection: close". All other connections were closed without notice.

For 500 ms, half the grace period at most, the server now goes on to accept and to answer, each answer asks the caller to close, and then the listener and the connections that were not used are closed. On the platform the node is out of rotation by then, so such a caller connects to another node. A node ends up to 500 ms later.

aStopAnswersOnIdleConnectionsOnceMoreBeforeItClosesThem fails with a notice of 0 ms: "expected: <false> but was: <true>", as the server has stopped before the test has read the answers. On a slower caller the second request would find the connection closed.

Considered: the same notice from SIGTERM on. The platform sends new connections to the node for up to 2 s more, so each call in this time would cost a connection to the same node.

--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -20,6 +21,9 @@
 
 /** Serves the interface of {@code docs/reference/http-api.md} for callers and operators. */
 public final class HttpApiServer implements AutoCloseable {
+  /** Time in which answers ask callers to close, before idle connections are closed. */
+  private static final long NOTICE_MS = 500;
+
   private final EventLoopGroup group;
   private final HttpLimits limits;
   private final @Nullable ReloadableTls tls;
@@ -102,16 +106,25 @@
 
   /**
    * Stops accepting connections, lets requests in progress finish and closes each connection after
-   * its answer. Requests that have arrived but were not read yet are answered too. Connections that
+   * its answer. Idle connections get a short time to be used once more, as a request may cross with
+   * a close; requests that have arrived but were not read yet are answered too. Connections that
    * remain after the grace period are closed.
    *
    * @param graceMs time for requests in progress, in milliseconds
    * @return completes with whether all requests were answered
    */
   public CompletableFuture<Boolean> stop(long graceMs) {
+    return stop(Math.min(NOTICE_MS, graceMs / 2), graceMs);
+  }
+
+  /** Stops with a given time in which idle connections may still be used. */
+  CompletableFuture<Boolean> stop(long noticeMs, long graceMs) {
     stopping = true;
     connections.values().forEach(ConnectionHandler::closeAfterAnswer);
-    LoopReads.catchUp(listener.eventLoop(), this::closeListener);
+    EventLoop loop = listener.eventLoop();
+    var unusedNotice =
+        loop.schedule(
+            () -> LoopReads.catchUp(loop, this::closeListener), noticeMs, TimeUnit.MILLISECONDS);
     var unused = group.schedule(this::endGrace, graceMs, TimeUnit.MILLISECONDS);
     return stopped;
   }
--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
@@ -224,6 +224,22 @@
       }
     }
 
+    /** A request and the close of its idle connection may cross on their way. */
+    @Test
+    void aStopAnswersOnIdleConnectionsOnceMoreBeforeItClosesThem() throws Exception {
+      try (Socket idle = fixture.connect()) {
+        CompletableFuture<Boolean> stopped = fixture.server.stop(3_600_000, 3_600_000);
+        try (Socket late = fixture.connect()) {
+          for (Socket socket : List.of(idle, late)) {
+            socket.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+            assertEquals("ok\n", ServerFixture.readBody(socket.getInputStream()));
+            assertEquals(-1, socket.getInputStream().read());
+          }
+        }
+        assertFalse(stopped.isDone());
+      }
+    }
+
     /** A node that is held up reads late, and a stop must not overtake the read. */
     @Test
     void aStopAnswersRequestsThatArrivedBeforeTheyWereRead() throws Exception {
@@ -235,7 +251,7 @@
             Socket unaccepted = fixture.connect()) {
           idle.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
           unaccepted.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
-          stopped = fixture.server.stop(3_600_000);
+          stopped = fixture.server.stop(0, 3_600_000);
           held.release();
           assertEquals("ok\n", ServerFixture.readBody(unaccepted.getInputStream()));
           assertEquals(-1, unaccepted.getInputStream().read());
