Leave the pool to a newer build that can read what this one cannot

An owner of this build that met a record or a job of a newer format left the job out and went on: the room of its runs was not counted, and the ends that workers listed for it were acknowledged, while a node of the newer build stood by. It was ready meanwhile.

Cause: readiness followed the rows of nodes only, and nothing gave the pool up.

While a node that announces a newer format is alive, and there is such a row or such a node stores its own format, a node of this build now names the row once in its log, releases the pool, does not claim it and is not ready.

Decided: without a newer node alive the owner goes on as before. A pool without an owner stops all jobs, and a damaged row cannot be told from a newer one.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -55,6 +55,7 @@
   private final PoolLoader loader;
   private final PoolLease lease;
   private final StoreFormats formats;
+  private final PoolPreference preference;
   private final JobApi api;
   private final ControlLoop<Runnable> loop;
   private final ScheduledFuture<?> ticks;
@@ -79,6 +80,7 @@
     JobRowCodec codec = new JobRowCodec();
     loop = ControlLoop.create(Runnable::run, metrics::recordControlEvent, "job-control");
     formats = builder.parts.formats();
+    preference = new PoolPreference(formats, name, log);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
     declarations =
         new DeclarationFollower(
@@ -149,6 +151,7 @@
     return declarations.newest().isPresent()
         && declarations.isReachable()
         && formats.isReady()
+        && !formats.leavesPoolToNewer()
         && ownerRows.isReachable();
   }
 
@@ -178,6 +181,7 @@
       onLease(new LeaseEvent.PendingChanged(current.pendingByTemplate()));
       reportLoad(current.load());
     }
+    preference.changed().ifPresent(this::onLease);
     onLease(new LeaseEvent.Tick());
     onScheduler(new JobEvent.Tick());
     completeRelease();
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/NodeDirectory.java
@@ -171,6 +171,9 @@
     }
     lastChanges.keySet().retainAll(page.rows().stream().map(NodeDirectory::place).toList());
     order.update(List.copyOf(alive.values()));
+    formats.setNewerReader(
+        alive.values().stream()
+            .anyMatch(node -> node.format() > Peer.FORMAT && !node.name().equals(self.name())));
     if (alive.size() != loggedAliveCount) {
       loggedAliveCount = alive.size();
       log.line("nodes:", self.name(), "alive=" + loggedAliveCount);
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -35,6 +35,7 @@
   private final JobRowCodec codec;
   private final DecisionLog log;
   private final StoreFormats formats;
+  private final UnreadableRows unreadableRows;
   private volatile @Nullable Session session;
 
   PoolLoader(
@@ -50,6 +51,7 @@
     this.codec = codec;
     this.log = log;
     this.formats = formats;
+    unreadableRows = new UnreadableRows(store, executor, codec, log, formats);
   }
 
   void start(Consumer<JobEvent> events, Supplier<Optional<JobDeclaration>> declaration) {
@@ -211,7 +213,7 @@
                   .peekLeft(
                       error -> {
                         unreadable.add(row.key());
-                        log.line("store:", row.key(), error);
+                        unreadableRows.add(row, error);
                       }));
       List<JobSpec> accepted = new ArrayList<>();
       Set<String> cancelled = new HashSet<>();
@@ -327,7 +329,7 @@
       }
       return codec
           .decodeJob(row.value())
-          .peekLeft(error -> log.line("store:", row.key(), error))
+          .peekLeft(error -> unreadableRows.add(row, error))
           .toJavaOptional();
     }
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreFormats.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreFormats.java
@@ -16,6 +16,8 @@
   private volatile boolean known;
   private volatile boolean spread;
   private volatile boolean newerFound;
+  private volatile boolean newerReader;
+  private volatile boolean unreadableRows;
 
   /** Creates an instance that knows nothing of other nodes yet. */
   public StoreFormats() {}
@@ -45,6 +47,25 @@
     return newerFound;
   }
 
+  /** Sets whether a node is alive that reads a newer format than this build. */
+  void setNewerReader(boolean alive) {
+    newerReader = alive;
+  }
+
+  /** Sets whether there are rows of jobs that this build cannot read. */
+  void setUnreadableRows(boolean found) {
+    unreadableRows = found;
+  }
+
+  /**
+   * Returns whether the pool is better owned by a newer build: there is something that this build
+   * cannot read, and a node that may read it is alive. Without such a node this one goes on, as a
+   * pool without an owner would stop all jobs.
+   */
+  boolean leavesPoolToNewer() {
+    return newerReader && (newerFound || unreadableRows);
+  }
+
   /** Returns the format in which this node stores rows. */
   int writes() {
     return spread ? Peer.FORMAT - 1 : 1;
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEvent.java
@@ -52,6 +52,12 @@
   /** The node cannot continue as the owner; like any other node it may claim the pool again. */
   record Abandon(String reason) implements LeaseEvent {}
 
+  /** The node must release the pool, if it is the owner, and not claim it until {@link Return}. */
+  record StepAside() implements LeaseEvent {}
+
+  /** The node may claim the pool again after {@link StepAside}. */
+  record Return() implements LeaseEvent {}
+
   /** The node must release the pool, if it is the owner, and never claim it again. */
   record Release() implements LeaseEvent {}
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -9,6 +9,8 @@
 import dev.bambootray.jobs.lead.LeaseEvent.Persist;
 import dev.bambootray.jobs.lead.LeaseEvent.ReadFailed;
 import dev.bambootray.jobs.lead.LeaseEvent.Release;
+import dev.bambootray.jobs.lead.LeaseEvent.Return;
+import dev.bambootray.jobs.lead.LeaseEvent.StepAside;
 import dev.bambootray.jobs.scheduling.JobEffect;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,6 +36,7 @@
   private final PoolLeaseTimes times;
   private Role role = Role.FOLLOWER;
   private boolean mayClaim = true;
+  private boolean aside;
   private boolean reading;
   private long nextReadMs;
   private @Nullable OwnerRecord lastRead;
@@ -103,6 +106,11 @@
       if (role == Role.OWNER) {
         loseOwnership(abandon.reason(), nowMs);
       }
+    } else if (event instanceof StepAside) {
+      aside = true;
+      releasing = role != Role.FOLLOWER;
+    } else if (event instanceof Return) {
+      aside = false;
     } else if (event instanceof Release) {
       mayClaim = false;
       releasing = role != Role.FOLLOWER;
@@ -166,7 +174,7 @@
       settleClaim(owner, readVersion, nowMs);
       return;
     }
-    if (role != Role.FOLLOWER || !mayClaim) {
+    if (role != Role.FOLLOWER || !mayClaim || aside) {
       return;
     }
     boolean restarted = owner != null && owner.isEarlierProcessOf(holder);
--- a/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
@@ -262,5 +262,30 @@
       OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of());
       assertTrue(lease.handle(new LeaseEvent.OwnerRead(free, 6), 2_000).isEmpty());
     }
+
+    @Test
+    void leavesThePoolToOthersUntilItMayReturn() {
+      win(1_000);
+      List<LeaseEffect> effects = lease.handle(new LeaseEvent.StepAside(), 1_100);
+      assertTrue(assertInstanceOf(LeaseEffect.Commit.class, effects.get(0)).owner().released());
+      lease.handle(new LeaseEvent.Committed(6), 1_150);
+      lease.handle(new LeaseEvent.Tick(), 2_000);
+      OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of());
+      assertTrue(lease.handle(new LeaseEvent.OwnerRead(free, 6), 2_000).isEmpty());
+      lease.handle(new LeaseEvent.Return(), 2_100);
+      lease.handle(new LeaseEvent.Tick(), 3_000);
+      List<LeaseEffect> claim = lease.handle(new LeaseEvent.OwnerRead(free, 6), 3_000);
+      assertEquals(2, assertInstanceOf(LeaseEffect.Commit.class, claim.get(0)).owner().epoch());
+    }
+
+    @Test
+    void doesNotReturnAfterARelease() {
+      lease.handle(new LeaseEvent.Release(), 1_000);
+      lease.handle(new LeaseEvent.Return(), 1_100);
+      lease.handle(new LeaseEvent.Tick(), 2_000);
+      lease.handle(new LeaseEvent.OwnerRead(null, 0), 2_000);
+      List<LeaseEffect> effects = lease.handle(new LeaseEvent.OwnerRead(null, 0), 9_000);
+      assertTrue(effects.stream().noneMatch(LeaseEffect.Commit.class::isInstance));
+    }
   }
 }
