--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/ConnectionHandler.java
@@ -38,6 +38,7 @@
 
   private final RequestRouter router;
   private final HttpLimits limits;
+  private final ReceiveDeadline arrival;
   private final Deque<Queued> queue = new ArrayDeque<>();
   private @Nullable PendingResponse current;
   private @Nullable Future<?> idleTimer;
@@ -45,9 +46,10 @@
   private boolean stopping;
   private boolean closing;
 
-  ConnectionHandler(RequestRouter router, HttpLimits limits) {
+  ConnectionHandler(RequestRouter router, HttpLimits limits, ReceiveDeadline arrival) {
     this.router = router;
     this.limits = limits;
+    this.arrival = arrival;
   }
 
   @Override
@@ -56,22 +58,27 @@
     startIdleTimer(added);
   }
 
-  /** Closes the connection once the request in progress is answered. */
-  void stop() {
+  /** Closes the connection after the next answer. */
+  void closeAfterAnswer() {
     ChannelHandlerContext added = context;
-    if (added == null) {
-      return;
+    if (added != null) {
+      added.executor().execute(() -> stopping = true);
+    }
+  }
+
+  /** Closes the connection if no request is arriving or waits for its answer. */
+  void closeWhenIdle() {
+    ChannelHandlerContext added = context;
+    if (added != null) {
+      LoopReads.catchUp(added.executor(), () -> closeIfIdle(added));
+    }
+  }
+
+  private void closeIfIdle(ChannelHandlerContext added) {
+    if (current == null && !arrival.isReceiving()) {
+      closing = true;
+      var unused = added.close();
     }
-    added
-        .executor()
-        .execute(
-            () -> {
-              stopping = true;
-              if (current == null) {
-                closing = true;
-                var unused = added.close();
-              }
-            });
   }
 
   @Override
--- a/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
+++ b/adapters/http/src/main/java/dev/bambootray/adapters/http/HttpApiServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -20,6 +21,9 @@
 
 /** Serves the interface of {@code docs/reference/http-api.md} for callers and operators. */
 public final class HttpApiServer implements AutoCloseable {
+  /** Time in which answers ask callers to close, before idle connections are closed. */
+  private static final long NOTICE_MS = 500;
+
   private final EventLoopGroup group;
   private final HttpLimits limits;
   private final @Nullable ReloadableTls tls;
@@ -28,6 +32,7 @@
   private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
   private final Channel listener;
   private volatile boolean stopping;
+  private volatile boolean listenerClosed;
 
   private HttpApiServer(
       EventLoopGroup group,
@@ -101,21 +106,25 @@
 
   /**
    * Stops accepting connections, lets requests in progress finish and closes each connection after
-   * its answer. Connections that remain after the grace period are closed.
+   * its answer. Idle connections get a short time to be used once more, as a request may cross with
+   * a close; requests that have arrived but were not read yet are answered too. Connections that
+   * remain after the grace period are closed.
    *
    * @param graceMs time for requests in progress, in milliseconds
    * @return completes with whether all requests were answered
    */
   public CompletableFuture<Boolean> stop(long graceMs) {
+    return stop(Math.min(NOTICE_MS, graceMs / 2), graceMs);
+  }
+
+  /** Stops with a given time in which idle connections may still be used. */
+  CompletableFuture<Boolean> stop(long noticeMs, long graceMs) {
     stopping = true;
-    var unusedListener =
-        listener
-            .close()
-            .addListener(
-                done -> {
-                  connections.values().forEach(ConnectionHandler::stop);
-                  completeIfIdle();
-                });
+    connections.values().forEach(ConnectionHandler::closeAfterAnswer);
+    EventLoop loop = listener.eventLoop();
+    var unusedNotice =
+        loop.schedule(
+            () -> LoopReads.catchUp(loop, this::closeListener), noticeMs, TimeUnit.MILLISECONDS);
     var unused = group.schedule(this::endGrace, graceMs, TimeUnit.MILLISECONDS);
     return stopped;
   }
@@ -125,9 +134,24 @@
     stop(0).join();
   }
 
+  private void closeListener() {
+    var unused =
+        listener
+            .close()
+            .addListener(
+                done -> {
+                  listenerClosed = true;
+                  connections.values().forEach(ConnectionHandler::closeWhenIdle);
+                  completeIfIdle();
+                });
+  }
+
   private void endGrace() {
+    if (stopped.isDone()) {
+      return;
+    }
+    closeListener();
     if (connections.isEmpty()) {
-      completeIfIdle();
       return;
     }
     Logger.warn("http: {} connections closed at the end of the grace period", connections.size());
@@ -138,7 +162,7 @@
   }
 
   private void completeIfIdle() {
-    if (stopping && connections.isEmpty()) {
+    if (listenerClosed && connections.isEmpty()) {
       stopped.complete(true);
     }
   }
@@ -148,7 +172,8 @@
       var unused = channel.close();
       return;
     }
-    ConnectionHandler handler = new ConnectionHandler(router, limits);
+    ReceiveDeadline arrival = new ReceiveDeadline(limits.receiveMs());
+    ConnectionHandler handler = new ConnectionHandler(router, limits, arrival);
     connections.put(channel, handler);
     var unusedListener =
         channel
@@ -169,11 +194,14 @@
         .pipeline()
         .addLast(
             new HttpServerCodec(decoding),
-            new ReceiveDeadline(limits.receiveMs()),
+            arrival,
             new BoundedAggregator(limits.bodyBytes(), handler),
             handler);
     if (stopping) {
-      handler.stop();
+      handler.closeAfterAnswer();
+    }
+    if (listenerClosed) {
+      handler.closeWhenIdle();
     }
   }
 }
--- a/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
+++ b/adapters/http/src/test/java/dev/bambootray/adapters/http/HttpApiServerTest.java
@@ -224,6 +224,65 @@
       }
     }
 
+    /** A request and the close of its idle connection may cross on their way. */
+    @Test
+    void aStopAnswersOnIdleConnectionsOnceMoreBeforeItClosesThem() throws Exception {
+      try (Socket idle = fixture.connect()) {
+        CompletableFuture<Boolean> stopped = fixture.server.stop(3_600_000, 3_600_000);
+        try (Socket late = fixture.connect()) {
+          for (Socket socket : List.of(idle, late)) {
+            socket.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+            assertEquals("ok\n", ServerFixture.readBody(socket.getInputStream()));
+            assertEquals(-1, socket.getInputStream().read());
+          }
+        }
+        assertFalse(stopped.isDone());
+      }
+    }
+
+    /** A node that is held up reads late, and a stop must not overtake the read. */
+    @Test
+    void aStopAnswersRequestsThatArrivedBeforeTheyWereRead() throws Exception {
+      try (Socket idle = fixture.connect()) {
+        idle.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+        ServerFixture.readBody(idle.getInputStream());
+        CompletableFuture<Boolean> stopped;
+        try (HeldLoops held = HeldLoops.hold(fixture.group);
+            Socket unaccepted = fixture.connect()) {
+          idle.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+          unaccepted.getOutputStream().write(ServerFixture.get("/healthz").getBytes(ISO_8859_1));
+          stopped = fixture.server.stop(0, 3_600_000);
+          held.release();
+          assertEquals("ok\n", ServerFixture.readBody(unaccepted.getInputStream()));
+          assertEquals(-1, unaccepted.getInputStream().read());
+        }
+        assertEquals("ok\n", ServerFixture.readBody(idle.getInputStream()));
+        assertEquals(-1, idle.getInputStream().read());
+        assertTrue(stopped.get());
+      }
+    }
+
+    /** The body of a request may be on its way while its connection looks idle. */
+    @Test
+    void aStopWaitsForARequestThatHasBegunToArrive() throws Exception {
+      try (Socket slow = fixture.connect();
+          Socket idle = fixture.connect();
+          Socket idleToo = fixture.connect()) {
+        String head =
+            "POST /v1/node/drain HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer root\r\n"
+                + "Content-Length: 4\r\n\r\n{ ";
+        slow.getOutputStream().write((ServerFixture.get("/healthz") + head).getBytes(ISO_8859_1));
+        ServerFixture.readBody(slow.getInputStream());
+        CompletableFuture<Boolean> stopped = fixture.server.stop(3_600_000);
+        assertEquals(-1, idle.getInputStream().read());
+        assertEquals(-1, idleToo.getInputStream().read());
+        slow.getOutputStream().write(" }".getBytes(ISO_8859_1));
+        assertEquals("{\"draining\":true}", ServerFixture.readBody(slow.getInputStream()));
+        assertEquals(-1, slow.getInputStream().read());
+        assertTrue(stopped.get());
+      }
+    }
+
     /**
      * Returns whether a new connection gets any byte of an answer. The kernel may still complete
      * the handshake of a connection that nobody accepts any more, and resets it later.
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -54,6 +54,7 @@
   private final PoolLoader loader;
   private final PoolLease lease;
   private final StoreFormats formats;
+  private final PoolPreference preference;
   private final JobApi api;
   private final ControlLoop<Runnable> loop;
   private final ScheduledFuture<?> ticks;
@@ -78,6 +79,7 @@
     loadReporter = new LoadReporter(name, log, metrics);
     formatReporter = new FormatReporter(name, log, metrics, formats);
     workerCalls = new WorkerCalls(builder.parts.workers(), log, metrics, this::postReply);
+    preference = new PoolPreference(formats, name, log);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
     storeCalls =
         new StoreCalls(
@@ -151,6 +153,7 @@
     return declarations.newest().isPresent()
         && declarations.isReachable()
         && formats.isReady()
+        && !formats.leavesPoolToNewer()
         && ownerRows.isReachable();
   }
 
@@ -181,6 +184,7 @@
       formatReporter.report();
       loadReporter.report(current.load(), epoch, now().ms());
     }
+    preference.changed().ifPresent(this::onLease);
     onLease(new LeaseEvent.Tick());
     onScheduler(new JobEvent.Tick());
     completeRelease();
