Leave odd entries in the registry during the soak

The stand-in of the platform's store now plays another writer that leaves eight odd entries beside those of the workers and removes them, every 4 s on average.

--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -129,6 +129,7 @@
       case WORKER_FAILS -> fail(target, forMs);
       case WORKER_HANGS -> hang(target, forMs);
       case WORKER_LEAVES -> workers.drain(target, forMs);
+      case REGISTRY_ODD -> leaveOddEntries(forMs);
       case CALLERS_RESET -> callerLinks.get(target).resetAll();
       case DECLARATION -> declare.run();
     }
@@ -211,6 +212,11 @@
     later(forMs, () -> model.setHanging(false));
   }
 
+  private void leaveOddEntries(long forMs) {
+    List<String> keys = store.leaveOddEntries();
+    later(forMs, () -> keys.forEach(store::unregister));
+  }
+
   private void later(long delayMs, Runnable action) {
     var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/soak/src/main/java/dev/bambootray/soak/FaultKind.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultKind.java
@@ -50,6 +50,8 @@
   WORKER_HANGS(Scope.WORKER, false),
   /** A worker announces that it leaves, leaves and comes back with another identifier. */
   WORKER_LEAVES(Scope.WORKER, false),
+  /** Another writer leaves odd entries in the registry beside those of the workers. */
+  REGISTRY_ODD(Scope.NODE, false),
   /** The connections of callers to a node are reset. */
   CALLERS_RESET(Scope.NODE, false),
   /** The operator publishes another version of the configuration. */
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -23,7 +23,7 @@
   /** Every so many seeds a run has planned work only. */
   private static final int PLANNED_EVERY = 5;
 
-  /** Mean time between two waves of crashes. */
+  /** Mean time between two faults of a kind that comes in waves. */
   private static final double MEAN_WAVE_GAP_MS = 4_000;
 
   private static final long SHORTEST_WAVE_MS = 100;
@@ -31,7 +31,11 @@
 
   /** Kinds that are drawn apart, so that a seed keeps the other faults that it has. */
   private static final Set<FaultKind> DRAWN_APART =
-      EnumSet.of(FaultKind.WORKER_WAVE, FaultKind.NODE_UPGRADE, FaultKind.NODE_DOWNGRADE);
+      EnumSet.of(
+          FaultKind.WORKER_WAVE,
+          FaultKind.REGISTRY_ODD,
+          FaultKind.NODE_UPGRADE,
+          FaultKind.NODE_DOWNGRADE);
 
   private FaultPlan() {}
 
@@ -72,18 +76,20 @@
       faults.add(new Fault((long) atMs, kind, target, forMs));
     }
     if (!isPlannedOnly(seed)) {
-      faults.addAll(drawWaves(random.split(), workers, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.WORKER_WAVE, workers, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_ODD, nodes, lengthMs));
     }
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
   }
 
-  private static List<Fault> drawWaves(SplittableRandom random, int workers, long lengthMs) {
+  private static List<Fault> drawWaves(
+      SplittableRandom random, FaultKind kind, int targets, long lengthMs) {
     List<Fault> waves = new ArrayList<>();
     double atMs = gapMs(random, MEAN_WAVE_GAP_MS);
     while (atMs < lengthMs) {
       long forMs = random.nextLong(SHORTEST_WAVE_MS, LONGEST_WAVE_MS);
-      waves.add(new Fault((long) atMs, FaultKind.WORKER_WAVE, random.nextInt(workers), forMs));
+      waves.add(new Fault((long) atMs, kind, random.nextInt(targets), forMs));
       atMs += gapMs(random, MEAN_WAVE_GAP_MS);
     }
     return waves;
--- a/soak/src/main/java/dev/bambootray/soak/wire/Documents.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/Documents.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** Documents that the platform, its operator, its workers and callers write. */
 public final class Documents {
@@ -101,6 +103,24 @@
     return entry;
   }
 
+  /** Returns entries of another writer in the registry, none of which names a worker. */
+  static List<byte[]> oddEntries() {
+    String entry =
+        "{\"service\":\"soaked\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+            + "\"capacity\":{\"cpu\":32000,\"mem_mb\":64000,\"gpu\":8},\"labels\":[\"kind\",\"r\"]}";
+    return Stream.of(
+            "",
+            "[".repeat(20_000) + "]".repeat(20_000),
+            entry.replace("\"z\"", "{\"a\":".repeat(5_000) + "1" + "}".repeat(5_000)),
+            entry.replace("32000", "9".repeat(60_000)),
+            entry.replace("64000", "1e400000000"),
+            entry.replace("127.0.0.1:1", "127.0.0.1:99999"),
+            entry.replace("127.0.0.1:1", "0.0.0.0:1"),
+            entry.replace("\"z\"", "\"\u00ff\""))
+        .map(text -> text.getBytes(StandardCharsets.ISO_8859_1))
+        .toList();
+  }
+
   /** Returns the body of a submission. */
   public static byte[] submission(String payload, List<StepSpec> steps) {
     ObjectNode body = Json.object().put("spec", payload);
--- a/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
@@ -135,6 +135,19 @@
     wake();
   }
 
+  /** Writes the odd entries of another writer in the registry and returns their keys. */
+  public List<String> leaveOddEntries() {
+    List<String> keys = new ArrayList<>();
+    for (byte[] value : Documents.oddEntries()) {
+      version++;
+      keys.add("odd\nentry-" + keys.size());
+      Key key = new Key(REGISTRY, "", keys.get(keys.size() - 1));
+      apply(key, Base64.getEncoder().encodeToString(value));
+    }
+    wake();
+    return keys;
+  }
+
   private void put(Key key, JsonNode value) {
     version++;
     apply(key, Base64.getEncoder().encodeToString(Json.bytes(value)));
--- a/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
@@ -81,6 +81,15 @@
     return Json.read(answer(pending).body()).path("rows");
   }
 
+  @Test
+  void listsOddEntriesUntilTheyAreRemoved() {
+    List<String> keys = store.leaveOddEntries();
+    Map<String, String> registry = Map.of("table", "servers", "part", "");
+    assertEquals(keys.size(), rows("/api/rows-get", registry).size());
+    keys.forEach(store::unregister);
+    assertTrue(rows("/api/rows-get", registry).isEmpty());
+  }
+
   @Nested
   final class Transactions {
     @Test
