Test that an odd entry does no harm to the runs of its worker

An entry that names no worker for a while, and one that shows the latest representable start time, on workers that are busy: no run is started again, and the workers are used again once their entries are valid.

--- a/standins/src/test/java/dev/bambootray/standins/jobs/WorkerRestartTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/WorkerRestartTest.java
@@ -1,9 +1,13 @@
 package dev.bambootray.standins.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.scheduling.JobEvent;
+import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -74,6 +78,54 @@
     }
   }
 
+  /** Another writer changes the entry of a worker that goes on. */
+  @Nested
+  final class OfTheEntryOnly {
+    private void listAll(UnaryOperator<WorkerEntry> change) {
+      for (SimulatedPoolWorker worker : List.copyOf(rig.pool.workers())) {
+        rig.pool.post(new JobEvent.WorkerListed(change.apply(worker.entry())));
+      }
+    }
+
+    private static WorkerEntry withLatestStart(WorkerEntry entry) {
+      return new WorkerEntry(
+          entry.id(),
+          entry.service(),
+          entry.address(),
+          entry.zone(),
+          entry.rack(),
+          entry.labels(),
+          entry.capacity(),
+          Long.MAX_VALUE,
+          false);
+    }
+
+    @Test
+    void keepsRunsWhoseEntryShowsAWrongStart() {
+      rig.submit("job", 1, TASK_MS, SchedulerRig.tasks(WORKERS, 8));
+      rig.run(1_000);
+      listAll(OfTheEntryOnly::withLatestStart);
+      rig.run(200);
+      listAll(OfTheEntryOnly::withLatestStart);
+      assertCompletesWithStarts(WORKERS);
+    }
+
+    @Test
+    void keepsRunsWhileTheEntryNamesNoWorkerAndUsesTheWorkerAfterwards() {
+      rig.submit("job", 1, TASK_MS, SchedulerRig.tasks(WORKERS, 8));
+      rig.run(1_000);
+      rig.pool.workers().forEach(w -> rig.pool.post(new JobEvent.WorkerUnlisted(w.entry().id())));
+      rig.submit("later", 1, TASK_MS, SchedulerRig.tasks(WORKERS, 8));
+      rig.run(5_000);
+      assertEquals(JobPhase.COMPLETED, rig.phase("job"), () -> rig.decisionsAbout("job"));
+      assertFalse(rig.hasStarted("later"));
+      listAll(entry -> entry);
+      rig.run(5_000);
+      assertEquals(JobPhase.COMPLETED, rig.phase("later"), () -> rig.decisionsAbout("later"));
+      assertEquals(2 * WORKERS, rig.starts);
+    }
+  }
+
   @Test
   void handlesTheEndsOfANewProcessThatCountsThemFromOne() {
     rig.submit("before", 1, TASK_MS, SchedulerRig.tasks(4 * WORKERS, 2));
