--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -89,23 +89,19 @@
     HoldReply reply = answered.reply();
     if (reply instanceof HoldReply.Listed listed) {
       onList(worker, listed, answered, now);
-    } else if (reply instanceof HoldReply.WorkerRestarted) {
-      if (worker.isCurrent(answered.worker())) {
-        onRefused(worker, now);
-      }
     } else if (reply instanceof HoldReply.Fenced) {
       state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
+    } else if (!worker.isCurrent(answered.worker())) {
+      return; // The call tells nothing of the known process.
+    } else if (reply instanceof HoldReply.WorkerRestarted) {
+      onRefused(worker, now);
     } else if (reply instanceof HoldReply.NotSent) {
-      if (worker.isCurrent(answered.worker())) {
-        // A new list tells whether the worker has restarted; that it is silent is not known.
-        worker.connection.onNotSent();
-        worker.ends.onFailed();
-        worker.nextCallMs = 0;
-      }
+      // A new list tells whether the worker has restarted; that it is silent is not known.
+      worker.connection.onNotSent();
+      worker.ends.onFailed();
+      worker.nextCallMs = 0;
     } else if (reply instanceof HoldReply.Failed failed) {
-      if (worker.isCurrent(answered.worker())) {
-        onFailed(worker, failed.detail(), now);
-      }
+      onFailed(worker, failed.detail(), now);
     }
   }
 
