Log when a waiting job comes under its workspace's guarantee

A 'guarantee' line gives need, use and guarantee of the workspace at the first round and at each change of coverage; 'guarantee overdue' gives the state of the reservation after 2.5 s, and bambootray_job_overdue_guarantees counts these steps. No decision changes: the sum that coverage compares is kept as a claim.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -91,6 +91,12 @@
           .help("Runs on workers of closed failure domains, at the owner.")
           .register(registry);
 
+  private final Gauge overdueGuarantees =
+      Gauge.builder()
+          .name("bambootray_job_overdue_guarantees")
+          .help("Steps that wait for a guarantee for longer than 2.5 s, at the owner.")
+          .register(registry);
+
   private final Gauge formatOneJobs =
       Gauge.builder()
           .name("bambootray_job_format_1")
@@ -158,5 +164,6 @@
     open.set((double) load.openJobs());
     free.set((double) load.freeAccelerators());
     runsInClosedDomains.set((double) load.runsInClosedDomains());
+    overdueGuarantees.set((double) load.overdueGuarantees());
   }
 }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/LoadReporterTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/LoadReporterTest.java
@@ -11,8 +11,8 @@
 final class LoadReporterTest {
   private static final long START_MS = 5_000;
   private static final long EPOCH = 3;
-  private static final JobScheduler.Load IDLE = new JobScheduler.Load(0, 0, 0, 8, 8);
-  private static final JobScheduler.Load BUSY = new JobScheduler.Load(4, 2, 1, 5, 8);
+  private static final JobScheduler.Load IDLE = new JobScheduler.Load(0, 0, 0, 8, 8, 0);
+  private static final JobScheduler.Load BUSY = new JobScheduler.Load(4, 2, 1, 5, 8, 3);
   private static final String BUSY_LINE = "sched: id=n1 epoch=3 load " + BUSY;
 
   private final RecordedLog recorded = new RecordedLog();
@@ -29,6 +29,7 @@
       assertTrue(text.contains("bambootray_job_open 4.0"), text);
       assertTrue(text.contains("bambootray_job_free_accelerators 5.0"), text);
       assertTrue(text.contains("bambootray_job_runs_in_closed_domains 1.0"), text);
+      assertTrue(text.contains("bambootray_job_overdue_guarantees 3.0"), text);
     }
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/GuaranteeCoverage.java
@@ -2,22 +2,34 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Determines which jobs are covered by the guarantee of their workspace; older jobs go first. */
 final class GuaranteeCoverage {
-  private final Set<Job> covered;
+  /**
+   * Compares what a job needs with the guarantee of its workspace, in accelerators.
+   *
+   * @param need accelerators of the job
+   * @param usedBefore accelerators of the older jobs of the workspace
+   * @param guaranteed accelerators guaranteed to the workspace
+   */
+  record Claim(long need, long usedBefore, long guaranteed) {
+    boolean isCovered() {
+      return usedBefore + need <= guaranteed;
+    }
+  }
+
+  private final Map<Job, Claim> claims;
 
-  private GuaranteeCoverage(Set<Job> covered) {
-    this.covered = covered;
+  private GuaranteeCoverage(Map<Job, Claim> claims) {
+    this.claims = claims;
   }
 
   /** Returns a coverage that contains no job. */
   static GuaranteeCoverage none() {
-    return new GuaranteeCoverage(Set.of());
+    return new GuaranteeCoverage(Map.of());
   }
 
   /** Computes which jobs of priority 0 are covered. */
@@ -28,20 +40,26 @@
             .sorted(Comparator.comparingLong(job -> job.acceptedMs))
             .toList();
     Map<String, Long> used = new HashMap<>();
-    Set<Job> covered = new HashSet<>();
+    Map<Job, Claim> claims = new HashMap<>();
     for (Job job : jobs) {
       String workspace = job.spec.workspace();
-      long sum = used.getOrDefault(workspace, 0L) + widestStepAccelerators(job);
-      used.put(workspace, sum);
-      if (sum <= state.declaration().guaranteedAccelerators(workspace)) {
-        covered.add(job);
-      }
+      long before = used.getOrDefault(workspace, 0L);
+      long need = widestStepAccelerators(job);
+      long guaranteed = state.declaration().guaranteedAccelerators(workspace);
+      used.put(workspace, before + need);
+      claims.put(job, new Claim(need, before, guaranteed));
     }
-    return new GuaranteeCoverage(covered);
+    return new GuaranteeCoverage(claims);
   }
 
   boolean covers(Job job) {
-    return covered.contains(job);
+    Claim claim = claims.get(job);
+    return claim != null && claim.isCovered();
+  }
+
+  /** Returns the claim of a job on the guarantee of its workspace, or null without priority 0. */
+  @Nullable Claim claim(Job job) {
+    return claims.get(job);
   }
 
   /** Returns the accelerators of the job's widest step, since steps of a job rarely overlap. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -128,7 +128,8 @@
       free += worker.free().accelerators();
       capacity += worker.entry.capacity().accelerators();
     }
-    return new Load(open, running, runningInClosedDomains, free, capacity);
+    return new Load(
+        open, running, runningInClosedDomains, free, capacity, planner.overdueGuarantees());
   }
 
   /** Returns a diagnostic text with one line for each worker and for each unfinished step. */
@@ -162,13 +163,15 @@
    * @param runsInClosedDomains those of the runs that are in a closed failure domain
    * @param freeAccelerators accelerators that no run uses
    * @param accelerators all accelerators
+   * @param overdueGuarantees steps that have waited for a guarantee for too long
    */
   public record Load(
       long openJobs,
       long runs,
       long runsInClosedDomains,
       long freeAccelerators,
-      long accelerators) {}
+      long accelerators,
+      long overdueGuarantees) {}
 
   private void apply(JobEvent event, EventTime now) {
     if (event instanceof JobEvent.TookOver takeover) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -61,6 +61,7 @@
   private final ValuePreemption preemption;
   private final StepPlacer placer;
   private final SuspectPlacer suspects;
+  private final GuaranteeMonitor guaranteeMonitor;
   private int victimSearchesLeft;
 
   Planner(SchedulerState state, RunTracker runs, SchedulingPolicy policy) {
@@ -74,6 +75,12 @@
     preemption = new ValuePreemption(state.statistics, valueOrder);
     placer = new StepPlacer(state, runs, freeResources, gangPlanner);
     suspects = new SuspectPlacer(state, placer);
+    guaranteeMonitor = new GuaranteeMonitor(state);
+  }
+
+  /** Returns how many steps have waited for a guarantee for so long that it is nearly broken. */
+  long overdueGuarantees() {
+    return guaranteeMonitor.overdue();
   }
 
   /**
@@ -105,6 +112,7 @@
         break;
       }
     }
+    guaranteeMonitor.onRound(waiting, coverage, now);
     return waiting.size();
   }
 
@@ -167,7 +175,7 @@
     releaseIfStuck(step, missing, now);
     if (!state.reservations.has(step)
         && state.reservations.countAwaitingEnds() < maxGangReservations()) {
-      reserveForGang(step, ready.size(), now);
+      reserveForGang(step, ready.size(), coverage, now);
     }
   }
 
@@ -334,13 +342,21 @@
     }
   }
 
-  private void reserveForGang(StepInstance step, int count, EventTime now) {
+  private void reserveForGang(
+      StepInstance step, int count, GuaranteeCoverage coverage, EventTime now) {
     Optional<Map<WorkerState, Integer>> places =
         gangPlanner.find(step, count, freeResources, valueOrder, now.ms());
     if (places.isPresent()) {
       state.logDecision(
           step.job.spec.id(),
-          "reserve step=" + step.label() + " tasks=" + count + " workers=" + places.get().size());
+          "reserve step="
+              + step.label()
+              + " tasks="
+              + count
+              + " workers="
+              + places.get().size()
+              + " covered="
+              + coverage.covers(step.job));
       addReservation(step, Kind.AWAIT_ENDS, places.get(), now);
     }
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepReservations.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepReservations.java
@@ -87,6 +87,12 @@
     return places(step).values().stream().mapToInt(Integer::intValue).sum();
   }
 
+  /** Returns the kind of a step's reservation and its number of places, for the log. */
+  String describe(StepInstance step) {
+    Reservation reservation = byStep.get(step);
+    return reservation == null ? "none" : reservation.kind + ":" + count(step);
+  }
+
   /** Returns how many steps wait for runs to end by themselves. */
   long countAwaitingEnds() {
     return byStep.values().stream().filter(kept -> kept.kind == Kind.AWAIT_ENDS).count();
