Check in the simulation that guarantees are met, with tests that fail

It now compares the needs of all open jobs of priority 0 of a workspace with its guarantee and demands a start within 2.9 s, the strictest bound of a deployment, unless a disturbance lies near. A job with a disturbance near its acceptance stays exempt: a run on a lost worker may have to wait for its lease (trace of job6 at 25,260 ms in SchedulerFaultProperties).

--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -19,7 +19,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,17 +35,11 @@
 public final class PoolSimulation implements SimulatedPoolWorker.Environment {
   private static final long TIME_STEP_MS = 10;
   private static final long TICK_MS = 50;
-  private static final long COMMIT_MS = 30;
   private static final long LEASE_LIMIT_MS = 10_000;
 
   /** Wall-clock time at the start of the simulation, in milliseconds since the epoch. */
   private static final long WALL_OFFSET_MS = 1_700_000_000_000L;
 
-  /**
-   * Relative speed of a gang on several racks, or of a task away from its data, on the platform.
-   */
-  private static final double CROSS_RACK_SPEED = 1 / 3.0;
-
   /** Receives the events of the simulation. */
   public interface Observer {
 
@@ -79,17 +72,16 @@
   private final SimulatedTransport transport;
   private final WorkerCrashes crashes;
   private final Map<String, SimulatedPoolWorker> workers = new LinkedHashMap<>();
-  private final Map<String, Double> speeds = new HashMap<>();
+  private final WorkerSpeeds speeds = new WorkerSpeeds();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, SimulatedWork> work = new HashMap<>();
-  private final Map<String, JobRecord> records = new HashMap<>();
-  private final Set<String> cancelled = new HashSet<>();
+  private final SimulatedStore store = new SimulatedStore();
   private final List<String> decisions = new ArrayList<>();
   private JobDeclaration declaration = new JobDeclaration(1, List.of(), Map.of(), List.of(), 1_000);
   private @Nullable JobScheduler scheduler;
   private long nowMs = 1_000;
   private long epoch;
-  private long storeUnavailableUntilMs;
+  private long disturbedUntilMs;
 
   /** Creates a pool without workers. */
   public PoolSimulation(long seed, SchedulingPolicy policy, Observer observer) {
@@ -105,7 +97,7 @@
       String id = "w" + workers.size();
       String rack = "rack" + workers.size() / perRack;
       WorkerEntry entry = WorkerEntries.idle(id, domainOf(rack), rack, capacity);
-      speeds.put(id, speed);
+      speeds.set(id, speed);
       add(new SimulatedPoolWorker(entry, this));
     }
   }
@@ -123,12 +115,13 @@
   /** Closes failure domains and opens all others. */
   public void closeDomains(Set<String> domains) {
     declaration = declaration.withClosedDomains(domains);
+    recordDisturbance(0);
     post(new JobEvent.DeclarationChanged(declaration));
   }
 
-  /** Returns the closed failure domains. */
-  public Set<String> closedDomains() {
-    return declaration.closedDomains();
+  /** Returns the declaration in force. */
+  public JobDeclaration declaration() {
+    return declaration;
   }
 
   /** Sets the declaration that the next owner reads. */
@@ -138,6 +131,9 @@
 
   /** Replaces the owner by a new one, which reads the state in the store. */
   public void takeOver() {
+    if (scheduler != null) {
+      recordDisturbance(0);
+    }
     epoch++;
     scheduler = JobScheduler.create(SchedulerTimes.withLeaseLimit(LEASE_LIMIT_MS), policy);
     List<WorkerEntry> listed =
@@ -147,7 +143,8 @@
             .toList();
     post(new JobEvent.DeclarationConfirmed(nowMs));
     post(
-        new JobEvent.TookOver(declaration, List.copyOf(jobs.values()), records, cancelled, listed));
+        new JobEvent.TookOver(
+            declaration, List.copyOf(jobs.values()), store.records(), store.cancelled(), listed));
   }
 
   /** Accepts a job. */
@@ -159,18 +156,19 @@
 
   /** Cancels a job. */
   public void cancel(String job) {
-    cancelled.add(job);
+    store.cancel(job);
     post(new JobEvent.CancelRequested(job));
   }
 
   /** Stores the cancellation of a job without an event to the owner. */
   public void cancelWithoutEvent(String job) {
-    cancelled.add(job);
+    store.cancel(job);
   }
 
   /** Terminates a worker and removes it from the registry immediately. */
   public void remove(String id) {
     worker(id).terminate();
+    recordDisturbance(0);
     post(new JobEvent.WorkerUnlisted(id));
   }
 
@@ -182,6 +180,7 @@
    * @param registeredAfterMs time from its start until the owner learns of its new entry
    */
   public void restart(String id, long downMs, long registeredAfterMs) {
+    recordDisturbance(downMs + registeredAfterMs);
     crashes.restart(worker(id), downMs, registeredAfterMs);
   }
 
@@ -192,6 +191,7 @@
 
   /** Marks a worker as draining; its runs continue. */
   public void drain(String id) {
+    recordDisturbance(0);
     post(new JobEvent.WorkerListed(WorkerEntries.draining(worker(id).entry())));
   }
 
@@ -202,7 +202,8 @@
 
   /** Makes the store unavailable for a duration. */
   public void makeStoreUnavailable(long forMs) {
-    storeUnavailableUntilMs = nowMs + forMs;
+    store.makeUnavailableUntil(nowMs + forMs);
+    recordDisturbance(forMs);
   }
 
   /** Sets the share of calls that are not answered and are carried out seconds later. */
@@ -210,11 +211,6 @@
     transport.setDelayedCallShare(value);
   }
 
-  /** Sets the maximum additional latency of run lists. */
-  public void setListDelayMs(int value) {
-    transport.setListDelayMs(value);
-  }
-
   /** Advances the virtual time. */
   public void run(long forMs) {
     long endMs = nowMs + forMs;
@@ -251,6 +247,15 @@
     return transport.lastFaultMs();
   }
 
+  /** Returns when the last disturbance that was brought about on purpose ends or has ended. */
+  public long disturbedUntilMs() {
+    return disturbedUntilMs;
+  }
+
+  void recordDisturbance(long forMs) {
+    disturbedUntilMs = Math.max(disturbedUntilMs, nowMs + forMs);
+  }
+
   /** Returns all workers, including terminated ones. */
   public Collection<SimulatedPoolWorker> workers() {
     return workers.values();
@@ -273,8 +278,7 @@
 
   /** Returns the phase of a job in the store. */
   public JobPhase phase(String job) {
-    JobRecord saved = records.get(job);
-    return saved == null ? JobPhase.QUEUED : saved.phase();
+    return store.phase(job);
   }
 
   /** Returns the logged decisions so far, each with its time and subject. */
@@ -321,10 +325,11 @@
   private void carryOut(JobEffect effect) {
     long sentEpoch = epoch;
     if (effect instanceof JobEffect.Persist persist) {
-      schedule(
-          Math.max(COMMIT_MS, storeUnavailableUntilMs - nowMs), () -> persist(persist, sentEpoch));
+      schedule(store.commitMs(nowMs), () -> persist(persist, sentEpoch));
     } else if (effect instanceof JobEffect.RemoveJobRows removal) {
-      schedule(COMMIT_MS, () -> answer(sentEpoch, new JobEvent.JobRowsRemoved(removal.job())));
+      schedule(
+          SimulatedStore.COMMIT_MS,
+          () -> answer(sentEpoch, new JobEvent.JobRowsRemoved(removal.job())));
     } else if (effect instanceof JobEffect.StartRun start) {
       observer.onStartOrdered(start);
       transport.start(start, sentEpoch, event -> answer(sentEpoch, event));
@@ -342,8 +347,7 @@
       return;
     }
     for (JobRecord saved : persist.records()) {
-      JobRecord before = records.put(saved.job(), saved);
-      if (saved.phase().isFinal() && (before == null || !before.phase().isFinal())) {
+      if (store.put(saved)) {
         observer.onFinal(saved.job(), saved.phase());
       }
     }
@@ -376,10 +380,7 @@
 
   @Override
   public double speed(RunName run, SimulatedPoolWorker worker) {
-    StepSpec step = step(run.task());
-    boolean away = !step.dataRack().isEmpty() && !step.dataRack().equals(worker.entry().rack());
-    boolean spread = step.gang() && step.sameRack() && gangs.spansRacks(run);
-    return speeds.getOrDefault(worker.entry().id(), 1.0) * (away || spread ? CROSS_RACK_SPEED : 1);
+    return speeds.of(step(run.task()), worker.entry(), gangs.spansRacks(run));
   }
 
   @Override
--- a/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
@@ -50,6 +50,7 @@
 
   /** Ends a worker whose machine is another worker at once, which the registry shows late. */
   void replaceBeforeUnlisting(SimulatedPoolWorker worker) {
+    pool.recordDisturbance(UNLISTED_AFTER_MS);
     worker.terminate();
     stillListed.add(worker);
     pool.schedule(UNLISTED_AFTER_MS, () -> unlist(worker));
@@ -67,6 +68,7 @@
       return;
     }
     count++;
+    pool.recordDisturbance(BACK_AFTER_MS);
     List<RunName> lost = List.copyOf(worker.runs());
     worker.terminate();
     lost.forEach(run -> pool.workers().forEach(other -> other.endGangOf(run)));
--- /dev/null
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
@@ -0,0 +1,124 @@
+package dev.bambootray.standins.jobs;
+
+import static dev.bambootray.standins.jobs.SchedulerRig.gang;
+import static dev.bambootray.standins.jobs.SchedulerRig.tasks;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.JobPhase;
+import dev.bambootray.jobs.model.StepSpec;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests that jobs within the guarantee of their workspace start in time on a full pool. */
+final class GuaranteeInTimeTest {
+  /** Time that the strictest deployment allows to meet a guarantee. */
+  private static final long RECLAIM_MS = 2_900;
+
+  private static void assertStartsInTime(SchedulerRig rig, String job) {
+    rig.run(RECLAIM_MS);
+    assertTrue(rig.hasStarted(job), () -> rig.decisionsAbout(job));
+  }
+
+  @Nested
+  final class ReservationsThatAwaitEnds {
+    /** The gang reserved workers in its first round, which hid that it had no place. */
+    @Tag("known-red")
+    @Test
+    void doNotKeepACoveredGangFromReclaiming() {
+      SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
+      rig.submit("first", 0, 60_000, gang(3, 8));
+      rig.run(500);
+      rig.submit("second", 0, 60_000, gang(3, 8));
+      rig.run(500);
+      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
+      rig.run(1_000);
+      rig.submit("third", 0, 1_000, gang(2, 8));
+      assertStartsInTime(rig, "third");
+    }
+
+    /** The gang reserved workers while an older job used up the guarantee. */
+    @Tag("known-red")
+    @Test
+    void doNotKeepAGangFromReclaimingThatIsCoveredLater() {
+      SchedulerRig rig = SchedulerRig.owned(4, 4, 16);
+      rig.submit("older", 0, 6_000, fourOnEachOfFourWorkers());
+      rig.submit("borrowed", 2, 60_000, fourOnEachOfFourWorkers());
+      rig.run(1_000);
+      rig.submit("urgent", 0, 1_000, gang(2, 8));
+      rig.run(5_300);
+      assertTrue(rig.phase("older").isFinal());
+      assertStartsInTime(rig, "urgent");
+    }
+
+    private static StepSpec fourOnEachOfFourWorkers() {
+      return StepSpec.builder(16, new Resources(1, 1_000, 1_000))
+          .estimateMs(1_000)
+          .maxPerWorker(4)
+          .build();
+    }
+  }
+
+  @Nested
+  final class ReclaimPlans {
+    /** Each worker offered only its free accelerators, which are too few for the gang. */
+    @Tag("known-red")
+    @Test
+    void stopRunsBesideFreeAccelerators() {
+      SchedulerRig rig = SchedulerRig.owned(4, 4, 32);
+      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
+      rig.run(1_000);
+      rig.submit("urgent", 0, 1_000, gang(8, 4));
+      assertStartsInTime(rig, "urgent");
+    }
+
+    /** Each worker offered one place, so that a gang wider than the rack found no plan. */
+    @Tag("known-red")
+    @Test
+    void useSeveralPlacesOfEachWorker() {
+      SchedulerRig rig = SchedulerRig.owned(4, 4, 32);
+      rig.submit("borrowed", 2, 60_000, tasks(32, 1));
+      rig.run(1_000);
+      rig.submit("urgent", 0, 1_000, gang(16, 2));
+      assertStartsInTime(rig, "urgent");
+    }
+  }
+
+  @Nested
+  final class Coverage {
+    /** The larger job, which exceeds the guarantee, took it from all later jobs. */
+    @Tag("known-red")
+    @Test
+    void isNotUsedUpByAJobThatExceedsIt() {
+      SchedulerRig rig = SchedulerRig.owned(4, 4, 8);
+      rig.submit("large", 0, 60_000, gang(3, 8));
+      rig.run(500);
+      rig.submit("borrowed", 2, 60_000, tasks(8, 1));
+      rig.run(1_000);
+      rig.submit("small", 0, 60_000, gang(2, 4));
+      assertStartsInTime(rig, "small");
+      assertTrue(rig.phase("large") == JobPhase.RUNNING);
+    }
+  }
+
+  @Nested
+  final class WaitsForARack {
+    /** The gang waited for a rack from the time at which the owner heard of it. */
+    @Tag("known-red")
+    @Test
+    void beginWithTheAcceptanceOfTheJob() {
+      SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
+      rig.submit("first", 0, 60_000, gang(3, 8));
+      rig.run(500);
+      rig.submit("second", 0, 60_000, gang(3, 8));
+      rig.run(500);
+      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
+      rig.run(1_000);
+      long heardAfterMs = 1_200;
+      rig.submitWithDelayedEvent("third", 0, 1_000, heardAfterMs, gang(2, 8));
+      rig.run(RECLAIM_MS - heardAfterMs);
+      assertTrue(rig.hasStarted("third"), () -> rig.decisionsAbout("third"));
+    }
+  }
+}
--- a/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/JobSchedulerTest.java
@@ -201,7 +201,7 @@
       // Guards against stopping an ended run again because of an outdated list, which blocked its
       // resources.
       SchedulerRig rig = rig(2);
-      rig.pool.setListDelayMs(400);
+      rig.pool.transport().setListDelayMs(400);
       for (int i = 0; i < 20; i++) {
         rig.submit("job" + i, 1, 700, tasks(4, 1));
         rig.submit("cancelled" + i, 1, 5_000, tasks(4, 1));
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -16,6 +16,7 @@
 import dev.bambootray.jobs.scheduling.SchedulingPolicy;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,8 +25,8 @@
 
 /**
  * Runs a simulated pool and checks that no task runs twice at the same time, that no worker exceeds
- * its capacity, that no finished task starts again and that no run is ordered in a closed failure
- * domain.
+ * its capacity, that no finished task starts again, that no run is ordered in a closed failure
+ * domain, and that jobs within a guarantee start in time.
  */
 final class SchedulerRig implements PoolSimulation.Observer {
   /** Time after a fault during which the platform's rules for fault-free operation do not apply. */
@@ -36,6 +37,7 @@
   final PoolSimulation pool;
   private final Set<String> started = new HashSet<>();
   private final Map<TaskName, Integer> acknowledgedRuns = new HashMap<>();
+  private final GuaranteeCheck guarantees;
   int starts;
 
   /** Returns a rig with an owner and workers of eight accelerators. */
@@ -65,6 +67,7 @@
 
   SchedulerRig(long seed) {
     pool = new PoolSimulation(seed, SchedulingPolicy.STANDARD, this);
+    guarantees = new GuaranteeCheck(pool);
   }
 
   SchedulerRig workers(int count, int perRack, Resources capacity) {
@@ -72,14 +75,12 @@
     return this;
   }
 
+  /** Guarantees accelerators to a workspace, besides those that others have. */
   SchedulerRig guarantee(String workspace, int accelerators) {
-    pool.declare(
-        new JobDeclaration(
-            2,
-            List.of(),
-            Map.of(),
-            List.of(new Workspace(workspace, List.of(), accelerators)),
-            1_000));
+    List<Workspace> all = new ArrayList<>(pool.declaration().workspaces());
+    all.removeIf(other -> other.name().equals(workspace));
+    all.add(new Workspace(workspace, List.of(), accelerators));
+    pool.declare(new JobDeclaration(2, List.of(), Map.of(), all, 1_000));
     return this;
   }
 
@@ -93,6 +94,11 @@
     submit(id, priority, SimulatedWork.of(taskMs), delayMs, steps);
   }
 
+  /** Submits a job of another workspace than the usual one. */
+  void submitTo(String workspace, String id, int priority, long taskMs, StepSpec... steps) {
+    submit(workspace, id, priority, SimulatedWork.of(taskMs), 0, steps);
+  }
+
   void submitPoison(String id, StepSpec step) {
     submit(id, 1, SimulatedWork.poison(POISON_WORK_MS), 0, step);
   }
@@ -104,10 +110,20 @@
 
   private void submit(
       String id, int priority, SimulatedWork work, long delayMs, StepSpec... steps) {
+    submit("ws", id, priority, work, delayMs, steps);
+  }
+
+  private void submit(
+      String workspace,
+      String id,
+      int priority,
+      SimulatedWork work,
+      long delayMs,
+      StepSpec... steps) {
     pool.submit(
         new JobSpec(
             id,
-            "ws",
+            workspace,
             "p" + priority,
             "s",
             "payload",
@@ -119,7 +135,11 @@
   }
 
   void run(long forMs) {
-    pool.run(forMs);
+    long endMs = pool.nowMs() + forMs;
+    while (pool.nowMs() < endMs) {
+      pool.run(Math.min(GuaranteeCheck.INTERVAL_MS, endMs - pool.nowMs()));
+      guarantees.check();
+    }
   }
 
   SimulatedPoolWorker worker(String id) {
@@ -191,7 +211,7 @@
   @Override
   public void onStartOrdered(JobEffect.StartRun start) {
     assertFalse(
-        pool.closedDomains().contains(start.worker().zone()),
+        pool.declaration().closedDomains().contains(start.worker().zone()),
         () -> start.run() + " starts in a closed failure domain" + decisionsAbout(start.run()));
   }
 
@@ -211,6 +231,7 @@
   public void onStart(SimulatedPoolWorker worker, RunName run) {
     starts++;
     started.add(run.task().job());
+    guarantees.onStart(run);
     Resources free = worker.free();
     assertTrue(
         free.accelerators() >= 0 && free.millicores() >= 0 && free.memoryMib() >= 0,
