Offer all places of a worker to a step that reclaims

Cause: a reclaim plan took from a worker either its free places or, if none was free, only the first places that stopping a run frees. A gang with more tasks than a rack has workers therefore found no rack, and on a small pool no plan at all, although nothing but borrowed work ran there.

Evidence: ReclaimPlans.stopRunsBesideFreeAccelerators (four workers with four free accelerators each, a covered gang of eight times four) and useSeveralPlacesOfEachWorker failed before with 'guarantee overdue ... reservation=AWAIT_ENDS', as each of four workers offered one place, and pass now.

Change: ReclaimOffers yields the places of a worker one after the other, free ones first, then those for more and more victims; the plan takes the cheapest offer of all workers until the step fits.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
@@ -1,15 +1,15 @@
 package dev.bambootray.jobs.scheduling;
 
-import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.scheduling.ReclaimOffers.Offer;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -27,15 +27,6 @@
   /** Average work that a checkpointing task loses when it is stopped, in seconds. */
   private static final double CHECKPOINT_LOSS_SECONDS = 0.5;
 
-  /**
-   * A choice of places on one worker.
-   *
-   * @param places number of tasks that fit
-   * @param cost core-seconds lost by the victims
-   * @param victims runs to stop for these places
-   */
-  private record Offer(WorkerState worker, int places, double cost, Set<Placement> victims) {}
-
   /**
    * Finds places for which the stopped runs lose the least work.
    *
@@ -89,79 +80,24 @@
       FreeResources freeResources,
       Predicate<Placement> mayStop,
       long nowMs) {
-    return assemble(offers(step, workers, freeResources, mayStop, nowMs), count);
-  }
-
-  private static Optional<ReclaimPlan> assemble(List<Offer> offers, int count) {
+    PriorityQueue<Offer> offers = new PriorityQueue<>(Offer.CHEAPEST_FIRST);
+    for (int order = 0; order < workers.size(); order++) {
+      ReclaimOffers.of(step, workers.get(order), order, freeResources, mayStop, nowMs)
+          .next()
+          .ifPresent(offers::add);
+    }
     Map<WorkerState, Integer> places = new LinkedHashMap<>();
     Set<Placement> victims = new LinkedHashSet<>();
     int left = count;
-    for (Offer offer : offers) {
+    while (left > 0 && !offers.isEmpty()) {
+      Offer offer = offers.remove();
       int taken = Math.min(left, offer.places());
-      places.put(offer.worker(), taken);
+      places.merge(offer.worker(), taken, Integer::sum);
       victims.addAll(offer.victims());
       left -= taken;
-      if (left == 0) {
-        return Optional.of(new ReclaimPlan(places, victims));
-      }
-    }
-    return Optional.empty();
-  }
-
-  private static List<Offer> offers(
-      StepInstance step,
-      List<WorkerState> workers,
-      FreeResources freeResources,
-      Predicate<Placement> mayStop,
-      long nowMs) {
-    List<Offer> offers = new ArrayList<>();
-    for (WorkerState worker : workers) {
-      offers.addAll(offersOf(step, worker, freeResources, mayStop, nowMs));
-    }
-    offers.sort(Comparator.comparingDouble(offer -> offer.cost() / offer.places()));
-    return offers;
-  }
-
-  /**
-   * Returns what one worker offers: the places that are or become free without victims, or
-   * otherwise the first places that stopping the cheapest runs frees.
-   */
-  private static List<Offer> offersOf(
-      StepInstance step,
-      WorkerState worker,
-      FreeResources freeResources,
-      Predicate<Placement> mayStop,
-      long nowMs) {
-    Resources free = freeResources.free(worker);
-    List<Placement> stoppable = new ArrayList<>();
-    for (Placement placement : worker.placements.values()) {
-      if (placement.phase == Placement.Phase.STOPPING) {
-        free = ResourceMath.plus(free, placement.resources(), 1);
-      } else if (mayStop.test(placement)) {
-        stoppable.add(placement);
-      }
-    }
-    int most = step.spec.maxPerWorker() > 0 ? step.spec.maxPerWorker() : Integer.MAX_VALUE;
-    int before = Math.min(most, ResourceMath.countFitting(step.spec.each(), free));
-    List<Offer> offers = new ArrayList<>();
-    if (before > 0) {
-      offers.add(new Offer(worker, before, 0, Set.of()));
-      return offers;
-    }
-    stoppable.sort(Comparator.comparingDouble(placement -> lostWork(placement, nowMs)));
-    Set<Placement> victims = new LinkedHashSet<>();
-    double cost = 0;
-    for (Placement victim : stoppable) {
-      free = ResourceMath.plus(free, victim.resources(), 1);
-      victims.add(victim);
-      cost += lostWork(victim, nowMs);
-      int places = Math.min(most, ResourceMath.countFitting(step.spec.each(), free));
-      if (places > 0) {
-        offers.add(new Offer(worker, places, cost, new LinkedHashSet<>(victims)));
-        return offers;
-      }
+      offer.rest().next().ifPresent(offers::add);
     }
-    return offers;
+    return left == 0 ? Optional.of(new ReclaimPlan(places, victims)) : Optional.empty();
   }
 
   /**
@@ -192,7 +128,7 @@
   }
 
   /** Returns the core-seconds that are lost when a run, and with it its gang, is stopped. */
-  private static double lostWork(Placement victim, long nowMs) {
+  static double lostWork(Placement victim, long nowMs) {
     StepInstance step = victim.task.step;
     double seconds = Math.max(0, nowMs - victim.startedMs) / 1_000.0;
     if (step.spec.checkpointing()) {
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
@@ -61,7 +61,6 @@
   @Nested
   final class ReclaimPlans {
     /** Each worker offered only its free accelerators, which are too few for the gang. */
-    @Tag("known-red")
     @Test
     void stopRunsBesideFreeAccelerators() {
       SchedulerRig rig = SchedulerRig.owned(4, 4, 32);
@@ -72,7 +71,6 @@
     }
 
     /** Each worker offered one place, so that a gang wider than the rack found no plan. */
-    @Tag("known-red")
     @Test
     void useSeveralPlacesOfEachWorker() {
       SchedulerRig rig = SchedulerRig.owned(4, 4, 32);
