Count a guaranteed gang's wait for a rack from its acceptance

Cause: a covered gang waits 1.5 s for one rack before it takes several. The wait began in the round in which the owner first saw the job, and anew whenever a start failed although the gang had never run.

Change: a step knows since when it has been waiting to begin: from the acceptance or due time of its job, or, once all its tasks have been running together, from its last return to the queue.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -127,7 +127,7 @@
           step.readySinceMs = -1;
           continue;
         }
-        step.readySinceMs = step.readySinceMs < 0 ? now.ms() : step.readySinceMs;
+        step.becomeReady(now);
         urgencies.put(step, reservationBonus(step) + order.urgency(step, now.ms()));
       }
     }
@@ -264,10 +264,10 @@
   }
 
   private boolean mayTakeAnyRack(StepInstance step, GuaranteeCoverage coverage, EventTime now) {
-    long waitMs =
-        coverage.covers(step.job)
-            ? GUARANTEED_RACK_WAIT_MS
-            : PREFERRED_RACK_WAIT_RUNS * state.statistics.expectedRunMs(step);
+    if (coverage.covers(step.job)) {
+      return now.ms() - step.waitingSinceMs() > GUARANTEED_RACK_WAIT_MS;
+    }
+    long waitMs = PREFERRED_RACK_WAIT_RUNS * state.statistics.expectedRunMs(step);
     return now.ms() - step.readySinceMs > waitMs;
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -127,6 +127,7 @@
   }
 
   private void onStarted(Placement placement) {
+    placement.task.step.onRunStarted();
     Job job = placement.task.step.job;
     if (job.phase == JobPhase.QUEUED) {
       job.phase = JobPhase.RUNNING;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
@@ -28,6 +28,12 @@
   /** Time since which its tasks could be placed, or -1 if they cannot. */
   long readySinceMs = -1;
 
+  /** Time at which its tasks could be placed for the first time, or -1 if they could not yet. */
+  private long firstReadyMs = -1;
+
+  /** Whether all its tasks have been running at the same time. */
+  private boolean begun;
+
   StepInstance(Job job, int occurrence, int index, StepSpec spec) {
     this.job = job;
     this.occurrence = occurrence;
@@ -65,6 +71,30 @@
     return gang;
   }
 
+  /**
+   * Records that its tasks can be placed. A step that follows no other could already be placed when
+   * the job was accepted or due, although the owner may have heard of it later.
+   */
+  void becomeReady(EventTime now) {
+    if (readySinceMs < 0) {
+      readySinceMs = now.ms();
+    }
+    if (firstReadyMs < 0) {
+      long dueMs = now.ms() - (now.wallMs() - job.spec.schedule().dueWallMs(occurrence));
+      firstReadyMs = spec.after().isEmpty() ? Math.max(job.acceptedMs, dueMs) : now.ms();
+    }
+  }
+
+  /** Records that one of its runs has started. */
+  void onRunStarted() {
+    begun |= tasks.stream().allMatch(Task::isRunConfirmed);
+  }
+
+  /** Returns since when its tasks have been waiting to begin, or to begin again. */
+  long waitingSinceMs() {
+    return begun ? readySinceMs : firstReadyMs;
+  }
+
   int nextRun() {
     return tasks.stream().mapToInt(task -> task.run).max().orElse(0) + 1;
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
@@ -47,4 +47,9 @@
   boolean isPlaceable() {
     return isReady() && !crashes.isolated;
   }
+
+  /** Returns whether its worker has confirmed the current run. */
+  boolean isRunConfirmed() {
+    return placements.stream().anyMatch(run -> run.confirmed && run.isCurrent());
+  }
 }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
@@ -8,7 +8,6 @@
 import dev.bambootray.jobs.model.JobPhase;
 import dev.bambootray.jobs.model.StepSpec;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests that jobs within the guarantee of their workspace start in time on a full pool. */
@@ -100,7 +99,6 @@
   @Nested
   final class WaitsForARack {
     /** The gang waited for a rack from the time at which the owner heard of it. */
-    @Tag("known-red")
     @Test
     void beginWithTheAcceptanceOfTheJob() {
       SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
