Count the tasks a worker already has when reclaiming places on it

Cause: the search for places to reclaim limited the tasks of a worker by the most that a step allows on one worker, but did not subtract those that the worker already ran or was reserved for. It chose the free resources beside them, at no cost, where no further task may be placed, dropped the place after 1.9 s and chose it again.

Change: what a reclaim asks for is one record, ReclaimRequest, with the places that the step already has; offers subtract these and the tasks that the worker runs.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/FreeResources.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/FreeResources.java
@@ -145,11 +145,16 @@
   /** Returns how many more tasks of a step fit on a worker. */
   int countFitting(StepInstance step, WorkerState worker) {
     int count = ResourceMath.countFitting(step.spec.each(), free(worker));
+    return Math.max(0, Math.min(count, remainingTasks(step, worker)));
+  }
+
+  /** Returns how many more tasks of a step may run on a worker beside those that it has. */
+  static int remainingTasks(StepInstance step, WorkerState worker) {
     if (step.spec.maxPerWorker() == 0) {
-      return count;
+      return Integer.MAX_VALUE;
     }
     long present = worker.placements.values().stream().filter(p -> p.task.step == step).count();
-    return Math.max(0, (int) Math.min(count, step.spec.maxPerWorker() - present));
+    return (int) (step.spec.maxPerWorker() - present);
   }
 
   static boolean mayRun(StepInstance step, WorkerState worker) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -291,19 +291,20 @@
     if (now.ms() < step.nextReclaimMs || (!covered && --victimSearchesLeft < 0)) {
       return;
     }
-    boolean bound = step.isGang() && step.spec.sameRack() && state.reservations.isReclaim(step);
-    List<String> racks = bound ? state.reservations.racks(step) : List.of();
-    Optional<ReclaimPlan> found =
-        ReclaimPlan.find(
+    boolean isReclaim = state.reservations.isReclaim(step);
+    boolean bound = step.isGang() && step.spec.sameRack() && isReclaim;
+    ReclaimRequest request =
+        new ReclaimRequest(
             step,
             count,
-            freeResources,
-            racks,
+            isReclaim ? state.reservations.places(step) : Map.of(),
+            bound,
             mayTakeAnyRack(step, coverage, now),
             placed ->
                 !coverage.covers(placed.task.step.job)
                     && (covered || preemption.mayStop(step, placed, now.ms())),
             now.ms());
+    Optional<ReclaimPlan> found = ReclaimPlan.find(request, freeResources);
     if (found.isEmpty() && bound) {
       // The step no longer fits on the rack of its reservation.
       state.reservations.release(freeResources, step);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimOffers.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimOffers.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Offers the places of one worker for a step: first those that are or become free without victims,
@@ -39,57 +38,51 @@
             .thenComparingInt(Offer::order);
   }
 
-  private final StepInstance step;
+  private final ReclaimRequest request;
   private final WorkerState worker;
   private final int order;
-  private final long nowMs;
+  private final int most;
   private final Iterator<Placement> stoppable;
   private Resources free;
   private int offered;
 
   private ReclaimOffers(
-      StepInstance step,
+      ReclaimRequest request,
       WorkerState worker,
       int order,
       Resources free,
-      List<Placement> stoppable,
-      long nowMs) {
-    this.step = step;
+      List<Placement> stoppable) {
+    this.request = request;
     this.worker = worker;
     this.order = order;
     this.free = free;
     this.stoppable = stoppable.iterator();
-    this.nowMs = nowMs;
+    int kept = request.kept().getOrDefault(worker, 0);
+    most = FreeResources.remainingTasks(request.step(), worker) - kept;
   }
 
   /**
    * Returns the offers of a worker.
    *
-   * @param step the step to place
+   * @param request the step that needs places
    * @param worker the worker
    * @param order position of the worker among those that are compared
    * @param freeResources free resources, without those reserved for other steps
-   * @param mayStop whether a run may be stopped for the step
-   * @param nowMs current time
    */
   static ReclaimOffers of(
-      StepInstance step,
-      WorkerState worker,
-      int order,
-      FreeResources freeResources,
-      Predicate<Placement> mayStop,
-      long nowMs) {
+      ReclaimRequest request, WorkerState worker, int order, FreeResources freeResources) {
     Resources free = freeResources.free(worker);
     List<Placement> stoppable = new ArrayList<>();
     for (Placement placement : worker.placements.values()) {
       if (placement.phase == Placement.Phase.STOPPING) {
         free = ResourceMath.plus(free, placement.resources(), 1);
-      } else if (mayStop.test(placement)) {
+      } else if (request.mayStop().test(placement)) {
         stoppable.add(placement);
       }
     }
-    stoppable.sort(Comparator.comparingDouble(placement -> ReclaimPlan.lostWork(placement, nowMs)));
-    return new ReclaimOffers(step, worker, order, free, stoppable, nowMs);
+    stoppable.sort(
+        Comparator.comparingDouble(placement -> ReclaimPlan.lostWork(placement, request.nowMs())));
+    return new ReclaimOffers(request, worker, order, free, stoppable);
   }
 
   /** Returns the next offer, empty if no more tasks fit on the worker. */
@@ -101,7 +94,7 @@
       Placement victim = stoppable.next();
       free = ResourceMath.plus(free, victim.resources(), 1);
       victims.add(victim);
-      cost += ReclaimPlan.lostWork(victim, nowMs);
+      cost += ReclaimPlan.lostWork(victim, request.nowMs());
       places = additionalPlaces();
     }
     if (places <= 0) {
@@ -112,7 +105,6 @@
   }
 
   private int additionalPlaces() {
-    int most = step.spec.maxPerWorker() > 0 ? step.spec.maxPerWorker() : Integer.MAX_VALUE;
-    return Math.min(most, ResourceMath.countFitting(step.spec.each(), free)) - offered;
+    return Math.min(most, ResourceMath.countFitting(request.step().spec.each(), free)) - offered;
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ReclaimPlan.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Describes the places for a step and the runs that must be stopped to free them.
@@ -30,65 +29,44 @@
   /**
    * Finds places for which the stopped runs lose the least work.
    *
-   * @param step the step to place
-   * @param count number of its tasks
+   * @param request what is needed
    * @param freeResources free resources, without those reserved for other steps
-   * @param racks racks of its other places, empty to allow any rack
-   * @param anywhere whether to use several racks instead of waiting for one
-   * @param mayStop whether a run may be stopped for it
-   * @param nowMs current time
    */
-  static Optional<ReclaimPlan> find(
-      StepInstance step,
-      int count,
-      FreeResources freeResources,
-      List<String> racks,
-      boolean anywhere,
-      Predicate<Placement> mayStop,
-      long nowMs) {
-    List<WorkerState> candidates = freeResources.candidates(step);
-    if (!racks.isEmpty()) {
-      candidates.removeIf(worker -> !racks.contains(worker.rack()));
-      return planIn(step, count, candidates, freeResources, mayStop, nowMs);
+  static Optional<ReclaimPlan> find(ReclaimRequest request, FreeResources freeResources) {
+    StepInstance step = request.step();
+    List<WorkerState> candidates = request.candidates(freeResources);
+    if (request.boundToRacks() || !step.spec.sameRack() || !step.isGang()) {
+      return planIn(candidates, request, freeResources);
     }
-    Collection<List<WorkerState>> groups =
-        step.spec.sameRack() && step.isGang()
-            ? new ArrayList<>(PackingPolicy.byRack(candidates).values())
-            : new ArrayList<>();
-    Optional<ReclaimPlan> plan = Optional.empty();
-    groups.removeIf(group -> !PackingPolicy.couldFitWhenIdle(step, count, group));
-    if (groups.isEmpty()) {
-      return planIn(step, count, candidates, freeResources, mayStop, nowMs);
+    Collection<List<WorkerState>> racks =
+        new ArrayList<>(PackingPolicy.byRack(candidates).values());
+    racks.removeIf(rack -> !PackingPolicy.couldFitWhenIdle(step, request.count(), rack));
+    if (racks.isEmpty()) {
+      return planIn(candidates, request, freeResources);
     }
+    Optional<ReclaimPlan> plan = Optional.empty();
     double leastCost = Double.MAX_VALUE;
-    for (List<WorkerState> group : groups) {
-      Optional<ReclaimPlan> found = planIn(step, count, group, freeResources, mayStop, nowMs);
-      if (found.isPresent() && cost(found.get(), nowMs) < leastCost) {
-        leastCost = cost(found.get(), nowMs);
+    for (List<WorkerState> rack : racks) {
+      Optional<ReclaimPlan> found = planIn(rack, request, freeResources);
+      if (found.isPresent() && cost(found.get(), request.nowMs()) < leastCost) {
+        leastCost = cost(found.get(), request.nowMs());
         plan = found;
       }
     }
-    return plan.isEmpty() && anywhere
-        ? planIn(step, count, candidates, freeResources, mayStop, nowMs)
-        : plan;
+    return plan.isEmpty() && request.anywhere() ? planIn(candidates, request, freeResources) : plan;
   }
 
   private static Optional<ReclaimPlan> planIn(
-      StepInstance step,
-      int count,
-      List<WorkerState> workers,
-      FreeResources freeResources,
-      Predicate<Placement> mayStop,
-      long nowMs) {
+      List<WorkerState> workers, ReclaimRequest request, FreeResources freeResources) {
     PriorityQueue<Offer> offers = new PriorityQueue<>(Offer.CHEAPEST_FIRST);
     for (int order = 0; order < workers.size(); order++) {
-      ReclaimOffers.of(step, workers.get(order), order, freeResources, mayStop, nowMs)
+      ReclaimOffers.of(request, workers.get(order), order, freeResources)
           .next()
           .ifPresent(offers::add);
     }
     Map<WorkerState, Integer> places = new LinkedHashMap<>();
     Set<Placement> victims = new LinkedHashSet<>();
-    int left = count;
+    int left = request.count();
     while (left > 0 && !offers.isEmpty()) {
       Offer offer = offers.remove();
       int taken = Math.min(left, offer.places());
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepReservations.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepReservations.java
@@ -1,7 +1,6 @@
 package dev.bambootray.jobs.scheduling;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -182,9 +181,4 @@
     places(step)
         .forEach((worker, count) -> freeResources.allocate(worker, step.spec.each(), -count));
   }
-
-  /** Returns the racks on which a step has places. */
-  List<String> racks(StepInstance step) {
-    return places(step).keySet().stream().map(WorkerState::rack).distinct().toList();
-  }
 }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ReclaimOffersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ReclaimOffersTest.java
@@ -11,7 +11,9 @@
 import dev.bambootray.jobs.scheduling.ReclaimOffers.Offer;
 import dev.bambootray.jobs.worker.WorkerEntry;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -22,6 +24,7 @@
   private static final long NOW_MS = 10_000;
 
   private final WorkerState worker = workerOfEightAccelerators();
+  private final Map<WorkerState, Integer> kept = new HashMap<>();
 
   private static WorkerState workerOfEightAccelerators() {
     WorkerState worker =
@@ -71,7 +74,8 @@
   private List<Offer> offers(StepInstance step, Predicate<Placement> mayStop) {
     FreeResources freeResources = new FreeResources();
     freeResources.update(List.of(worker), NOW_MS);
-    ReclaimOffers offers = ReclaimOffers.of(step, worker, 0, freeResources, mayStop, NOW_MS);
+    ReclaimRequest request = new ReclaimRequest(step, 1, kept, false, false, mayStop, NOW_MS);
+    ReclaimOffers offers = ReclaimOffers.of(request, worker, 0, freeResources);
     List<Offer> found = new ArrayList<>();
     for (Optional<Offer> next = offers.next(); next.isPresent(); next = offers.next()) {
       found.add(next.get());
@@ -119,5 +123,16 @@
       List<Offer> offers = offers(step("apart", each(8, 1).maxPerWorker(3)), victim -> true);
       assertEquals(3, offers.stream().mapToInt(Offer::places).sum());
     }
+
+    /** Guards against a place where the step already has as many tasks as allowed. */
+    @Test
+    void leaveOutTasksThatTheWorkerAlreadyHasOrIsReservedFor() {
+      StepInstance apart = step("apart", each(5, 1).maxPerWorker(3));
+      Task running = apart.tasks.get(0);
+      worker.add(new Placement(running, new RunName(running.name, 1), worker, Phase.RUNNING, 1));
+      kept.put(worker, 1);
+      List<Offer> offers = offers(apart, victim -> true);
+      assertEquals(1, offers.stream().mapToInt(Offer::places).sum());
+    }
   }
 }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeCheck.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeCheck.java
@@ -29,7 +29,7 @@
   /** Last time at which the jobs of a workspace needed more than its guarantee. */
   private final Map<String, Long> exceededMs = new HashMap<>();
 
-  private long disturbedMs;
+  private long disturbedMs = -NEAR_DISTURBANCE_MS;
 
   GuaranteeCheck(PoolSimulation pool) {
     this.pool = pool;
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
@@ -2,6 +2,7 @@
 
 import static dev.bambootray.standins.jobs.SchedulerRig.gang;
 import static dev.bambootray.standins.jobs.SchedulerRig.tasks;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.core.model.Resources;
@@ -80,6 +81,25 @@
     }
   }
 
+  @Nested
+  final class TasksThatMustBeApart {
+    /** Places were reclaimed on a worker that already ran as many tasks of the step as allowed. */
+    @Test
+    void startOnDifferentWorkers() {
+      SchedulerRig rig = SchedulerRig.owned(3, 3, 16);
+      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
+      rig.run(1_000);
+      StepSpec apart =
+          StepSpec.builder(3, new Resources(2, 1_000, 1_000))
+              .estimateMs(1_000)
+              .maxPerWorker(1)
+              .build();
+      rig.submit("urgent", 0, 60_000, apart);
+      rig.run(RECLAIM_MS);
+      assertEquals(3, rig.startsOf("urgent"), () -> rig.decisionsAbout("urgent"));
+    }
+  }
+
   @Nested
   final class Coverage {
     /** The larger job, which exceeds the guarantee, took it from all later jobs. */
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeProperties.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeProperties.java
@@ -48,12 +48,18 @@
 
   private static StepSpec any(Random random) {
     boolean gang = random.nextInt(4) > 0;
-    return StepSpec.builder(
-            1 + random.nextInt(gang ? 8 : 24),
-            new Resources(gang ? 1 << random.nextInt(4) : 1, 2_000, 2_000))
-        .estimateMs(500L << random.nextInt(4))
-        .gang(gang)
-        .sameRack(gang && random.nextInt(4) > 0)
-        .build();
+    boolean wide = random.nextInt(4) == 0;
+    int accelerators = gang && !wide ? 1 << random.nextInt(4) : 1 << random.nextInt(2);
+    StepSpec.Builder step =
+        StepSpec.builder(
+                1 + random.nextInt(wide ? 24 : 8), new Resources(accelerators, 2_000, 2_000))
+            .estimateMs(500L << random.nextInt(4))
+            .gang(gang)
+            .sameRack(gang && random.nextInt(4) > 0)
+            .maxPerWorker(random.nextInt(6) == 0 ? 2 : 0);
+    if (!gang && random.nextInt(3) == 0) {
+      step.dataRack("rack" + random.nextInt(WORKERS / WORKERS_PER_RACK));
+    }
+    return step.build();
   }
 }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -18,10 +18,8 @@
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Runs a simulated pool and checks that no task runs twice at the same time, that no worker exceeds
@@ -35,7 +33,7 @@
   private static final long POISON_WORK_MS = 500;
 
   final PoolSimulation pool;
-  private final Set<String> started = new HashSet<>();
+  private final List<String> started = new ArrayList<>();
   private final Map<TaskName, Integer> acknowledgedRuns = new HashMap<>();
   private final GuaranteeCheck guarantees;
   int starts;
@@ -154,6 +152,11 @@
     return started.contains(job);
   }
 
+  /** Returns how many runs of a job have started. */
+  long startsOf(String job) {
+    return started.stream().filter(job::equals).count();
+  }
+
   /** Marks a worker as draining; its runs continue. */
   void drain(String worker) {
     pool.drain(worker);
