Split the calls of the worker monitor from what it learns

WorkerPoller decides when workers are called; WorkerMonitor keeps what lists and the registry tell. No behaviour changes; prepares the question before a start is repeated.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -40,6 +40,7 @@
 
   private final SchedulerState state;
   private final RunTracker runs;
+  private final WorkerPoller poller;
   private final WorkerMonitor workerMonitor;
   private final Planner planner;
   private final StallDetector stallDetector;
@@ -50,7 +51,8 @@
   private JobScheduler(SchedulerTimes times, SchedulingPolicy policy) {
     state = new SchedulerState(times);
     runs = new RunTracker(state);
-    workerMonitor = new WorkerMonitor(state, runs);
+    poller = new WorkerPoller(state, runs);
+    workerMonitor = new WorkerMonitor(state, runs, poller);
     planner = new Planner(state, runs, policy);
     stallDetector = new StallDetector(state, runs);
   }
@@ -89,7 +91,7 @@
       state.emit(state.batches.takeBatch());
     }
     if (event instanceof JobEvent.Tick || event instanceof JobEvent.TookOver) {
-      workerMonitor.sendAllDueCalls(now);
+      poller.sendAllDueCalls(now);
     }
     return state.takeEffects();
   }
@@ -239,7 +241,7 @@
     } else if (event instanceof JobEvent.HoldAnswered answered) {
       workerMonitor.onHoldAnswered(worker, answered, now);
     }
-    workerMonitor.sendDueCalls(worker, now);
+    poller.sendDueCalls(worker, now);
   }
 
   private void logOutdated(WorkerState worker, JobEvent.CallAnswered event) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -12,11 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Polls workers for their runs, renews their leases and detects lost workers. */
+/** Learns from the registry and from lists of runs what workers do, and detects lost workers. */
 final class WorkerMonitor {
-  /** Delay before the next call if the worker lists only ends that cannot be acknowledged yet. */
-  private static final long UNACKNOWLEDGED_RETRY_MS = 150;
-
   /** Longest delay between calls to a worker that does not answer. */
   private static final long MAX_RETRY_MS = 1_000;
 
@@ -24,11 +21,13 @@
 
   private final SchedulerState state;
   private final RunTracker runs;
+  private final WorkerPoller poller;
   private final CrashTracker crashes;
 
-  WorkerMonitor(SchedulerState state, RunTracker runs) {
+  WorkerMonitor(SchedulerState state, RunTracker runs, WorkerPoller poller) {
     this.state = state;
     this.runs = runs;
+    this.poller = poller;
     crashes = new CrashTracker(state, runs);
   }
 
@@ -51,7 +50,7 @@
     worker.listed = true;
     state.planWanted = true;
     if (restarted) {
-      sendDueCalls(worker, now);
+      poller.sendDueCalls(worker, now);
     }
   }
 
@@ -182,7 +181,9 @@
     }
     // A worker with unacknowledged ends answers at once, so calls without new ends need a delay.
     worker.nextCallMs =
-        hasNewEnds || listed.ended().isEmpty() ? 0 : now.ms() + UNACKNOWLEDGED_RETRY_MS;
+        hasNewEnds || listed.ended().isEmpty()
+            ? 0
+            : now.ms() + WorkerPoller.UNACKNOWLEDGED_RETRY_MS;
   }
 
   private void onRunning(WorkerState worker, ListedRun running, long sentMs, EventTime now) {
@@ -317,79 +318,6 @@
     }
   }
 
-  /** Sends all due calls to all workers. */
-  void sendAllDueCalls(EventTime now) {
-    for (WorkerState worker : List.copyOf(state.workers.values())) {
-      sendDueCalls(worker, now);
-    }
-  }
-
-  /** Sends all due calls to a worker. */
-  void sendDueCalls(WorkerState worker, EventTime now) {
-    if (!worker.hasAddress()) {
-      return;
-    }
-    runs.repeatStops(worker, now);
-    worker.ends.update(state.batches);
-    if (worker.refreshWanted && !worker.refreshInFlight && worker.failedCalls == 0) {
-      worker.refreshWanted = false;
-      if (worker.pollInFlight) {
-        worker.refreshInFlight = true;
-        sendHold(worker, 0, true, now);
-        return;
-      }
-    }
-    if (worker.pollInFlight || now.ms() < worker.nextCallMs) {
-      return;
-    }
-    boolean busy = worker.placements.values().stream().anyMatch(WorkerMonitor::mayBeAtWorker);
-    boolean unacknowledged = worker.ends.isPending();
-    boolean settling = worker.ends.isAwaitingStore();
-    if (settling && now.ms() - worker.lastReplyMs < UNACKNOWLEDGED_RETRY_MS) {
-      return;
-    }
-    boolean unknown =
-        worker.listed
-            && (!worker.adopted || worker.failedCalls > 0 || worker.isClockOutdated(now.ms()));
-    if (worker.failedCalls > 0 && (busy || unacknowledged || settling || unknown)) {
-      if (!worker.refreshInFlight) {
-        worker.refreshInFlight = true;
-        // The long poll of another worker that has taken over the address may occupy its lane.
-        sendHold(worker, 0, true, now);
-      }
-    } else if (busy || unacknowledged || settling || unknown) {
-      worker.pollInFlight = true;
-      boolean wait = busy && worker.adopted && !settling && worker.connection.isUsable();
-      sendHold(worker, wait ? state.times.holdWaitMs() : 0, false, now);
-    }
-  }
-
-  /**
-   * Sends a hold call. Only a poll that is bound to the known process acknowledges ends and extends
-   * leases; other calls ask for a list, which tells of a restart.
-   */
-  private void sendHold(WorkerState worker, long waitMs, boolean refresh, EventTime now) {
-    boolean sameProcess = !refresh && worker.failedCalls == 0 && worker.connection.isUsable();
-    boolean extend =
-        sameProcess && worker.adopted && worker.knowsClock() && !worker.placements.isEmpty();
-    long untilMs = extend ? worker.leaseUntilMs(now.ms(), state.times.leaseMs()) : 0;
-    if (extend) {
-      worker.grantLease(now.ms(), state.times);
-    }
-    long acknowledged = sameProcess ? worker.ends.nextToAcknowledge() : 0;
-    boolean bind = extend || acknowledged > 0;
-    long connection = bind ? worker.connection.bound() : ProcessConnection.UNKNOWN;
-    // A call that waits at a new process with a number of the previous one would discard its ends.
-    boolean mayWait = acknowledged == 0 || connection != ProcessConnection.UNKNOWN;
-    state.emit(
-        new JobEffect.HoldWorker(
-            worker.callee(), acknowledged, connection, untilMs, mayWait ? waitMs : 0, refresh));
-  }
-
-  private static boolean mayBeAtWorker(Placement placement) {
-    return placement.phase != Phase.ORDERED;
-  }
-
   private void dropIfGone(WorkerState worker) {
     boolean settled = worker.placements.isEmpty() && worker.ends.isComplete();
     if (!worker.listed && (settled || worker.isUnresponsive()) && worker.placements.isEmpty()) {
