Note disturbances between two checks of guarantees

GuaranteeCheck compared the time of a disturbance with the time of the check, so that one between two checks (a drain, for example) was not seen.

--- a/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/PoolSimulation.java
@@ -81,7 +81,7 @@
   private @Nullable JobScheduler scheduler;
   private long nowMs = 1_000;
   private long epoch;
-  private long disturbedUntilMs;
+  private long disturbedUntilMs = Long.MIN_VALUE / 2;
 
   /** Creates a pool without workers. */
   public PoolSimulation(long seed, SchedulingPolicy policy, Observer observer) {
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeCheck.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeCheck.java
@@ -41,7 +41,8 @@
 
   /** Checks all jobs that have not ended. */
   void check() {
-    if (isDisturbed()) {
+    disturbedMs = Math.max(disturbedMs, Math.min(pool.nowMs(), pool.disturbedUntilMs()));
+    if (hasDisturbedWorker()) {
       disturbedMs = pool.nowMs();
     }
     List<JobSpec> open =
@@ -82,10 +83,9 @@
     return "\n" + String.join("\n", lines);
   }
 
-  private boolean isDisturbed() {
-    return pool.nowMs() <= pool.disturbedUntilMs()
-        || pool.workers().stream()
-            .anyMatch(worker -> worker.isUnreachable() || worker.isFailing() || worker.isHanging());
+  private boolean hasDisturbedWorker() {
+    return pool.workers().stream()
+        .anyMatch(worker -> worker.isUnreachable() || worker.isFailing() || worker.isHanging());
   }
 
   private boolean hasBegun(JobSpec job) {
