Keep adopted runs until orders of the previous owner have ended

Cause: a run that is placed in the store but missing from the worker's first list counted as lost at once after a takeover. A start order of the previous owner could still be on its way. A worker that restarts before it arrives has not seen the new owner's epoch and starts the run, which the new owner has placed elsewhere meanwhile.

Evidence: LateCallsAcrossRestartsTest anOrderOfThePreviousOwnerDoesNotStartATaskThatTheNewOwnerHasPlacedAgain failed before with 'runs twice at 1500' in the simulation, where an order finds its worker by identifier, and passes now. With real connections it needs an order that is sent over a new connection after the restart and arrives within 0.3 s after the takeover; no play has shown it.

Change: a missing adopted run is kept until the time limit of an order has passed since the takeover, then listed once more. It delays the tasks whose order the previous owner did not get out by up to 0.3 s. The time limit is one constant now, which CallTimeouts uses as well.

ClosedDomainTest.aDecisionOfTheOwnerBeforeIsNotCarriedOutAgain listed the worker 10 ms after the takeover and expected a start. It now expects none then, and the same start after the second list.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/CallTimeouts.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/CallTimeouts.java
@@ -1,5 +1,7 @@
 package dev.bambootray.daemon.jobs;
 
+import dev.bambootray.jobs.scheduling.SchedulerTimes;
+
 /** Timeouts of calls to the platform's store and to workers, in milliseconds. */
 final class CallTimeouts {
   /**
@@ -7,7 +9,7 @@
    * command without an answer is resolved by a stop, which costs less than keeping an urgent job
    * waiting for the answer.
    */
-  static final long ORDER_MS = 300;
+  static final long ORDER_MS = SchedulerTimes.ORDER_TIMEOUT_MS;
 
   /** Time added to the requested wait of a hold call to get its timeout. */
   static final long HOLD_MARGIN_MS = 900;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -170,7 +170,7 @@
         onEnd(worker, end, now);
       }
     }
-    dropUnlisted(worker, known, sentMs, now);
+    long keptUntilMs = dropUnlisted(worker, known, sentMs, now);
     worker.silentSinceMs = -1;
     if (hasNewEnds) {
       worker.ends.storeWith(state.batches.latestChangeBatch());
@@ -180,10 +180,10 @@
       state.planWanted = true;
     }
     // A worker with unacknowledged ends answers at once, so calls without new ends need a delay.
+    worker.refreshWanted |= keptUntilMs > 0;
+    boolean unacknowledged = !hasNewEnds && !listed.ended().isEmpty();
     worker.nextCallMs =
-        hasNewEnds || listed.ended().isEmpty()
-            ? 0
-            : now.ms() + WorkerPoller.UNACKNOWLEDGED_RETRY_MS;
+        unacknowledged ? now.ms() + WorkerPoller.UNACKNOWLEDGED_RETRY_MS : keptUntilMs;
   }
 
   private void onRunning(WorkerState worker, ListedRun running, long sentMs, EventTime now) {
@@ -225,8 +225,13 @@
     runs.finish(placement, end.cause(), end.checkpoint(), now);
   }
 
-  /** Ends the runs that are missing from a list that is recent enough to contain them. */
-  private void dropUnlisted(WorkerState worker, Set<RunName> known, long sentMs, EventTime now) {
+  /**
+   * Ends the runs that are missing from a list that is recent enough to contain them.
+   *
+   * @return time of the next list that tells whether adopted runs are there, 0 if none is needed
+   */
+  private long dropUnlisted(WorkerState worker, Set<RunName> known, long sentMs, EventTime now) {
+    long keptUntilMs = 0;
     List<Placement> crashed = new ArrayList<>();
     for (Placement placement : worker.placements.values()) {
       boolean restarted = placement.workerBornMs != worker.bornMs;
@@ -244,7 +249,15 @@
         continue;
       }
       switch (placement.phase) {
-        case ADOPTING -> runs.onLost(placement, "not at the worker at takeover", now);
+        case ADOPTING -> {
+          // An order of the previous owner may still reach the next process of the worker.
+          long ordersEndMs = placement.phaseSinceMs + SchedulerTimes.ORDER_TIMEOUT_MS;
+          if (sentMs < ordersEndMs) {
+            keptUntilMs = Math.max(keptUntilMs, ordersEndMs);
+          } else {
+            runs.onLost(placement, "not at the worker at takeover", now);
+          }
+        }
         case RUNNING -> onRunMissing(placement, restarted, now);
         case STOPPING -> {
           if (placement.stopConfirmed) {
@@ -256,6 +269,7 @@
       }
     }
     crashes.onCrashed(worker, crashed, now);
+    return keptUntilMs;
   }
 
   private void onRunMissing(Placement placement, boolean restarted, EventTime now) {
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
@@ -259,6 +259,9 @@
           "b");
       nowMs += 10;
       list(worker("a"), List.of());
+      assertEquals(List.of(), startedAt());
+      nowMs += SchedulerTimes.ORDER_TIMEOUT_MS;
+      list(worker("a"), List.of());
       storeBatches();
       assertEquals(List.of("w-b"), startedAt());
     }
--- a/standins/src/test/java/dev/bambootray/standins/jobs/LateCallsAcrossRestartsTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/LateCallsAcrossRestartsTest.java
@@ -59,6 +59,30 @@
     assertEquals(1, rig.starts);
   }
 
+  /** The next process has not seen the epoch of the new owner, whose first list was too early. */
+  @Test
+  void anOrderOfThePreviousOwnerDoesNotStartATaskThatTheNewOwnerHasPlacedAgain() {
+    rig.pool.transport().delayNextStartOrders(1, 250);
+    rig.submit("job", 1, 2_000, SchedulerRig.tasks(1, 2));
+    rig.run(ORDERED_MS + 10);
+    String worker = orderedWorker("job");
+    rig.pool.takeOver();
+    rig.drain(worker);
+    rig.run(240);
+    rig.pool.restart(worker, 0, 10);
+    rig.run(10_000);
+    assertEquals(JobPhase.COMPLETED, rig.phase("job"), () -> rig.decisionsAbout("job"));
+  }
+
+  private String orderedWorker(String job) {
+    String line =
+        rig.pool.decisions().stream()
+            .filter(decision -> decision.contains(" " + job + " place "))
+            .findFirst()
+            .orElseThrow();
+    return line.replaceAll(".*workers=\\[(\\w+)\\].*", "$1");
+  }
+
   private List<SimulatedPoolWorker> busyWorkers() {
     return rig.pool.workers().stream().filter(worker -> !worker.runs().isEmpty()).toList();
   }
