Ignore a late registry entry of a process that was replaced

Cause: an entry with a later start than the known one counts as a restart. If the wall clock of a machine goes back between two starts of a worker, an entry of the earlier process that arrives late has the later start. The owner then called its address, where another worker refused, and took the runs of the present process for lost.

Change: a worker remembers the starts of the processes that a later one has replaced, and an entry with such a start is ignored, address included. Ruled out: to trust no entry before its process has listed its runs; a worker that crashes twice would keep its runs until their leases end, up to 10 s.

thatALateEntryNamesKeepTheRuns used an entry of the replaced process, which is not called any more; it now uses one of a process that the owner never knew, and keeps its other assertions.

Left: a late entry with a later start of a process that ended before the owner took over.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -38,6 +38,11 @@
       worker = new WorkerState(entry);
       state.workers.put(entry.id(), worker);
       state.logDecision(entry.id(), "worker listed service=" + entry.service());
+    } else if (worker.isFormerProcess(entry.bornMs())) {
+      state.logDecision(
+          entry.id(),
+          "late entry ignored born_ms=" + entry.bornMs() + " known_ms=" + worker.bornMs);
+      return;
     } else if (entry.bornMs() != worker.entry.bornMs() && worker.isAnotherProcess(entry.bornMs())) {
       restarted = true;
       onOtherProcessListed(worker, entry.bornMs(), now);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -3,8 +3,10 @@
 import dev.bambootray.core.model.Resources;
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.worker.WorkerEntry;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Tracks the state of a worker on the owner. */
@@ -36,6 +38,9 @@
   /** Start of its process as far as the owner knows it, 0 if unknown. */
   long bornMs;
 
+  /** Starts of earlier processes that a later one has replaced. */
+  private final Set<Long> formerBornMs = new HashSet<>();
+
   final EndAcknowledgements ends = new EndAcknowledgements();
   final ProcessConnection connection = new ProcessConnection();
 
@@ -118,6 +123,11 @@
     return otherBornMs > 0 && bornMs > 0 && otherBornMs != bornMs;
   }
 
+  /** Returns whether a start time is that of a process that another one has replaced. */
+  boolean isFormerProcess(long otherBornMs) {
+    return formerBornMs.contains(otherBornMs);
+  }
+
   boolean isUsable(long nowMs) {
     return acceptsRuns() && adopted && failedCalls == 0 && nowMs >= pausedUntilMs;
   }
@@ -237,8 +247,11 @@
             .toList();
   }
 
-  /** Resets the state after a restart of the worker. */
+  /** Resets the state after a restart of the worker; 0 if the next process is not known. */
   void restart(long newBornMs) {
+    if (bornMs > 0 && newBornMs > 0) {
+      formerBornMs.add(bornMs);
+    }
     bornMs = newBornMs;
     adopted = false;
     ends.restart();
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
@@ -182,12 +182,12 @@
       assertEquals(1, scheduler.load().runs());
     }
 
-    /** The registry may show an entry of the previous process after one of the known process. */
+    /** The registry may show an entry of a process that ended before the owner took over. */
     @Test
     void thatALateEntryNamesKeepTheRuns() {
       startAndMove();
       RunName run = starts.get(starts.size() - 1).run();
-      handle(new JobEvent.WorkerListed(FIRST));
+      handle(new JobEvent.WorkerListed(worker(45, FIRST.address())));
       HoldReply refreshed =
           new HoldReply.Listed(
               SECOND_CLOCK_MS + 20, MOVED.bornMs(), 1, List.of(running(run)), List.of());
@@ -195,8 +195,7 @@
       list(MOVED, SECOND_CLOCK_MS + 20, List.of(running(run)), List.of(), nowMs);
       JobEffect.HoldWorker hold = holds.get(holds.size() - 1);
       assertEquals(FIRST.address(), hold.worker().address());
-      handle(
-          new JobEvent.HoldAnswered(hold.worker(), new HoldReply.WorkerRestarted(), nowMs, false));
+      refuse(hold);
       assertEquals(1, scheduler.load().runs());
       handle(new JobEvent.WorkerListed(MOVED));
       advance(500);
@@ -204,6 +203,27 @@
       assertEquals(MOVED.address(), hold.worker().address());
     }
 
+    /** The clock of the machine went back, so that the entry seems to announce a restart. */
+    @Test
+    void thatALateEntryWithALaterStartNamesKeepTheRuns() {
+      WorkerEntry moved = worker(40, "10.0.0.2:80");
+      list(moved, FIRST, SECOND_CLOCK_MS, List.of(), List.of(), nowMs);
+      handle(new JobEvent.WorkerListed(moved));
+      JobEffect.StartRun order = start("j");
+      handle(new JobEvent.StartAnswered(order.worker(), order.run(), STARTED));
+      holds.clear();
+      handle(new JobEvent.WorkerListed(FIRST));
+      List.copyOf(holds).stream()
+          .filter(hold -> hold.worker().address().equals(FIRST.address()))
+          .forEach(this::refuse);
+      assertEquals(1, scheduler.load().runs());
+    }
+
+    private void refuse(JobEffect.HoldWorker hold) {
+      handle(
+          new JobEvent.HoldAnswered(hold.worker(), new HoldReply.WorkerRestarted(), nowMs, false));
+    }
+
     /** Lets the worker return at another address, where it runs a task. */
     private JobEffect.StartRun startAndMove() {
       JobEffect.StartRun first = start("j");
