Note that a gang has begun also if only a list shows it

Found by reading: a start that gets no answer is confirmed by a list, and runs of the previous owner are. Such a gang did not count as begun, so that it would take any rack at once when it had to start again, where it runs three times as long. StepInstanceTest beginsAnewAfterAStartThatOnlyAListHasShown pins it.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
@@ -85,9 +85,9 @@
     }
   }
 
-  /** Records that one of its runs has started. */
+  /** Records that one of its runs is known to have started. */
   void onRunStarted() {
-    begun |= tasks.stream().allMatch(Task::isRunConfirmed);
+    begun |= tasks.stream().allMatch(Task::isRunning);
   }
 
   /** Returns since when its tasks have been waiting to begin, or to begin again. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Task.java
@@ -48,8 +48,8 @@
     return isReady() && !crashes.isolated;
   }
 
-  /** Returns whether its worker has confirmed the current run. */
-  boolean isRunConfirmed() {
-    return placements.stream().anyMatch(run -> run.confirmed && run.isCurrent());
+  /** Returns whether its worker has confirmed or listed the current run. */
+  boolean isRunning() {
+    return placements.stream().anyMatch(run -> (run.confirmed || run.listed) && run.isCurrent());
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -209,6 +209,7 @@
     if (placement.phase == Phase.STARTING || placement.phase == Phase.ADOPTING) {
       placement.enterPhase(Phase.RUNNING, now.ms());
       placement.percentSinceMs = now.ms();
+      placement.task.step.onRunStarted();
     }
     if (placement.percent != running.percent()) {
       placement.percent = running.percent();
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/StepInstanceTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/StepInstanceTest.java
@@ -75,7 +75,26 @@
       assertEquals(3_000, step.waitingSinceMs());
     }
 
+    /** Guards against a gang that takes any rack at once because a start got no answer. */
+    @Test
+    void beginsAnewAfterAStartThatOnlyAListHasShown() {
+      StepInstance step = step(Schedule.ONCE);
+      step.becomeReady(at(HEARD_MS));
+      start(step.tasks.get(0));
+      Placement listed = place(step.tasks.get(1));
+      listed.listed = true;
+      step.onRunStarted();
+      step.readySinceMs = -1;
+      step.becomeReady(at(3_000));
+      assertEquals(3_000, step.waitingSinceMs());
+    }
+
     private void start(Task task) {
+      place(task).confirmed = true;
+      task.step.onRunStarted();
+    }
+
+    private static Placement place(Task task) {
       WorkerEntry entry =
           new WorkerEntry("w", "s", "a:1", "z", "r", Set.of(), new Resources(8, 8, 8), 1, false);
       task.state = State.PLACED;
@@ -83,9 +102,8 @@
       Placement placement =
           new Placement(
               task, new RunName(task.name, 1), new WorkerState(entry), Phase.RUNNING, HEARD_MS);
-      placement.confirmed = true;
       task.placements.add(placement);
-      task.step.onRunStarted();
+      return placement;
     }
   }
 }
