--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -234,7 +234,7 @@
     if (event instanceof JobEvent.StartAnswered answered) {
       onStart(worker, answered, current, now);
       if (!worker.refreshWanted) {
-        return;
+        return; // Only an unanswered order makes a call due.
       }
     } else if (event instanceof JobEvent.StopAnswered answered) {
       boolean confirmed = answered.confirmed() && current;
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeCheck.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeDeadlineCheck.java
@@ -13,7 +13,7 @@
  * Checks that a job of priority 0 begins all tasks of its first step in time while all such jobs of
  * its workspace need no more than the guarantee, as the platform's rule RECLAIM demands.
  */
-final class GuaranteeCheck {
+final class GuaranteeDeadlineCheck {
   /** Time between two checks. */
   static final long INTERVAL_MS = 50;
 
@@ -31,7 +31,7 @@
 
   private long disturbedMs = -NEAR_DISTURBANCE_MS;
 
-  GuaranteeCheck(PoolSimulation pool) {
+  GuaranteeDeadlineCheck(PoolSimulation pool) {
     this.pool = pool;
   }
 
--- a/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/GuaranteeInTimeTest.java
@@ -16,6 +16,18 @@
   /** Time that the strictest deployment allows to meet a guarantee. */
   private static final long RECLAIM_MS = 2_900;
 
+  /** Returns a full pool in which no rack has two workers that can be reclaimed. */
+  private static SchedulerRig withAGuaranteedGangOnEachOfTwoRacks() {
+    SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
+    rig.submit("first", 0, 60_000, gang(3, 8));
+    rig.run(500);
+    rig.submit("second", 0, 60_000, gang(3, 8));
+    rig.run(500);
+    rig.submit("borrowed", 2, 60_000, tasks(16, 1));
+    rig.run(1_000);
+    return rig;
+  }
+
   private static void assertStartsInTime(SchedulerRig rig, String job) {
     rig.run(RECLAIM_MS);
     assertTrue(rig.hasStarted(job), () -> rig.decisionsAbout(job));
@@ -26,13 +38,7 @@
     /** The gang reserved workers in its first round, which hid that it had no place. */
     @Test
     void doNotKeepACoveredGangFromReclaiming() {
-      SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
-      rig.submit("first", 0, 60_000, gang(3, 8));
-      rig.run(500);
-      rig.submit("second", 0, 60_000, gang(3, 8));
-      rig.run(500);
-      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
-      rig.run(1_000);
+      SchedulerRig rig = withAGuaranteedGangOnEachOfTwoRacks();
       rig.submit("third", 0, 1_000, gang(2, 8));
       assertStartsInTime(rig, "third");
     }
@@ -121,13 +127,7 @@
     /** The gang waited for a rack from the time at which the owner heard of it. */
     @Test
     void beginWithTheAcceptanceOfTheJob() {
-      SchedulerRig rig = SchedulerRig.owned(8, 4, 64);
-      rig.submit("first", 0, 60_000, gang(3, 8));
-      rig.run(500);
-      rig.submit("second", 0, 60_000, gang(3, 8));
-      rig.run(500);
-      rig.submit("borrowed", 2, 60_000, tasks(16, 1));
-      rig.run(1_000);
+      SchedulerRig rig = withAGuaranteedGangOnEachOfTwoRacks();
       long heardAfterMs = 1_200;
       rig.submitWithDelayedEvent("third", 0, 1_000, heardAfterMs, gang(2, 8));
       rig.run(RECLAIM_MS - heardAfterMs);
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -35,7 +35,7 @@
   final PoolSimulation pool;
   private final List<String> started = new ArrayList<>();
   private final Map<TaskName, Integer> acknowledgedRuns = new HashMap<>();
-  private final GuaranteeCheck guarantees;
+  private final GuaranteeDeadlineCheck guarantees;
   int starts;
 
   /** Returns a rig with an owner and workers of eight accelerators. */
@@ -65,7 +65,7 @@
 
   SchedulerRig(long seed) {
     pool = new PoolSimulation(seed, SchedulingPolicy.STANDARD, this);
-    guarantees = new GuaranteeCheck(pool);
+    guarantees = new GuaranteeDeadlineCheck(pool);
   }
 
   SchedulerRig workers(int count, int perRack, Resources capacity) {
@@ -135,7 +135,7 @@
   void run(long forMs) {
     long endMs = pool.nowMs() + forMs;
     while (pool.nowMs() < endMs) {
-      pool.run(Math.min(GuaranteeCheck.INTERVAL_MS, endMs - pool.nowMs()));
+      pool.run(Math.min(GuaranteeDeadlineCheck.INTERVAL_MS, endMs - pool.nowMs()));
       guarantees.check();
     }
   }
