--- a/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
+++ b/bench/src/test/java/dev/bambootray/bench/jobs/JobReplayTest.java
@@ -55,7 +55,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void firstDeploymentIsServedBetterWithFailingWorkers() {
       assertBetter(JobDeployment.first(), LoadPattern.FAILING_WORKERS);
     }
