Take a process for replaced only once its successor has listed its runs

Found by reading the whole change: an invalid registry entry with another start made the owner remember the true process as replaced, so that its corrected entry was ignored. The owner went on calling the address of the invalid entry, and a later draining entry would not have counted.

Cause: remembered a start as former when an entry announced a restart, which an entry alone does not prove.

Evidence: OutdatedAnswersTest thatAnInvalidEntryNamesAreForgottenWithTheNextEntry failed before (the call went to 10.0.0.9:80) and passes now.

Change: a start counts as former once a later process has listed its runs, and never while it is that of the known process.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -154,6 +154,7 @@
       onRestart(worker, listed.bornMs(), "list", now);
     }
     worker.bornMs = listed.bornMs() > 0 ? listed.bornMs() : worker.bornMs;
+    worker.confirmProcess();
     worker.connection.onListed(listed.connection(), answered.refresh());
     if (worker.failedCalls > 0) {
       state.logDecision(worker.id(), "worker answers again after failures=" + worker.failedCalls);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -38,9 +38,12 @@
   /** Start of its process as far as the owner knows it, 0 if unknown. */
   long bornMs;
 
-  /** Starts of earlier processes that a later one has replaced. */
+  /** Starts of earlier processes; a later one has listed its runs since. */
   private final Set<Long> formerBornMs = new HashSet<>();
 
+  /** Starts of processes that count as replaced, perhaps because of an invalid entry only. */
+  private final Set<Long> replacedBornMs = new HashSet<>();
+
   final EndAcknowledgements ends = new EndAcknowledgements();
   final ProcessConnection connection = new ProcessConnection();
 
@@ -123,6 +126,13 @@
     return otherBornMs > 0 && bornMs > 0 && otherBornMs != bornMs;
   }
 
+  /** Notes that the known process has listed its runs, so that it has replaced the others. */
+  void confirmProcess() {
+    formerBornMs.addAll(replacedBornMs);
+    replacedBornMs.clear();
+    formerBornMs.remove(bornMs);
+  }
+
   /** Returns whether a start time is that of a process that another one has replaced. */
   boolean isFormerProcess(long otherBornMs) {
     return formerBornMs.contains(otherBornMs);
@@ -250,7 +260,7 @@
   /** Resets the state after a restart of the worker; 0 if the next process is not known. */
   void restart(long newBornMs) {
     if (bornMs > 0 && newBornMs > 0) {
-      formerBornMs.add(bornMs);
+      replacedBornMs.add(bornMs);
     }
     bornMs = newBornMs;
     adopted = false;
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
@@ -219,6 +219,18 @@
       assertEquals(1, scheduler.load().runs());
     }
 
+    /** Guards against ignoring the entries of a process that only an invalid entry replaced. */
+    @Test
+    void thatAnInvalidEntryNamesAreForgottenWithTheNextEntry() {
+      handle(new JobEvent.WorkerListed(worker(70, "10.0.0.9:80")));
+      JobEffect.HoldWorker astray = holds.get(holds.size() - 1);
+      handle(new JobEvent.WorkerListed(FIRST));
+      HoldReply silent = new HoldReply.Failed("no answer");
+      handle(new JobEvent.HoldAnswered(astray.worker(), silent, nowMs, false));
+      advance(500);
+      assertEquals(FIRST.address(), holds.get(holds.size() - 1).worker().address());
+    }
+
     private void refuse(JobEffect.HoldWorker hold) {
       handle(
           new JobEvent.HoldAnswered(hold.worker(), new HoldReply.WorkerRestarted(), nowMs, false));
