--- a/review/4/LapsedEntries.java
+++ b/review/4/LapsedEntries.java
@@ -13,6 +13,7 @@
   private static final int FULL_WORKERS = 9;
   private static final int WAITING_JOBS = 36;
   private static final int LATE_JOBS = 3;
+  private static final String IDLE_WORKER = "i-0000000009";
   private static final long OUTAGE_MS = 4_500;
   private static final long SETTLE_MS = 5_000;
   private static final long FINISH_MS = 14_000;
@@ -29,7 +30,7 @@
     for (int worker = 0; worker < FULL_WORKERS; worker++) {
       harness.worker("i-000000000" + worker, 32_000, 65_536, 8, "a,r1-1").start();
     }
-    harness.worker("i-0000000009", 32_000, 65_536, 8, "b,r1-2").start();
+    harness.worker(IDLE_WORKER, 32_000, 65_536, 8, "b,r1-2").start();
     for (int node = 1; node <= 3; node++) {
       harness.startNode("front-a-" + node);
     }
@@ -43,6 +44,11 @@
       harness.submit(String.format("a%015x", job), requiring("a", body));
     }
     Thread.sleep(1_000);
+    // The entry of the idle worker is then not the first one to expire.
+    while (harness.store.reportAgeMs(IDLE_WORKER) < 200
+        || harness.store.reportAgeMs(IDLE_WORKER) > 600) {
+      Thread.sleep(10);
+    }
     harness.store.setDown(trouble);
     harness.note(trouble ? "the store answers 503 from now on" : "no disruption");
     Thread.sleep(OUTAGE_MS);
--- a/review/standin/Harness.java
+++ b/review/standin/Harness.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -65,7 +66,13 @@
     }
   }
 
+  private static final int FIRST_PORT = 20_000;
+  private static final int BLOCK_PORTS = 200;
+  private static final int BLOCKS = 50;
+
   final Store store;
+  private final ServerSocket block = takeBlock();
+  private int nextPort = block.getLocalPort() + 1;
   private final Path root;
   private final Path folder;
   private final Path record;
@@ -245,22 +252,18 @@
     return process;
   }
 
-  private static int freePort() {
+  private int freePort() {
     return freeRange(1);
   }
 
-  /** Returns the first of a number of free ports, below those that the system gives to clients. */
-  private static int freeRange(int count) {
+  /** Returns the first of a number of free ports of this harness, which no other harness uses. */
+  private int freeRange(int count) {
     while (true) {
-      int first = 20_000 + (int) (Math.random() * 10_000);
+      int first = nextPort;
+      nextPort += count;
       boolean free = true;
       for (int port = first; port < first + count && free; port++) {
-        try (ServerSocket socket =
-            new ServerSocket(port, 1, java.net.InetAddress.getLoopbackAddress())) {
-          free = socket.isBound();
-        } catch (IOException e) {
-          free = false;
-        }
+        free = isFree(port);
       }
       if (free) {
         return first;
@@ -268,6 +271,30 @@
     }
   }
 
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /**
+   * Takes a block of ports below those that the system gives to clients, by listening on the first
+   * of them until the harness ends.
+   */
+  private static ServerSocket takeBlock() throws IOException {
+    for (int attempt = 0; attempt < 1_000; attempt++) {
+      int first = FIRST_PORT + BLOCK_PORTS * (int) (Math.random() * BLOCKS);
+      try {
+        return new ServerSocket(first, 1, InetAddress.getLoopbackAddress());
+      } catch (IOException e) {
+        // Another harness has this block.
+      }
+    }
+    throw new IOException("no block of ports is free");
+  }
+
   /** Waits until all nodes and workers serve, or fails with exit code 2. */
   void awaitReady() throws InterruptedException {
     long endMs = Json.steadyMs() + 30_000;
@@ -473,6 +500,7 @@
       }
     }
     store.stop();
+    block.close();
     if (System.getenv("KEEP") != null) {
       System.err.println("kept " + folder);
       return;
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -87,6 +87,11 @@
     entriesExpire = true;
   }
 
+  /** Returns how long ago a worker has reported. */
+  long reportAgeMs(String id) {
+    return Json.steadyMs() - reportedMs.getOrDefault(id, Long.MIN_VALUE / 2);
+  }
+
   private void expireEntries() {
     while (true) {
       try {
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -31,7 +31,7 @@
   private static final long STOP_MS = 300;
   private static final long CHECKPOINT_MS = 500;
   private static final long STARTUP_MS = 500;
-  private static final long REPORT_RETRY_MS = 100;
+  private static final long REPORT_RETRY_MS = 50;
   private static final long BEAT_MS = 1_500;
 
   private static final class Run {
