Keep runs that a cut-off list of ends may have left out

Cause: workers list unacknowledged ends 500 at a time. While the store is away no end can be acknowledged, so later ends are not listed. The handling of a list took a run that is neither running nor ended for lost, and started its task again. The same held at a takeover (ADOPTING), for runs whose stop was confirmed and for unanswered starts; a longer outage would have stopped such runs as stalled.

Change: a list says whether its ends may be cut off, and such a list ends no run and does not count as missing progress. The next complete list decides. The simulated worker, which the soak uses too, lists at most 500 ends. FinishedTaskCheck finds a start after an end that is acknowledged only later, in every test of SchedulerRig and in the soak.

Ruled out: an expired lease (calls renew it, no end has the cause lapsed).

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/WorkerCallsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/WorkerCallsTest.java
@@ -169,7 +169,7 @@
 
     @Test
     void areAnsweredWithTheTimeOfTheCall() {
-      HoldReply reply = new HoldReply.Listed(1, 1, 1, List.of(), List.of());
+      HoldReply reply = new HoldReply.Listed(1, 1, 1, List.of(), List.of(), false);
       calls.hold(HOLD, EPOCH, SENT_MS);
       gateway.hold.complete(reply);
       assertEquals(
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -176,7 +176,12 @@
         onEnd(worker, end, now);
       }
     }
-    long keptUntilMs = dropUnlisted(worker, known, sentMs, now);
+    long keptUntilMs = 0;
+    if (listed.endsCutOff()) {
+      keepUnlisted(worker, known, now);
+    } else {
+      keptUntilMs = dropUnlisted(worker, known, sentMs, now);
+    }
     worker.silentSinceMs = -1;
     if (hasNewEnds) {
       worker.ends.storeWith(state.batches.latestChangeBatch());
@@ -232,12 +237,28 @@
     runs.finish(placement, end.cause(), end.checkpoint(), now);
   }
 
+  /** Keeps the runs that are missing from a list without all ends: it may lack theirs. */
+  private void keepUnlisted(WorkerState worker, Set<RunName> known, EventTime now) {
+    int missing = 0;
+    for (Placement placement : worker.placements.values()) {
+      if (!known.contains(placement.run)) {
+        placement.percentSinceMs = now.ms(); // Its progress is not known.
+        missing++;
+      }
+    }
+    if (!worker.endsCutOff) {
+      worker.endsCutOff = true;
+      state.logDecision(worker.id(), "list of ends cut off runs_not_listed=" + missing);
+    }
+  }
+
   /**
    * Ends the runs that are missing from a list that is recent enough to contain them.
    *
    * @return time of the next list that tells whether adopted runs are there, 0 if none is needed
    */
   private long dropUnlisted(WorkerState worker, Set<RunName> known, long sentMs, EventTime now) {
+    worker.endsCutOff = false;
     long keptUntilMs = 0;
     List<Placement> crashed = new ArrayList<>();
     for (Placement placement : worker.placements.values()) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -35,6 +35,9 @@
   /** Whether it has reported its runs to this owner. */
   boolean adopted;
 
+  /** Whether its newest list of runs lacked ends for want of space. */
+  boolean endsCutOff;
+
   /** Start of its process as far as the owner knows it, 0 if unknown. */
   long bornMs;
 
--- a/jobs/src/main/java/dev/bambootray/jobs/worker/HoldReply.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/worker/HoldReply.java
@@ -11,10 +11,16 @@
    * @param bornMs start of the worker's process in milliseconds since the epoch, 0 if unknown
    * @param connection identity of the connection over which the list came, 0 if unknown
    * @param running runs at the worker
-   * @param ended ends of runs that were not acknowledged
+   * @param ended ends of runs that were not acknowledged, oldest first
+   * @param endsCutOff whether {@code ended} is full, so that further ends may be missing from it
    */
   record Listed(
-      long clockMs, long bornMs, long connection, List<ListedRun> running, List<RunEnd> ended)
+      long clockMs,
+      long bornMs,
+      long connection,
+      List<ListedRun> running,
+      List<RunEnd> ended,
+      boolean endsCutOff)
       implements HoldReply {
     /** Copies the lists. */
     public Listed {
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ClosedDomainTest.java
@@ -109,7 +109,7 @@
   private void list(WorkerEntry worker, List<ListedRun> running) {
     handle(
         new JobEvent.HoldAnswered(
-            worker, new HoldReply.Listed(nowMs, 1, 1, running, List.of()), nowMs, false));
+            worker, new HoldReply.Listed(nowMs, 1, 1, running, List.of(), false), nowMs, false));
   }
 
   private void submit(String id, int tasks, int accelerators, boolean gang) {
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/OutdatedAnswersTest.java
@@ -86,7 +86,7 @@
       List<RunEnd> ended,
       long sentMs) {
     HoldReply list =
-        new HoldReply.Listed(clockMs, process.bornMs(), process.bornMs(), running, ended);
+        new HoldReply.Listed(clockMs, process.bornMs(), process.bornMs(), running, ended, false);
     handle(new JobEvent.HoldAnswered(called, list, sentMs, false));
   }
 
@@ -190,7 +190,7 @@
       handle(new JobEvent.WorkerListed(worker(45, FIRST.address())));
       HoldReply refreshed =
           new HoldReply.Listed(
-              SECOND_CLOCK_MS + 20, MOVED.bornMs(), 1, List.of(running(run)), List.of());
+              SECOND_CLOCK_MS + 20, MOVED.bornMs(), 1, List.of(running(run)), List.of(), false);
       handle(new JobEvent.HoldAnswered(MOVED, refreshed, nowMs, true));
       list(MOVED, SECOND_CLOCK_MS + 20, List.of(running(run)), List.of(), nowMs);
       JobEffect.HoldWorker hold = holds.get(holds.size() - 1);
--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -5,8 +5,8 @@
 import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
+import dev.bambootray.standins.jobs.FinishedTaskCheck;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -47,7 +47,6 @@
     private String shown = "";
     private String shownBy = "";
     private final Set<TaskName> done = new HashSet<>();
-    private final Map<TaskName, RunName> noted = new HashMap<>();
     private final Set<String> checkpoints = new HashSet<>();
 
     private Entry(SoakJob job) {
@@ -56,6 +55,7 @@
   }
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final FinishedTaskCheck finishedTasks = new FinishedTaskCheck();
   private final Set<String> violations = new LinkedHashSet<>();
   private final Map<String, Integer> counts = new TreeMap<>();
   private long lastFaultMs = Long.MIN_VALUE / 2;
@@ -168,10 +168,7 @@
     if (same > 1) {
       violate(id, run + " starts at " + worker + " while the task runs elsewhere");
     }
-    RunName before = entry.noted.get(run.task());
-    if (before != null) {
-      violate(id, run + " starts at " + worker + " although " + before + " was noted as done");
-    }
+    finishedTasks.onStart(run).ifPresent(wrong -> violate(id, wrong + ", at " + worker));
     boolean calm = nowMs - lastFaultMs > CANCEL_MS;
     if (calm && nowMs - CANCEL_MS > entry.cancelledAtMs) {
       violate(id, run + " starts at " + worker + " long after the job was cancelled");
@@ -189,6 +186,7 @@
   /** Notes that a run has ended at its worker. */
   void ended(RunEnd end) {
     count("ends " + end.cause());
+    finishedTasks.onEnd(end);
     Entry entry = entries.get(end.run().task().job());
     if (entry != null && end.cause() == Cause.DONE) {
       entry.done.add(end.run().task());
@@ -197,10 +195,8 @@
 
   /** Notes an end that its worker may forget and that stands for good. */
   void noted(RunEnd end) {
-    Entry entry = entries.get(end.run().task().job());
-    if (entry != null && end.cause() == Cause.DONE) {
-      entry.noted.putIfAbsent(end.run().task(), end.run());
-    }
+    String id = end.run().task().job();
+    finishedTasks.onAcknowledged(end).ifPresent(wrong -> violate(id, wrong));
   }
 
   /** Notes a violation that is not about one job. */
--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -146,6 +146,25 @@
       assertViolation("was noted as done");
     }
 
+    @Test
+    void seesATaskThatStartsAgainBeforeItsEndIsNoted() {
+      RunEnd end = new RunEnd(1, run(0, 1), Cause.DONE, "");
+      book.ended(end);
+      start(run(0, 2), run(0, 2));
+      book.noted(end);
+      assertViolation("which is noted now");
+    }
+
+    @Test
+    void acceptsATaskThatStartsAgainAfterItsEndWasLost() {
+      book.ended(new RunEnd(1, run(0, 1), Cause.DONE, ""));
+      start(run(0, 1), run(0, 1));
+      RunEnd end = new RunEnd(1, run(0, 1), Cause.DONE, "");
+      book.ended(end);
+      book.noted(end);
+      assertEquals(List.of(), book.violations());
+    }
+
     @Test
     void seesAForeignJob() {
       book.started(
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
@@ -41,6 +41,9 @@
   /** Time to resume from a checkpoint on the platform. */
   private static final long RESUME_MS = 250;
 
+  /** Number of ends that a list has space for on the platform. */
+  static final int MAX_LISTED_ENDS = 500;
+
   /** Difference between the worker's clock and the owner's clock. */
   private static final long CLOCK_OFFSET_MS = 1_000_000;
 
@@ -291,8 +294,14 @@
     for (Run run : runs.values()) {
       running.add(new ListedRun(run.name, run.checkpoint(), run.percent()));
     }
+    List<RunEnd> listed = ends.subList(0, Math.min(MAX_LISTED_ENDS, ends.size()));
     return new HoldReply.Listed(
-        clockMs(nowMs), entry.bornMs(), connection, running, List.copyOf(ends));
+        clockMs(nowMs),
+        entry.bornMs(),
+        connection,
+        running,
+        listed,
+        listed.size() == MAX_LISTED_ENDS);
   }
 
   /**
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -11,13 +11,11 @@
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
-import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.scheduling.JobEffect;
 import dev.bambootray.jobs.scheduling.SchedulingPolicy;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -34,7 +32,7 @@
 
   final PoolSimulation pool;
   private final List<String> started = new ArrayList<>();
-  private final Map<TaskName, Integer> acknowledgedRuns = new HashMap<>();
+  private final FinishedTaskCheck finishedTasks = new FinishedTaskCheck();
   private final GuaranteeDeadlineCheck guarantees;
   int starts;
 
@@ -220,9 +218,7 @@
 
   @Override
   public void onAcknowledged(RunEnd end) {
-    if (end.cause() == Cause.DONE) {
-      acknowledgedRuns.putIfAbsent(end.run().task(), end.run().run());
-    }
+    finishedTasks.onAcknowledged(end).ifPresent(wrong -> fail(end.run(), wrong));
   }
 
   @Override
@@ -247,19 +243,22 @@
           same,
           () -> run + " runs twice at " + pool.nowMs() + decisionsAbout(run));
     }
-    Integer done = acknowledgedRuns.get(run.task());
-    assertTrue(
-        done == null, () -> run + " starts after run " + done + " was done" + decisionsAbout(run));
+    finishedTasks.onStart(run).ifPresent(wrong -> fail(run, wrong));
   }
 
   @Override
   public void onEnd(SimulatedPoolWorker worker, RunEnd end, double unsavedMs) {
+    finishedTasks.onEnd(end);
     // Near a fault the stop of the other members can be lost too, which the platform allows.
     assertTrue(
         end.cause() != Cause.ALONE || pool.nowMs() - pool.lastFaultMs() < NEAR_FAULT_MS,
         () -> end.run() + " ended because its gang did not start" + decisionsAbout(end.run()));
   }
 
+  private void fail(RunName run, String wrong) {
+    throw new AssertionError(wrong + " at " + pool.nowMs() + decisionsAbout(run));
+  }
+
   private String decisionsAbout(RunName run) {
     return decisionsAbout(run.task().job());
   }
