Let a job that stands still use capacity that is kept for a gang

Cause: a gang that does not fit and risks being late gets workers reserved until the runs there have ended. Less urgent steps may not use the idle ones among them, for as long as the longest of these runs, however little of the pool is in use.

Change: a job that has run nothing for 1.5 s, while less than half of each resource of its service is in use, gets one task, or one gang, on capacity that is reserved without stopping runs. The rest stays with the gang.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -61,6 +61,7 @@
   private final ValuePreemption preemption;
   private final StepPlacer placer;
   private final SuspectPlacer suspects;
+  private final StandstillPlacer standstills;
   private final GuaranteeMonitor guaranteeMonitor;
   private int victimSearchesLeft;
 
@@ -75,6 +76,7 @@
     preemption = new ValuePreemption(state.statistics, valueOrder);
     placer = new StepPlacer(state, runs, freeResources, gangPlanner);
     suspects = new SuspectPlacer(state, placer);
+    standstills = new StandstillPlacer(state, placer);
     guaranteeMonitor = new GuaranteeMonitor(state);
   }
 
@@ -101,8 +103,15 @@
     GuaranteeCoverage coverage =
         policy.isStandard() ? GuaranteeCoverage.of(state) : GuaranteeCoverage.none();
     List<StepInstance> waiting = waiting(coverage, now);
+    if (policy.isStandard()) {
+      standstills.place(
+          waiting, packing, freeResources, step -> mayTakeAnyRack(step, coverage, now), now);
+    }
     for (StepInstance step : waiting) {
       List<Task> ready = step.readyTasks();
+      if (ready.isEmpty()) {
+        continue; // Placed because its job stood still.
+      }
       if (step.isGang()) {
         placeGang(step, ready, coverage, now);
       } else {
--- /dev/null
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -0,0 +1,105 @@
+package dev.bambootray.jobs.scheduling;
+
+import dev.bambootray.core.model.Resources;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * Places jobs that stand still although most of their service is idle, on capacity that is kept for
+ * gangs which do not fit yet.
+ *
+ * <p>Such a job gets one task, or one gang, at a time: enough to make progress, while the rest of
+ * the capacity stays with the gang that waits for it.
+ */
+final class StandstillPlacer {
+  /**
+   * Time after which a job that runs nothing may use reserved capacity. The platform allows 3 s
+   * until a run has begun; the rest covers the store and an order that has to be repeated.
+   */
+  private static final long STANDSTILL_MS = 1_500;
+
+  private final SchedulerState state;
+  private final StepPlacer placer;
+  private final Map<Job, Long> stillSinceMs = new HashMap<>();
+
+  StandstillPlacer(SchedulerState state, StepPlacer placer) {
+    this.state = state;
+    this.placer = placer;
+  }
+
+  /**
+   * Places a part of each job that has stood still for too long.
+   *
+   * @param waiting all steps that have tasks to place, the most urgent first
+   * @param freeResources free resources without those that reclaims have freed for other steps
+   * @param mayTakeAnyRack returns whether a step may be placed on a slower rack
+   */
+  void place(
+      List<StepInstance> waiting,
+      PackingPolicy packing,
+      FreeResources freeResources,
+      Predicate<StepInstance> mayTakeAnyRack,
+      EventTime now) {
+    Set<Job> still = new HashSet<>();
+    Map<String, Boolean> mostlyIdle = new HashMap<>();
+    for (StepInstance step : waiting) {
+      if (mostlyIdle.computeIfAbsent(step.job.spec.service(), this::isMostlyIdle)
+          && runsNothing(step.job)) {
+        still.add(step.job);
+        long sinceMs = stillSinceMs.computeIfAbsent(step.job, job -> now.ms());
+        if (now.ms() - sinceMs >= STANDSTILL_MS && !state.reservations.isReclaim(step)) {
+          placePart(step, packing, freeResources, mayTakeAnyRack.test(step), now);
+        }
+      }
+    }
+    stillSinceMs.keySet().retainAll(still);
+  }
+
+  private void placePart(
+      StepInstance step,
+      PackingPolicy packing,
+      FreeResources freeResources,
+      boolean anywhere,
+      EventTime now) {
+    List<Task> ready = step.readyTasks();
+    List<Task> part = step.isGang() ? ready : ready.subList(0, 1);
+    Optional<Map<WorkerState, Integer>> places =
+        packing.find(step, part.size(), freeResources, anywhere);
+    if (places.isEmpty()) {
+      return;
+    }
+    state.reservations.remove(step);
+    placer.place(step, part, places.get(), now);
+  }
+
+  private static boolean runsNothing(Job job) {
+    return job.tasks().allMatch(task -> task.placements.isEmpty());
+  }
+
+  /** Returns whether less than half of each resource of a service is in use. */
+  private boolean isMostlyIdle(String service) {
+    List<WorkerState> workers =
+        state.workers.values().stream()
+            .filter(worker -> worker.entry.service().equals(service))
+            .toList();
+    return isMostlyIdle(workers, Resources::accelerators)
+        && isMostlyIdle(workers, Resources::millicores)
+        && isMostlyIdle(workers, Resources::memoryMib);
+  }
+
+  private static boolean isMostlyIdle(List<WorkerState> workers, ToIntFunction<Resources> amount) {
+    long free = 0;
+    long all = 0;
+    for (WorkerState worker : workers) {
+      free += amount.applyAsInt(worker.free());
+      all += amount.applyAsInt(worker.entry.capacity());
+    }
+    return all == 0 || 2 * free > all;
+  }
+}
