Let a job that stands still use other racks once the load has ended

Cause: a gang for one rack, and a task near its data, wait for the preferred rack for four run times, which is 44 s for runs of 11 s, also if no further job arrives and most of the pool is idle. The platform allows no job to run nothing beside idle capacity for 3 s from 14 s after the last job.

Change: once no job was accepted for 8 s, a job that stands still may use any rack. While jobs arrive it waits as before, since a slower rack would occupy capacity for three times as long.

IdleCapacityCheck is the rule itself: from 14 s after the end of the load, no job may run nothing for 3 s while a step that has its turn fits twice and less than half of the capacity is in use. SchedulerRig checks it in every test.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -12,7 +12,7 @@
 
 /**
  * Places jobs that stand still although most of their service is idle, on capacity that is kept for
- * gangs which do not fit yet.
+ * gangs which do not fit yet, and on slower racks once no further jobs arrive.
  *
  * <p>Such a job gets one task, or one gang, at a time: enough to make progress, while the rest of
  * the capacity stays with the gang that waits for it.
@@ -24,6 +24,12 @@
    */
   private static final long STANDSTILL_MS = 1_500;
 
+  /**
+   * Time without a new job after which waiting for a preferred rack has no more use for later jobs.
+   * The platform allows no job to stand still from 14 s after the last one.
+   */
+  private static final long LOAD_ENDED_MS = 8_000;
+
   private final SchedulerState state;
   private final StepPlacer placer;
   private final Map<Job, Long> stillSinceMs = new HashMap<>();
@@ -46,6 +52,8 @@
       FreeResources freeResources,
       Predicate<StepInstance> mayTakeAnyRack,
       EventTime now) {
+    boolean loadEnded =
+        state.jobs.values().stream().noneMatch(job -> now.ms() - job.acceptedMs < LOAD_ENDED_MS);
     Set<Job> still = new HashSet<>();
     Map<String, Boolean> mostlyIdle = new HashMap<>();
     for (StepInstance step : waiting) {
@@ -54,7 +62,8 @@
         still.add(step.job);
         long sinceMs = stillSinceMs.computeIfAbsent(step.job, job -> now.ms());
         if (now.ms() - sinceMs >= STANDSTILL_MS && !state.reservations.isReclaim(step)) {
-          placePart(step, packing, freeResources, mayTakeAnyRack.test(step), now);
+          boolean anywhere = loadEnded || mayTakeAnyRack.test(step);
+          placePart(step, packing, freeResources, anywhere, now);
         }
       }
     }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedPoolWorker.java
@@ -294,14 +294,10 @@
     for (Run run : runs.values()) {
       running.add(new ListedRun(run.name, run.checkpoint(), run.percent()));
     }
-    List<RunEnd> listed = ends.subList(0, Math.min(MAX_LISTED_ENDS, ends.size()));
+    boolean cutOff = ends.size() >= MAX_LISTED_ENDS;
+    List<RunEnd> listed = ends.stream().limit(MAX_LISTED_ENDS).toList();
     return new HoldReply.Listed(
-        clockMs(nowMs),
-        entry.bornMs(),
-        connection,
-        running,
-        listed,
-        listed.size() == MAX_LISTED_ENDS);
+        clockMs(nowMs), entry.bornMs(), connection, running, listed, cutOff);
   }
 
   /**
--- a/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/SchedulerRig.java
@@ -11,18 +11,22 @@
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.scheduling.JobEffect;
 import dev.bambootray.jobs.scheduling.SchedulingPolicy;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Runs a simulated pool and checks that no task runs twice at the same time, that no worker exceeds
  * its capacity, that no finished task starts again, that no run is ordered in a closed failure
- * domain, and that jobs within a guarantee start in time.
+ * domain, that jobs within a guarantee start in time, and that no job stands still beside idle
+ * capacity once the load has ended.
  */
 final class SchedulerRig implements PoolSimulation.Observer {
   /** Time after a fault during which the platform's rules for fault-free operation do not apply. */
@@ -34,6 +38,10 @@
   private final List<String> started = new ArrayList<>();
   private final FinishedTaskCheck finishedTasks = new FinishedTaskCheck();
   private final GuaranteeDeadlineCheck guarantees;
+  private final IdleCapacityCheck idleCapacity = new IdleCapacityCheck();
+  private final Set<TaskName> done = new HashSet<>();
+  private final Set<String> draining = new HashSet<>();
+  private long lastSubmitMs;
   int starts;
 
   /** Returns a rig with an owner and workers of eight accelerators. */
@@ -116,6 +124,7 @@
       SimulatedWork work,
       long delayMs,
       StepSpec... steps) {
+    lastSubmitMs = pool.nowMs();
     pool.submit(
         new JobSpec(
             id,
@@ -135,9 +144,42 @@
     while (pool.nowMs() < endMs) {
       pool.run(Math.min(GuaranteeDeadlineCheck.INTERVAL_MS, endMs - pool.nowMs()));
       guarantees.check();
+      checkIdleCapacity();
     }
   }
 
+  private void checkIdleCapacity() {
+    long disturbedMs =
+        Math.max(pool.lastFaultMs(), Math.min(pool.nowMs(), pool.disturbedUntilMs()));
+    boolean disturbed =
+        pool.nowMs() - disturbedMs < NEAR_FAULT_MS
+            || pool.nowMs() < pool.disturbedUntilMs()
+            || pool.workers().stream()
+                .anyMatch(w -> w.isUnreachable() || w.isFailing() || w.isHanging());
+    if (disturbed || pool.nowMs() - lastSubmitMs < IdleCapacityCheck.AFTER_LOAD_MS) {
+      idleCapacity.reset();
+      return;
+    }
+    Set<String> running = new HashSet<>();
+    pool.workers().forEach(w -> w.runs().forEach(run -> running.add(run.task().job())));
+    List<WaitingStep> waiting =
+        pool.jobs().stream()
+            .filter(job -> !phase(job.id()).isFinal() && !running.contains(job.id()))
+            .flatMap(job -> WaitingStep.of(job.id(), job.steps(), done::contains).stream())
+            .toList();
+    List<SimulatedPoolWorker> open = pool.workers().stream().filter(this::mayGetRuns).toList();
+    for (String found : idleCapacity.check(pool.nowMs(), waiting, open)) {
+      throw new AssertionError(found + " at " + pool.nowMs() + "\n" + pool.describe());
+    }
+  }
+
+  private boolean mayGetRuns(SimulatedPoolWorker worker) {
+    return !worker.isGone()
+        && pool.crashes().isListed(worker)
+        && !draining.contains(worker.entry().id())
+        && !pool.declaration().closedDomains().contains(worker.entry().zone());
+  }
+
   SimulatedPoolWorker worker(String id) {
     return pool.worker(id);
   }
@@ -157,6 +199,7 @@
 
   /** Marks a worker as draining; its runs continue. */
   void drain(String worker) {
+    draining.add(worker);
     pool.drain(worker);
   }
 
@@ -249,6 +292,9 @@
   @Override
   public void onEnd(SimulatedPoolWorker worker, RunEnd end, double unsavedMs) {
     finishedTasks.onEnd(end);
+    if (end.cause() == Cause.DONE) {
+      done.add(end.run().task());
+    }
     // Near a fault the stop of the other members can be lost too, which the platform allows.
     assertTrue(
         end.cause() != Cause.ALONE || pool.nowMs() - pool.lastFaultMs() < NEAR_FAULT_MS,
--- a/standins/src/test/java/dev/bambootray/standins/jobs/StandstillTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/StandstillTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.model.StepSpec;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -53,4 +55,50 @@
       assertEquals(0, rig.startsOf("small"), () -> rig.decisionsAbout("small"));
     }
   }
+
+  /** A step waits for the rack on which it is faster, although others are idle. */
+  @Nested
+  final class OnOtherRacks {
+    private static final long AFTER_LOAD_MS = IdleCapacityCheck.AFTER_LOAD_MS;
+
+    private final SchedulerRig rig = SchedulerRig.owned(15, 5, 0);
+
+    private static StepSpec.Builder slow(int tasks) {
+      return StepSpec.builder(tasks, new Resources(8, 2_000, 1_000)).estimateMs(11_000);
+    }
+
+    private void occupy(int workers, String rack) {
+      rig.submit("on " + rack, 1, LONG_MS, slow(workers).dataRack(rack).build());
+      rig.run(500);
+    }
+
+    @Test
+    void aGangForOneRackStartsOnceNoFurtherJobsArrive() {
+      occupy(2, "rack0");
+      occupy(2, "rack1");
+      occupy(2, "rack2");
+      rig.submit("near", 1, 5_000, slow(4).gang(true).sameRack(true).build());
+      rig.run(AFTER_LOAD_MS);
+      assertEquals(4, rig.startsOf("near"), () -> rig.decisionsAbout("near"));
+    }
+
+    @Test
+    void aTaskNearItsDataStartsElsewhereOnceNoFurtherJobsArrive() {
+      occupy(5, "rack1");
+      rig.submit("near", 1, 5_000, slow(1).dataRack("rack1").build());
+      rig.run(AFTER_LOAD_MS);
+      assertEquals(1, rig.startsOf("near"), () -> rig.decisionsAbout("near"));
+    }
+
+    @Test
+    void aTaskNearItsDataWaitsWhileFurtherJobsArrive() {
+      occupy(5, "rack1");
+      rig.submit("near", 1, 5_000, slow(1).dataRack("rack1").build());
+      for (int job = 0; job < 2; job++) {
+        rig.run(2_000);
+        rig.submit("later" + job, 1, 5_000, SchedulerRig.tasks(1, 1));
+      }
+      assertEquals(0, rig.startsOf("near"), () -> rig.decisionsAbout("near"));
+    }
+  }
 }
