Check in the soak that no job stands still beside idle capacity

The soak checked that each accepted job ends, which it does as soon as other capacity serves it. Large pools have twelve racks instead of racks of four workers.

--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -130,6 +130,7 @@
       case WORKER_HANGS -> hang(target, forMs);
       case WORKER_LEAVES -> workers.drain(target, forMs);
       case REGISTRY_ODD -> leaveOddEntries(forMs);
+      case REGISTRY_EXPIRES -> expireEntries(forMs);
       case CALLERS_RESET -> callerLinks.get(target).resetAll();
       case DECLARATION -> declare.run();
     }
@@ -212,6 +213,12 @@
     later(forMs, () -> model.setHanging(false));
   }
 
+  private void expireEntries(long forMs) {
+    disturb(Failure.REFUSES, forMs);
+    workers.expireEntries();
+    later(forMs, workers::renewEntries);
+  }
+
   private void leaveOddEntries(long forMs) {
     List<String> keys = store.leaveOddEntries();
     later(forMs, () -> keys.forEach(store::unregister));
--- a/soak/src/main/java/dev/bambootray/soak/FaultKind.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultKind.java
@@ -52,6 +52,8 @@
   WORKER_LEAVES(Scope.WORKER, false),
   /** Another writer leaves odd entries in the registry beside those of the workers. */
   REGISTRY_ODD(Scope.NODE, false),
+  /** The store refuses all calls, the entries of all workers expire and come back after it. */
+  REGISTRY_EXPIRES(Scope.NODE, false),
   /** The connections of callers to a node are reset. */
   CALLERS_RESET(Scope.NODE, false),
   /** The operator publishes another version of the configuration. */
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -34,6 +34,7 @@
       EnumSet.of(
           FaultKind.WORKER_WAVE,
           FaultKind.REGISTRY_ODD,
+          FaultKind.REGISTRY_EXPIRES,
           FaultKind.NODE_UPGRADE,
           FaultKind.NODE_DOWNGRADE);
 
@@ -78,6 +79,7 @@
     if (!isPlannedOnly(seed)) {
       faults.addAll(drawWaves(random.split(), FaultKind.WORKER_WAVE, workers, lengthMs));
       faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_ODD, nodes, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_EXPIRES, nodes, lengthMs));
     }
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -6,6 +6,9 @@
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import dev.bambootray.standins.jobs.FinishedTaskCheck;
+import dev.bambootray.standins.jobs.IdleCapacityCheck;
+import dev.bambootray.standins.jobs.SimulatedPoolWorker;
+import dev.bambootray.standins.jobs.WaitingStep;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -56,6 +59,11 @@
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final FinishedTaskCheck finishedTasks = new FinishedTaskCheck();
+  private final IdleCapacityCheck idleCapacity = new IdleCapacityCheck();
+
+  /** Jobs that are known to have stood still beside idle capacity. */
+  private final Set<String> stoodStill = new HashSet<>();
+
   private final Set<String> violations = new LinkedHashSet<>();
   private final Map<String, Integer> counts = new TreeMap<>();
   private long lastFaultMs = Long.MIN_VALUE / 2;
@@ -220,6 +228,41 @@
         .toList();
   }
 
+  /**
+   * Checks that no accepted job stands still beside idle capacity; to be called often.
+   *
+   * @param running runs at all workers
+   * @param open workers that may get runs
+   * @param loadEndMs time at which the last job was submitted
+   * @param nowMs the time
+   */
+  void checkIdleCapacity(
+      Collection<RunName> running,
+      Collection<SimulatedPoolWorker> open,
+      long loadEndMs,
+      long nowMs) {
+    if (nowMs - Math.max(loadEndMs, lastFaultMs) < IdleCapacityCheck.AFTER_LOAD_MS) {
+      idleCapacity.reset();
+      return;
+    }
+    Set<String> busy = new HashSet<>();
+    running.forEach(run -> busy.add(run.task().job()));
+    List<WaitingStep> waiting =
+        entries.values().stream()
+            .filter(entry -> entry.accepted && entry.cancelledAtMs == Long.MAX_VALUE)
+            .filter(entry -> !isFinal(entry.shown) && !busy.contains(entry.job.id()))
+            .flatMap(
+                entry ->
+                    WaitingStep.of(entry.job.id(), entry.job.steps(), entry.done::contains)
+                        .stream())
+            .toList();
+    for (String found : idleCapacity.check(nowMs, waiting, open)) {
+      if (stoodStill.add(found.substring(0, found.indexOf(' ')))) {
+        violate("t=" + nowMs, found);
+      }
+    }
+  }
+
   /** Checks what must hold after all faults have ended and work had time to end. */
   void settle(Collection<RunName> running) {
     for (Entry entry : entries.values()) {
--- a/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
@@ -30,7 +30,6 @@
   private static final long TIMEOUT_MS = 3_000;
   private static final long RETRY_MS = 700;
   private static final long POLL_MS = 700;
-  private static final double MEAN_GAP_MS = 250;
   private static final int MOST_ATTEMPTS = 8;
   private static final double GIVES_UP_SHARE = 0.5;
   private static final int LONGEST_PATIENCE_MS = 2_000;
@@ -54,6 +53,7 @@
   private final LongSupplier clock;
   private final Map<String, SoakJob> jobs;
   private final SplittableRandom random;
+  private final SoakLoad load;
   private final List<ConnectionPool> nodes = new ArrayList<>();
   private boolean plannedOnly;
   private boolean submitting = true;
@@ -63,6 +63,7 @@
    *
    * @param ports ports of the nodes
    * @param jobs receives each job before it is submitted
+   * @param load what is submitted
    */
   SoakCallers(
       EventLoop loop,
@@ -70,7 +71,9 @@
       LongSupplier clock,
       Map<String, SoakJob> jobs,
       List<Integer> ports,
-      long seed) {
+      long seed,
+      SoakLoad load) {
+    this.load = load;
     this.loop = loop;
     this.book = book;
     this.clock = clock;
@@ -98,11 +101,11 @@
     if (!submitting) {
       return;
     }
-    SoakJob job = SoakJob.draw(random);
+    SoakJob job = SoakJob.draw(random, load);
     jobs.put(job.id(), job);
     book.submitting(job);
     submit(job, 1);
-    later((long) (-Math.log(1 - random.nextDouble()) * MEAN_GAP_MS), this::submitNext);
+    later((long) (-Math.log(1 - random.nextDouble()) * load.meanGapMs()), this::submitNext);
   }
 
   private void submit(SoakJob job, int attempt) {
--- a/soak/src/main/java/dev/bambootray/soak/SoakJob.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakJob.java
@@ -26,24 +26,26 @@
     boolean cancelled) {
   private static final double POISON_SHARE = 0.05;
   private static final double CANCEL_SHARE = 0.1;
-  private static final int LONGEST_WORK_MS = 2_500;
-  private static final int MOST_TASKS = 6;
+  private static final int MIN_WORK_MS = 200;
 
   SoakJob {
     steps = List.copyOf(steps);
   }
 
-  /** Draws a job. */
-  static SoakJob draw(SplittableRandom random) {
+  /** Draws a job of a load. */
+  static SoakJob draw(SplittableRandom random, SoakLoad load) {
     String id = String.format("%016x", random.nextLong());
     List<StepSpec> steps = new ArrayList<>();
     int count = random.nextInt(4) == 0 ? 2 : 1;
     for (int index = 0; index < count; index++) {
       boolean gang = random.nextBoolean();
+      int tasks = 1 + random.nextInt(load.maxTasks());
+      int accelerators = gang ? 1 << random.nextInt(4) : 1;
+      if (gang) {
+        tasks = Math.min(tasks, Math.max(1, load.maxGangAccelerators() / accelerators));
+      }
       steps.add(
-          StepSpec.builder(
-                  1 + random.nextInt(MOST_TASKS),
-                  new Resources(gang ? 1 << random.nextInt(4) : 1, 2_000, 2_000))
+          StepSpec.builder(tasks, new Resources(accelerators, 2_000, 2_000))
               .after(index == 0 ? List.of() : List.of(index - 1))
               .estimateMs(1_000)
               .gang(gang)
@@ -51,7 +53,7 @@
               .checkpointing(random.nextBoolean())
               .build());
     }
-    long workMs = 200L + random.nextInt(LONGEST_WORK_MS);
+    long workMs = (long) MIN_WORK_MS + random.nextInt(load.maxWorkMs());
     boolean poisoned = random.nextDouble() < POISON_SHARE;
     return new SoakJob(
         id,
--- a/soak/src/main/java/dev/bambootray/soak/SoakMain.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakMain.java
@@ -85,6 +85,11 @@
       description = "Kinds of faults to leave out, such as those that a previous build fails.")
   private Set<FaultKind> without = EnumSet.noneOf(FaultKind.class);
 
+  @Option(
+      names = "--wide",
+      description = "Submit wide and long jobs, four times what the workers can serve.")
+  private boolean wide;
+
   @Option(
       names = "--keep",
       defaultValue = "target/soak",
@@ -137,7 +142,8 @@
         workers,
         seconds * 1_000L,
         settleSeconds * 1_000L,
-        without);
+        without,
+        wide ? SoakLoad.wide(workers) : SoakLoad.SMALL);
   }
 
   private List<Long> seedsToPlay() throws IOException {
--- a/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakOptions.java
@@ -15,6 +15,7 @@
  * @param faultsMs time within which faults begin
  * @param settleMs time for work to end after the last fault
  * @param without kinds of faults that are left out of the plan
+ * @param load what callers submit
  */
 record SoakOptions(
     Path jar,
@@ -24,7 +25,8 @@
     int workers,
     long faultsMs,
     long settleMs,
-    Set<FaultKind> without) {
+    Set<FaultKind> without,
+    SoakLoad load) {
   SoakOptions {
     without = Set.copyOf(without);
   }
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -23,7 +23,7 @@
 
 /** One run of the soak: real nodes, stand-ins around them, faults, and checks. */
 final class SoakRun {
-  private static final long CHECK_MS = 500;
+  private static final long CHECK_MS = 200;
 
   /** Time for the nodes to start and to agree on an owner before callers arrive. */
   private static final long LEAD_MS = 3_000;
@@ -97,7 +97,8 @@
       nodes.add(node);
       callerLinks.add(LoopbackProxy.start(loop, node.frontPort()));
     }
-    SoakCallers callers = new SoakCallers(loop, book, this::nowMs, jobs, callerPorts(), seed);
+    SoakCallers callers =
+        new SoakCallers(loop, book, this::nowMs, jobs, callerPorts(), seed, options.load());
     // Nodes must not outlive a soak that is interrupted.
     Thread cleanUp = new Thread(this::killNodes, "clean-up");
     Runtime.getRuntime().addShutdownHook(cleanUp);
@@ -113,7 +114,7 @@
       }
       TimeUnit.MILLISECONDS.sleep(LEAD_MS);
       disturb(workers, callers);
-      settle(callers);
+      settle(workers, callers);
       onLoop(callers::askEveryNode).get();
       onLoop(
           () -> {
@@ -189,16 +190,23 @@
   }
 
   /** Waits until all accepted jobs are final or the time is over. */
-  private void settle(SoakCallers callers) throws InterruptedException, ExecutionException {
+  private void settle(SoakWorkers workers, SoakCallers callers)
+      throws InterruptedException, ExecutionException {
     onLoop(
         () -> {
           callers.stopSubmitting();
           return 0;
         });
-    long untilMs = nowMs() + options.settleMs();
+    long loadEndMs = nowMs();
+    long untilMs = loadEndMs + options.settleMs();
     while (nowMs() < untilMs) {
       TimeUnit.MILLISECONDS.sleep(CHECK_MS);
-      boolean allFinal = onLoop(() -> book.open().isEmpty());
+      boolean allFinal =
+          onLoop(
+              () -> {
+                book.checkIdleCapacity(workers.running(), workers.open(), loadEndMs, nowMs());
+                return book.open().isEmpty();
+              });
       if (allFinal) {
         break;
       }
--- a/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
@@ -27,7 +27,8 @@
 final class SoakWorkers
     implements SimulatedPoolWorker.Environment, WorkerEndpoint.Observer, AutoCloseable {
   private static final Resources CAPACITY = new Resources(8, 32_000, 65_536);
-  private static final int PER_RACK = 4;
+  private static final int MIN_PER_RACK = 4;
+  private static final int RACKS_OF_A_LARGE_POOL = 12;
   private static final long STEP_MS = 20;
 
   /** The platform removes the entry of a silent worker after three of its beats. */
@@ -41,6 +42,9 @@
   /** A worker that is back answers up to this long before its entry in the registry shows it. */
   private static final long LATEST_ENTRY_MS = 150;
 
+  /** An entry that expired while the store was away is back within this time of its return. */
+  private static final long LATEST_RENEWAL_MS = 2_000;
+
   /** Every second worker has a clock that is 2% slow, which the platform allows. */
   private static final double SLOW_CLOCK = 0.98;
 
@@ -69,7 +73,7 @@
 
     private SimulatedPoolWorker begin(String id) {
       lives++;
-      String rack = "rack" + number / PER_RACK;
+      String rack = "rack" + number / perRack;
       SimulatedPoolWorker begun =
           new SimulatedPoolWorker(
               new WorkerEntry(
@@ -125,6 +129,7 @@
   private final LongSupplier clock;
   private final Map<String, SoakJob> jobs;
   private final SplittableRandom random;
+  private final int perRack;
   private final List<Seat> seats = new ArrayList<>();
 
   /**
@@ -149,6 +154,7 @@
     this.clock = clock;
     this.jobs = jobs;
     random = new SplittableRandom(seed);
+    perRack = Math.max(MIN_PER_RACK, count / RACKS_OF_A_LARGE_POOL);
     for (int i = 0; i < count; i++) {
       seats.add(new Seat(i, group));
     }
@@ -165,6 +171,33 @@
     seats.forEach(Seat::register);
   }
 
+  /** Removes the entries of all workers, which go on. */
+  void expireEntries() {
+    seats.forEach(seat -> store.unregister(seat.life.entry().id()));
+  }
+
+  /** Lets workers register again, as they do within two seconds of the return of the store. */
+  void renewEntries() {
+    for (Seat seat : seats) {
+      SimulatedPoolWorker alive = seat.life;
+      later(
+          random.nextBoolean() ? 0 : random.nextLong(LATEST_RENEWAL_MS),
+          () -> {
+            if (seat.present && seat.life == alive) {
+              seat.register();
+            }
+          });
+    }
+  }
+
+  /** Returns the workers that may get runs. */
+  List<SimulatedPoolWorker> open() {
+    return seats.stream()
+        .filter(seat -> seat.present && !seat.draining)
+        .map(seat -> seat.life)
+        .toList();
+  }
+
   LoopbackProxy proxy(int worker) {
     return seats.get(worker).proxy;
   }
