Log why a job stands still while its service is mostly idle

The users' record of LOST does not tell which cause kept a job from idle capacity. The owner now logs once for each job that has run nothing for 1.5 s and cannot be placed: its reservation, whether any rack is allowed, and how many of its workers are open, paused, set aside, closed, silent, not adopted, draining or unlisted.

StandstillTest.theLogTellsWhyAJobStandsStill covers the line.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 
 /**
  * Places jobs that stand still although most of their service is idle, on capacity that is kept for
@@ -34,6 +36,9 @@
   private final StepPlacer placer;
   private final Map<Job, Long> stillSinceMs = new HashMap<>();
 
+  /** Jobs of which the log tells that they stand still. */
+  private final Set<Job> reported = new HashSet<>();
+
   StandstillPlacer(SchedulerState state, StepPlacer placer) {
     this.state = state;
     this.placer = placer;
@@ -63,14 +68,19 @@
         long sinceMs = stillSinceMs.computeIfAbsent(step.job, job -> now.ms());
         if (now.ms() - sinceMs >= STANDSTILL_MS && !state.reservations.isReclaim(step)) {
           boolean anywhere = loadEnded || mayTakeAnyRack.test(step);
-          placePart(step, packing, freeResources, anywhere, now);
+          boolean placed = placePart(step, packing, freeResources, anywhere, now);
+          if (!placed && reported.add(step.job)) {
+            report(step, anywhere, now.ms() - sinceMs, now);
+          }
         }
       }
     }
+    reported.retainAll(still);
     stillSinceMs.keySet().retainAll(still);
   }
 
-  private void placePart(
+  /** Places a part of a step and returns whether it fits. */
+  private boolean placePart(
       StepInstance step,
       PackingPolicy packing,
       FreeResources freeResources,
@@ -81,10 +91,35 @@
     Optional<Map<WorkerState, Integer>> places =
         packing.find(step, part.size(), freeResources, anywhere);
     if (places.isEmpty()) {
-      return;
+      return false;
     }
     state.reservations.remove(step);
     placer.place(step, part, places.get(), now);
+    return true;
+  }
+
+  /** Logs why a job stands still, once until it runs. */
+  private void report(StepInstance step, boolean anywhere, long stillMs, EventTime now) {
+    Map<String, Long> workers =
+        state.workers.values().stream()
+            .filter(worker -> FreeResources.mayRun(step, worker))
+            .collect(
+                Collectors.groupingBy(
+                    worker -> worker.openness(now.ms()), TreeMap::new, Collectors.counting()));
+    state.logDecision(
+        step.job.spec.id(),
+        "stands still step="
+            + step.label()
+            + " ready="
+            + step.readyTasks().size()
+            + " still_ms="
+            + stillMs
+            + " any_rack="
+            + anywhere
+            + " reservation="
+            + state.reservations.describe(step)
+            + " workers="
+            + workers);
   }
 
   private static boolean runsNothing(Job job) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerState.java
@@ -150,6 +150,29 @@
     return isUsable(nowMs) && !setAside;
   }
 
+  /** Returns why it may not be given runs of any task, or "open", for the log. */
+  String openness(long nowMs) {
+    if (!listed) {
+      return "unlisted";
+    }
+    if (entry.draining()) {
+      return "draining";
+    }
+    if (domainClosed) {
+      return "domain_closed";
+    }
+    if (failedCalls > 0) {
+      return "silent";
+    }
+    if (!adopted) {
+      return "not_adopted";
+    }
+    if (nowMs < pausedUntilMs) {
+      return "paused";
+    }
+    return setAside ? "set_aside" : "open";
+  }
+
   /** Returns whether neither the registry nor the declaration excludes it from new runs. */
   boolean acceptsRuns() {
     return listed && !entry.draining() && !domainClosed;
--- a/standins/src/test/java/dev/bambootray/standins/jobs/StandstillTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/StandstillTest.java
@@ -38,6 +38,20 @@
       rig.assertAllFinal();
     }
 
+    @Test
+    void theLogTellsWhyAJobStandsStill() {
+      occupyAndReserve();
+      rig.run(LIMIT_MS);
+      String line = "wide stands still step=wide/0.0 ready=6 ";
+      String why = " reservation=AWAIT_ENDS:6 workers={open=8}";
+      assertEquals(
+          1,
+          rig.pool.decisions().stream()
+              .filter(one -> one.contains(line) && one.endsWith(why))
+              .count(),
+          () -> rig.decisionsAbout("wide"));
+    }
+
     @Test
     void aGangStartsAsAWhole() {
       occupyAndReserve();
