Close failure domains in the soak, and limit the time for it

Only one deployment sets a time limit for closing a domain, upon which an owner without a recent confirmation of the declaration starts nothing. The soak set none, so that this could not show.

--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -131,6 +131,7 @@
       case WORKER_LEAVES -> workers.drain(target, forMs);
       case REGISTRY_ODD -> leaveOddEntries(forMs);
       case REGISTRY_EXPIRES -> expireEntries(forMs);
+      case DOMAIN_CLOSED -> workers.closeDomain(target, forMs);
       case CALLERS_RESET -> callerLinks.get(target).resetAll();
       case DECLARATION -> declare.run();
     }
--- a/soak/src/main/java/dev/bambootray/soak/FaultKind.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultKind.java
@@ -54,6 +54,8 @@
   REGISTRY_ODD(Scope.NODE, false),
   /** The store refuses all calls, the entries of all workers expire and come back after it. */
   REGISTRY_EXPIRES(Scope.NODE, false),
+  /** The operator closes the failure domain of a worker and opens it again. */
+  DOMAIN_CLOSED(Scope.WORKER, false),
   /** The connections of callers to a node are reset. */
   CALLERS_RESET(Scope.NODE, false),
   /** The operator publishes another version of the configuration. */
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -35,6 +35,7 @@
           FaultKind.WORKER_WAVE,
           FaultKind.REGISTRY_ODD,
           FaultKind.REGISTRY_EXPIRES,
+          FaultKind.DOMAIN_CLOSED,
           FaultKind.NODE_UPGRADE,
           FaultKind.NODE_DOWNGRADE);
 
@@ -80,6 +81,7 @@
       faults.addAll(drawWaves(random.split(), FaultKind.WORKER_WAVE, workers, lengthMs));
       faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_ODD, nodes, lengthMs));
       faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_EXPIRES, nodes, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.DOMAIN_CLOSED, workers, lengthMs));
     }
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -256,6 +256,9 @@
                     WaitingStep.of(entry.job.id(), entry.job.steps(), entry.done::contains)
                         .stream())
             .toList();
+    if (!waiting.isEmpty()) {
+      count("checks of idle capacity");
+    }
     for (String found : idleCapacity.check(nowMs, waiting, open)) {
       if (stoodStill.add(found.substring(0, found.indexOf(' ')))) {
         violate("t=" + nowMs, found);
--- a/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakWorkers.java
@@ -15,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,6 +30,7 @@
   private static final Resources CAPACITY = new Resources(8, 32_000, 65_536);
   private static final int MIN_PER_RACK = 4;
   private static final int RACKS_OF_A_LARGE_POOL = 12;
+  private static final int DOMAINS = 3;
   private static final long STEP_MS = 20;
 
   /** The platform removes the entry of a silent worker after three of its beats. */
@@ -80,7 +82,7 @@
                   id,
                   Documents.SERVICE,
                   Documents.HOST + ":" + proxy.port(),
-                  "z",
+                  "z" + number % DOMAINS,
                   rack,
                   Set.of("kind", rack),
                   CAPACITY,
@@ -132,6 +134,9 @@
   private final int perRack;
   private final List<Seat> seats = new ArrayList<>();
 
+  /** Number of closures in force by failure domain. */
+  private final Map<String, Integer> closedDomains = new HashMap<>();
+
   /**
    * Starts workers. Must not be called on the loop.
    *
@@ -190,11 +195,26 @@
     }
   }
 
+  /** Closes the failure domain of a worker for a time; closures of a domain may overlap. */
+  void closeDomain(int worker, long forMs) {
+    String domain = seats.get(worker).life.entry().zone();
+    closedDomains.merge(domain, 1, Integer::sum);
+    store.closeDomain(domain);
+    later(
+        forMs,
+        () -> {
+          if (closedDomains.merge(domain, -1, Integer::sum) == 0) {
+            store.openDomain(domain);
+          }
+        });
+  }
+
   /** Returns the workers that may get runs. */
   List<SimulatedPoolWorker> open() {
     return seats.stream()
         .filter(seat -> seat.present && !seat.draining)
         .map(seat -> seat.life)
+        .filter(life -> closedDomains.getOrDefault(life.entry().zone(), 0) == 0)
         .toList();
   }
 
--- a/soak/src/main/java/dev/bambootray/soak/wire/Documents.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/Documents.java
@@ -20,6 +20,9 @@
   /** Longest lease that workers grant, as on the users' deployments. */
   private static final int LONGEST_LEASE_MS = 10_000;
 
+  /** Time within which nodes have to know that a failure domain is closed. */
+  private static final int DOMAIN_CLOSE_LIMIT_MS = 5_000;
+
   /** Ports that a node derives from its first internal port. */
   private static final int METRICS_OFFSET = 10;
 
@@ -49,7 +52,11 @@
         .put("ready", HOST + ":" + readyPort);
     settings.putArray("internal_ports").add(metricsPort - METRICS_OFFSET);
     settings.putObject("platform").put("address", HOST + ":" + storePort);
-    settings.putObject("bounds").put("hold_max_ms", LONGEST_LEASE_MS).put("grace_s", graceS);
+    settings
+        .putObject("bounds")
+        .put("hold_max_ms", LONGEST_LEASE_MS)
+        .put("grace_s", graceS)
+        .put("evacuate_ms", DOMAIN_CLOSE_LIMIT_MS);
     settings.putObject("limits").put("cpu_share", 1);
     return Json.bytes(settings);
   }
--- a/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
@@ -28,6 +28,7 @@
  */
 public final class StandInStore implements RequestRouter {
   private static final String REGISTRY = "servers";
+  private static final String CLOSED_DOMAIN = "evacuate/";
   private static final int HISTORY = 5_000;
   private static final int PAGE = 500;
   private static final int DEFAULT_WAIT_MS = 0;
@@ -135,6 +136,18 @@
     wake();
   }
 
+  /** Closes a failure domain, as the operator does. */
+  public void closeDomain(String domain) {
+    put(new Key("op", "", CLOSED_DOMAIN + domain), Json.object());
+  }
+
+  /** Opens a failure domain that was closed. */
+  public void openDomain(String domain) {
+    version++;
+    drop(new Key("op", "", CLOSED_DOMAIN + domain));
+    wake();
+  }
+
   /** Writes the odd entries of another writer in the registry and returns their keys. */
   public List<String> leaveOddEntries() {
     List<String> keys = new ArrayList<>();
