Look for the end of the load only for jobs that stand still

The placer of such jobs scanned all jobs in each round of placement. It now does so only for a step that has stood still and may not take any rack yet. Behavior is unchanged; found by reading the change.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -57,8 +57,6 @@
       FreeResources freeResources,
       Predicate<StepInstance> mayTakeAnyRack,
       EventTime now) {
-    boolean loadEnded =
-        state.jobs.values().stream().noneMatch(job -> now.ms() - job.acceptedMs < LOAD_ENDED_MS);
     Set<Job> still = new HashSet<>();
     Map<String, Boolean> mostlyIdle = new HashMap<>();
     for (StepInstance step : waiting) {
@@ -67,7 +65,7 @@
         still.add(step.job);
         long sinceMs = stillSinceMs.computeIfAbsent(step.job, job -> now.ms());
         if (now.ms() - sinceMs >= STANDSTILL_MS && !state.reservations.isReclaim(step)) {
-          boolean anywhere = loadEnded || mayTakeAnyRack.test(step);
+          boolean anywhere = mayTakeAnyRack.test(step) || hasLoadEnded(now);
           boolean placed = placePart(step, packing, freeResources, anywhere, now);
           if (!placed && reported.add(step.job)) {
             report(step, anywhere, now.ms() - sinceMs, now);
@@ -122,6 +120,10 @@
             + workers);
   }
 
+  private boolean hasLoadEnded(EventTime now) {
+    return state.jobs.values().stream().noneMatch(job -> now.ms() - job.acceptedMs < LOAD_ENDED_MS);
+  }
+
   private static boolean runsNothing(Job job) {
     return job.tasks().allMatch(task -> task.placements.isEmpty());
   }
