--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -7,8 +7,11 @@
 import dev.bambootray.jobs.model.RunName;
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.model.TaskName;
+import dev.bambootray.jobs.scheduling.SchedulingPolicy;
 import dev.bambootray.jobs.worker.RunEnd;
 import dev.bambootray.jobs.worker.RunEnd.Cause;
+import dev.bambootray.standins.jobs.IdleCapacityCheck;
+import dev.bambootray.standins.jobs.PoolSimulation;
 import dev.bambootray.standins.jobs.SimulatedWork;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
@@ -251,4 +254,46 @@
       assertViolation("nobody cancelled it");
     }
   }
+
+  @Nested
+  final class IdleCapacity {
+    private static final long LOAD_END_MS = 10_000;
+    private static final long APPLIES_MS = LOAD_END_MS + IdleCapacityCheck.AFTER_LOAD_MS;
+
+    private final PoolSimulation pool =
+        new PoolSimulation(1, SchedulingPolicy.STANDARD, new PoolSimulation.Observer() {});
+
+    IdleCapacity() {
+      pool.addWorkers(2, 2, new Resources(8, 32_000, 64_000), 1);
+      book.answered(JOB, 200, false);
+    }
+
+    private void check(long nowMs, RunName... running) {
+      book.checkIdleCapacity(List.of(running), pool.workers(), LOAD_END_MS, nowMs);
+    }
+
+    @Test
+    void seesAJobThatStandsStillBesideIt() {
+      check(APPLIES_MS);
+      check(APPLIES_MS + 3_001);
+      check(APPLIES_MS + 4_000);
+      assertViolation(JOB + " has run nothing for 3001 ms");
+    }
+
+    @Test
+    void allowsAJobThatRuns() {
+      check(APPLIES_MS, run(0, 1));
+      check(APPLIES_MS + 3_001, run(0, 1));
+      assertEquals(List.of(), book.violations());
+    }
+
+    @Test
+    void allowsAJobThatWaitsSoonAfterTheLoadOrAFault() {
+      check(APPLIES_MS - 1);
+      check(APPLIES_MS);
+      book.disturbed(APPLIES_MS + 1_000);
+      check(APPLIES_MS + 3_001);
+      assertEquals(List.of(), book.violations());
+    }
+  }
 }
