Let jobs that stand still use kept capacity only once the load has ended

While jobs arrive, capacity that is kept for wide gangs, and waiting for a preferred rack, serve the jobs that follow. The platform's rule applies from 14 s after the last job only.

Change: jobs that stand still are placed once no job was accepted for 12 s, then on reserved capacity and on any rack alike. The check of the rule is unchanged.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -104,8 +104,7 @@
         policy.isStandard() ? GuaranteeCoverage.of(state) : GuaranteeCoverage.none();
     List<StepInstance> waiting = waiting(coverage, now);
     if (policy.isStandard()) {
-      standstills.place(
-          waiting, packing, freeResources, step -> mayTakeAnyRack(step, coverage, now), now);
+      standstills.place(waiting, packing, freeResources, now);
     }
     for (StepInstance step : waiting) {
       List<Task> ready = step.readyTasks();
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -1,6 +1,7 @@
 package dev.bambootray.jobs.scheduling;
 
 import dev.bambootray.core.model.Resources;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,13 +9,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 /**
- * Places jobs that stand still although most of their service is idle, on capacity that is kept for
- * gangs which do not fit yet, and on slower racks once no further jobs arrive.
+ * Places jobs that stand still although most of their service is idle and no further jobs arrive,
+ * on capacity that is kept for gangs which do not fit yet, and on any rack.
  *
  * <p>Such a job gets one task, or one gang, at a time: enough to make progress, while the rest of
  * the capacity stays with the gang that waits for it.
@@ -27,10 +27,11 @@
   private static final long STANDSTILL_MS = 1_500;
 
   /**
-   * Time without a new job after which waiting for a preferred rack has no more use for later jobs.
-   * The platform allows no job to stand still from 14 s after the last one.
+   * Time without a new job after which the load has ended. Until then, keeping capacity for wide
+   * gangs and preferred racks serves the jobs that follow; the platform allows no job to stand
+   * still from 14 s after the last one.
    */
-  private static final long LOAD_ENDED_MS = 8_000;
+  private static final long LOAD_ENDED_MS = 12_000;
 
   private final SchedulerState state;
   private final StepPlacer placer;
@@ -49,14 +50,29 @@
    *
    * @param waiting all steps that have tasks to place, the most urgent first
    * @param freeResources free resources without those that reclaims have freed for other steps
-   * @param mayTakeAnyRack returns whether a step may be placed on a slower rack
    */
   void place(
       List<StepInstance> waiting,
       PackingPolicy packing,
       FreeResources freeResources,
-      Predicate<StepInstance> mayTakeAnyRack,
       EventTime now) {
+    List<StepInstance> due = findDue(waiting, now);
+    if (due.isEmpty() || !hasLoadEnded(now)) {
+      return;
+    }
+    for (StepInstance step : due) {
+      // An earlier step of the same job may have been placed.
+      if (runsNothing(step.job)
+          && !placePart(step, packing, freeResources, now)
+          && reported.add(step.job)) {
+        report(step, now);
+      }
+    }
+  }
+
+  /** Returns the steps of jobs that have stood still for too long. */
+  private List<StepInstance> findDue(List<StepInstance> waiting, EventTime now) {
+    List<StepInstance> due = new ArrayList<>();
     Set<Job> still = new HashSet<>();
     Map<String, Boolean> mostlyIdle = new HashMap<>();
     for (StepInstance step : waiting) {
@@ -65,29 +81,22 @@
         still.add(step.job);
         long sinceMs = stillSinceMs.computeIfAbsent(step.job, job -> now.ms());
         if (now.ms() - sinceMs >= STANDSTILL_MS && !state.reservations.isReclaim(step)) {
-          boolean anywhere = mayTakeAnyRack.test(step) || hasLoadEnded(now);
-          boolean placed = placePart(step, packing, freeResources, anywhere, now);
-          if (!placed && reported.add(step.job)) {
-            report(step, anywhere, now.ms() - sinceMs, now);
-          }
+          due.add(step);
         }
       }
     }
     reported.retainAll(still);
     stillSinceMs.keySet().retainAll(still);
+    return due;
   }
 
   /** Places a part of a step and returns whether it fits. */
   private boolean placePart(
-      StepInstance step,
-      PackingPolicy packing,
-      FreeResources freeResources,
-      boolean anywhere,
-      EventTime now) {
+      StepInstance step, PackingPolicy packing, FreeResources freeResources, EventTime now) {
     List<Task> ready = step.readyTasks();
     List<Task> part = step.isGang() ? ready : ready.subList(0, 1);
     Optional<Map<WorkerState, Integer>> places =
-        packing.find(step, part.size(), freeResources, anywhere);
+        packing.find(step, part.size(), freeResources, true);
     if (places.isEmpty()) {
       return false;
     }
@@ -97,7 +106,7 @@
   }
 
   /** Logs why a job stands still, once until it runs. */
-  private void report(StepInstance step, boolean anywhere, long stillMs, EventTime now) {
+  private void report(StepInstance step, EventTime now) {
     Map<String, Long> workers =
         state.workers.values().stream()
             .filter(worker -> FreeResources.mayRun(step, worker))
@@ -111,9 +120,7 @@
             + " ready="
             + step.readyTasks().size()
             + " still_ms="
-            + stillMs
-            + " any_rack="
-            + anywhere
+            + (now.ms() - stillSinceMs.getOrDefault(step.job, now.ms()))
             + " reservation="
             + state.reservations.describe(step)
             + " workers="
