Tell in the log when, how long calls take and why an order is dropped

The logs of real processes could not tell: the lines bore no time, an order that was dropped as outdated left no line, and nothing told how long the owner's commits, orders and lists of runs took.

Each line of the decision log now ends with its time in UTC. The owner's load line tells the longest pause of its control thread and, for each kind of call, the number, those without a usable answer and the slowest. RunTracker logs each order that it drops.

No decision changes.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DecisionLog.java
@@ -5,14 +5,19 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.PrintStream;
+import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 
 /**
  * Writes one line for each decision to standard output without blocking the caller.
  *
+ * <p>Each line ends with the wall-clock time of its decision in UTC, so that lines of several nodes
+ * can be merged.
+ *
  * <p>Lines that do not fit into the queue are dropped; their number is written after the next line.
  */
 public final class DecisionLog implements AutoCloseable {
@@ -23,11 +28,23 @@
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
   private final AtomicLong dropped = new AtomicLong();
   private final PrintStream out;
+  private final LongSupplier wallMs;
   private final Thread writer;
 
   /** Creates a log that writes nothing until {@link #close}. */
   DecisionLog(PrintStream out) {
+    this(out, System::currentTimeMillis);
+  }
+
+  /**
+   * Creates a log that writes nothing until {@link #close}.
+   *
+   * @param out where the lines go
+   * @param wallMs wall-clock time in milliseconds since the epoch
+   */
+  DecisionLog(PrintStream out, LongSupplier wallMs) {
     this.out = out;
+    this.wallMs = wallMs;
     writer = new Thread(this::write, "decision-log");
     writer.setDaemon(true);
   }
@@ -35,16 +52,11 @@
   /** Returns a log that writes to standard output. */
   public static DecisionLog start() {
     DecisionLog log =
-        writingOnClose(new PrintStream(new FileOutputStream(FileDescriptor.out), true, UTF_8));
+        new DecisionLog(new PrintStream(new FileOutputStream(FileDescriptor.out), true, UTF_8));
     log.writer.start();
     return log;
   }
 
-  /** Returns a log that keeps its lines in the queue and writes them when it is closed. */
-  static DecisionLog writingOnClose(PrintStream out) {
-    return new DecisionLog(out);
-  }
-
   /**
    * Queues a line for writing.
    *
@@ -56,7 +68,8 @@
     String line = part + " id=" + subject + " " + text;
     String cut = line.length() <= MAX_LINE_CHARS ? line : line.substring(0, MAX_LINE_CHARS);
     // Subjects may come from other writers; a line break in one would forge a line.
-    if (!lines.offer(UNPRINTABLE.matcher(cut).replaceAll("?"))) {
+    String printable = UNPRINTABLE.matcher(cut).replaceAll("?");
+    if (!lines.offer(printable + " time=" + Instant.ofEpochMilli(wallMs.getAsLong()))) {
       dropped.incrementAndGet();
     }
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -69,6 +69,7 @@
           .name("bambootray_job_control_seconds")
           .help("Time that the control thread worked.")
           .register(registry);
+  private final CallLatencies latencies = new CallLatencies();
   private final Gauge owner =
       Gauge.builder()
           .name("bambootray_job_owner")
@@ -136,8 +137,14 @@
     missedByFeed.inc();
   }
 
-  void recordCommit(long durationMs) {
+  void recordCommit(long durationMs, boolean answered) {
     commitSeconds.observe(durationMs / MS_PER_S);
+    latencies.record(CallLatencies.Kind.COMMITS, durationMs, answered);
+  }
+
+  /** Returns the latencies of the owner's calls since the last report in the log. */
+  CallLatencies latencies() {
+    return latencies;
   }
 
   void recordStart() {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/LoadReporter.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/LoadReporter.java
@@ -10,13 +10,15 @@
   private final DecisionLog log;
   private final JobMetrics metrics;
   private long nextLineMs;
+  private long lastReportMs = Long.MAX_VALUE;
+  private long longestPauseMs;
 
   /**
    * Creates a reporter.
    *
    * @param node name of this node
    * @param log the decision log, which gets at most one line in each interval
-   * @param metrics shows the newest load
+   * @param metrics shows the newest load and knows the latencies of the owner's calls
    */
   LoadReporter(String node, DecisionLog log, JobMetrics metrics) {
     this.node = node;
@@ -25,7 +27,7 @@
   }
 
   /**
-   * Reports a load.
+   * Reports a load; to be called at each tick of the owner, whose longest pause it reports too.
    *
    * @param load the load
    * @param epoch epoch of the owner that observed it
@@ -33,9 +35,22 @@
    */
   void report(JobScheduler.Load load, long epoch, long nowMs) {
     metrics.setLoad(load);
+    longestPauseMs = Math.max(longestPauseMs, nowMs - lastReportMs);
+    lastReportMs = nowMs;
     if (load.openJobs() > 0 && nowMs >= nextLineMs) {
       nextLineMs = nowMs + LINE_INTERVAL_MS;
-      log.line("sched:", node, "epoch=" + epoch + " load " + load);
+      log.line(
+          "sched:",
+          node,
+          "epoch="
+              + epoch
+              + " load "
+              + load
+              + " longest_pause_ms="
+              + longestPauseMs
+              + " "
+              + metrics.latencies().report());
+      longestPauseMs = 0;
     }
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreCalls.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreCalls.java
@@ -47,7 +47,8 @@
         rows.commit(commit)
             .thenAccept(
                 event -> {
-                  metrics.recordCommit(JobNode.now().ms() - startMs);
+                  boolean answered = !(event instanceof LeaseEvent.CommitFailed);
+                  metrics.recordCommit(JobNode.now().ms() - startMs, answered);
                   leaseAnswers.accept(event);
                 });
   }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/WorkerCalls.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/WorkerCalls.java
@@ -1,5 +1,6 @@
 package dev.bambootray.daemon.jobs;
 
+import dev.bambootray.daemon.jobs.CallLatencies.Kind;
 import dev.bambootray.jobs.scheduling.JobEffect;
 import dev.bambootray.jobs.scheduling.JobEvent;
 import dev.bambootray.jobs.worker.HoldReply;
@@ -31,14 +32,17 @@
   /** Orders a worker to start a run. */
   void start(JobEffect.StartRun start, long epoch) {
     metrics.recordStart();
+    long sentMs = JobNode.now().ms();
     var unused =
         workers
             .start(start, epoch, CallTimeouts.ORDER_MS)
             .exceptionally(e -> new StartReply.Unknown(failed("start", start.worker().id(), e)))
             .thenAccept(
-                reply ->
-                    answers.onAnswer(
-                        epoch, new JobEvent.StartAnswered(start.worker(), start.run(), reply)));
+                reply -> {
+                  recordOrder(sentMs, !(reply instanceof StartReply.Unknown));
+                  answers.onAnswer(
+                      epoch, new JobEvent.StartAnswered(start.worker(), start.run(), reply));
+                });
   }
 
   /** Orders a worker to stop a run. */
@@ -46,6 +50,7 @@
     if (!stop.repeated()) {
       metrics.recordStop(stop.cause());
     }
+    long sentMs = JobNode.now().ms();
     var unused =
         workers
             .stop(stop, epoch, CallTimeouts.ORDER_MS)
@@ -55,9 +60,11 @@
                   return false;
                 })
             .thenAccept(
-                taken ->
-                    answers.onAnswer(
-                        epoch, new JobEvent.StopAnswered(stop.worker(), stop.run(), taken)));
+                taken -> {
+                  recordOrder(sentMs, taken);
+                  answers.onAnswer(
+                      epoch, new JobEvent.StopAnswered(stop.worker(), stop.run(), taken));
+                });
   }
 
   /**
@@ -73,10 +80,18 @@
             .hold(hold, epoch, hold.waitMs() + CallTimeouts.HOLD_MARGIN_MS)
             .exceptionally(e -> new HoldReply.Failed(failed("hold", hold.worker().id(), e)))
             .thenAccept(
-                reply ->
-                    answers.onAnswer(
-                        epoch,
-                        new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh())));
+                reply -> {
+                  long durationMs = JobNode.now().ms() - sentMs - hold.waitMs();
+                  boolean answered = !(reply instanceof HoldReply.Failed);
+                  metrics.latencies().record(Kind.LISTS, Math.max(0, durationMs), answered);
+                  answers.onAnswer(
+                      epoch,
+                      new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh()));
+                });
+  }
+
+  private void recordOrder(long sentMs, boolean answered) {
+    metrics.latencies().record(Kind.ORDERS, JobNode.now().ms() - sentMs, answered);
   }
 
   /** Logs an unexpected error of a call, which then counts as unanswered. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -74,6 +74,18 @@
     boolean late = now.ms() - placement.phaseSinceMs > state.times.orderMaxAgeMs();
     if (late || !worker.isUsable(now.ms()) || !state.isDeclarationCurrent(now.ms())) {
       // The decision is outdated: part of its lease has passed, or the worker may be excluded.
+      state.logDecision(
+          placement.run.task().job(),
+          "drop order run="
+              + runLabel(placement)
+              + " worker="
+              + worker.id()
+              + " age_ms="
+              + (now.ms() - placement.phaseSinceMs)
+              + " worker_is="
+              + worker.openness(now.ms())
+              + " declaration_current="
+              + state.isDeclarationCurrent(now.ms()));
       finish(placement, Cause.STOPPED, "", now);
       return;
     }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedStore.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedStore.java
@@ -9,21 +9,27 @@
 
 /** Keeps the records and cancellations of jobs like the platform's store, which may be away. */
 final class SimulatedStore {
-  /** Time of a transaction. */
+  /** Usual time of a transaction. */
   static final long COMMIT_MS = 30;
 
   private final Map<String, JobRecord> records = new HashMap<>();
   private final Set<String> cancelled = new HashSet<>();
   private long unavailableUntilMs;
+  private long commitMs = COMMIT_MS;
 
   /** Lets all transactions wait until a time. */
   void makeUnavailableUntil(long untilMs) {
     unavailableUntilMs = untilMs;
   }
 
+  /** Sets the time of each transaction that begins from now on. */
+  void setCommitMs(long value) {
+    commitMs = value;
+  }
+
   /** Returns the time that a transaction takes which begins now. */
   long commitMs(long nowMs) {
-    return Math.max(COMMIT_MS, unavailableUntilMs - nowMs);
+    return Math.max(commitMs, unavailableUntilMs - nowMs);
   }
 
   /** Stores a record and returns whether its job has reached a final phase with it. */
--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -57,6 +57,7 @@
     this.observer = observer;
   }
 
+  /** Sets the share of calls that are not answered and are carried out seconds later. */
   void setDelayedCallShare(double value) {
     delayedCallShare = value;
   }
--- a/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/WorkerCrashes.java
@@ -39,6 +39,11 @@
     return worker.isGone() ? stillListed.contains(worker) : !expired.contains(worker);
   }
 
+  /** Returns the entries of the workers that the registry lists. */
+  List<WorkerEntry> listed() {
+    return pool.workers().stream().filter(this::isListed).map(SimulatedPoolWorker::entry).toList();
+  }
+
   /** Removes the entry of a worker that works on, as after an outage of the store. */
   void expireEntry(SimulatedPoolWorker worker) {
     expired.add(worker);
