Start jobs also while the store takes long for each transaction

In the simulation 300 jobs on 350 idle workers never started once a transaction took 0.4 s, and 20 jobs on 30 workers never did at 1.1 s; the limit of a transaction is 1.2 s.

Cause, two limits that feed each other. RecordBatcher reported a change as stored only once no changed job was left over, so with more than 60 changed jobs nothing counted as stored until all of them were. RunTracker dropped orders that were older than 1 s by then, which requeued their tasks and changed their jobs again, and so on without end.

Each change now belongs to one batch from the start, and is stored with it whatever follows. An order waits in StartOrderQueue as long as it has to; its lease begins when it is sent. It is dropped only if its worker may not be used any more. While the declaration is not confirmed, orders wait instead of being dropped. That no order is sent by an owner that was replaced is now ensured by what it is about: the newest transaction that was applied began no longer ago than the time after which another node may claim the pool. If it did, the record is stored once more, which confirms the ownership, and the order goes.

Ruled out: a longer time after a takeover in which orders of the previous owner are expected (1,000 ms instead of 300) would have allowed older orders, but a job that crashes its workers was then never given up (WorkerCrashTest).

Before: SlowCommitTest failed at 400, 800 and 1,100 ms ("has run nothing for 3050 ms although 8 tasks of step 0 could run on idle workers"), with one of 300 jobs completed. Now all complete.

--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLeaseTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLeaseTimes.java
@@ -1,5 +1,7 @@
 package dev.bambootray.jobs.lead;
 
+import dev.bambootray.jobs.scheduling.SchedulerTimes;
+
 /**
  * Holds the times of the pool's lease, in milliseconds.
  *
@@ -16,6 +18,7 @@
   /** Returns the default times of a node. */
   public static PoolLeaseTimes defaults(long claimDelayMs, long giveUpMs) {
     // A store that is 60 times slower than usual takes 0.3 s for a write and 0.25 s for a read.
-    return new PoolLeaseTimes(300, 400, 1_300, claimDelayMs, 200, giveUpMs);
+    return new PoolLeaseTimes(
+        300, 400, SchedulerTimes.SHORTEST_EXPIRY_MS, claimDelayMs, 200, giveUpMs);
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -88,7 +88,7 @@
       nextPlanMs = waiting > MANY_WAITING_STEPS ? now.ms() + PLAN_PAUSE_MS : 0;
     }
     if (state.batches.hasBatchToWrite()) {
-      state.emit(state.batches.takeBatch());
+      state.emit(state.batches.takeBatch(now.ms()));
     }
     if (event instanceof JobEvent.Tick || event instanceof JobEvent.TookOver) {
       poller.sendAllDueCalls(now);
@@ -198,7 +198,9 @@
       onRowsRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
       state.batches.onDurable(durable.batch());
-      runs.sendDurableStarts(now);
+      runs.sendDueStarts(now);
+    } else if (event instanceof JobEvent.Tick) {
+      runs.sendDueStarts(now);
     }
   }
 
@@ -222,6 +224,7 @@
     boolean wasCurrent = state.isDeclarationCurrent(now.ms());
     state.declarationAsOfMs = asOfMs;
     if (state.isDeclarationCurrent(now.ms()) && !wasCurrent) {
+      runs.sendDueStarts(now);
       state.planWanted = true;
     }
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RecordBatcher.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RecordBatcher.java
@@ -2,13 +2,18 @@
 
 import dev.bambootray.jobs.model.JobRecord;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
  * Collects changed jobs into batches of records. Only one batch is written at a time; changes
- * during the write go into the next batch, so that a burst needs few transactions.
+ * during the write go into the next batches, so that a burst needs few transactions.
+ *
+ * <p>Each change belongs to one batch from the start, so that it is known to be stored as soon as
+ * that batch is, however many changes follow it.
  */
 final class RecordBatcher {
   /** Largest number of jobs in a batch; a transaction is limited to 100 entries. */
@@ -16,16 +21,41 @@
 
   private static final int MAX_REMOVALS = 10;
 
-  private final Set<Job> changed = new LinkedHashSet<>();
+  /** Changed jobs in the order of their batches, with the number of the batch of each. */
+  private final Map<Job, Long> changed = new LinkedHashMap<>();
+
   private final Set<String> removed = new LinkedHashSet<>();
+
+  /** Number of the batch that is written next. */
   private long next = 1;
+
+  /** Number of the batch that further changed jobs go into, and the jobs that it has. */
+  private long filling = 1;
+
+  private int jobsInFilling;
   private long durable;
   private boolean inFlight;
+  private long takenMs;
+
+  /** Time at which the newest batch that is stored was taken: the owner owned the pool then. */
+  private long confirmedMs = Long.MIN_VALUE / 2;
 
   /** Marks a job as changed and returns the batch that will contain the change. */
   long markChanged(Job job) {
-    changed.add(job);
-    return next;
+    return changed.computeIfAbsent(job, key -> assign());
+  }
+
+  private long assign() {
+    if (jobsInFilling == MAX_JOBS) {
+      beginNextBatch();
+    }
+    jobsInFilling++;
+    return filling;
+  }
+
+  private void beginNextBatch() {
+    filling++;
+    jobsInFilling = 0;
   }
 
   void markRemoved(String job) {
@@ -34,7 +64,7 @@
 
   /** Returns the batch after which all changes so far are in the store. */
   long latestChangeBatch() {
-    return changed.isEmpty() ? next - 1 : next;
+    return changed.isEmpty() ? next - 1 : filling;
   }
 
   boolean isDurable(long batch) {
@@ -45,27 +75,47 @@
     return !inFlight && (!changed.isEmpty() || !removed.isEmpty());
   }
 
-  JobEffect.Persist takeBatch() {
-    List<JobRecord> records = new ArrayList<>();
-    boolean all = changed.size() <= MAX_JOBS;
-    for (Job job : List.copyOf(changed).subList(0, Math.min(MAX_JOBS, changed.size()))) {
-      records.add(job.record());
-      changed.remove(job);
+  /** Returns whether a batch that was taken at or after a time is stored. */
+  boolean isConfirmed(long sinceMs) {
+    return confirmedMs >= sinceMs;
+  }
+
+  /** Lets a record be stored again if nothing else is, to find out whether the owner still is. */
+  void requestConfirmation(Job job) {
+    if (!inFlight && changed.isEmpty()) {
+      markChanged(job);
     }
+  }
+
+  /** Takes the next batch to write. */
+  JobEffect.Persist takeBatch(long nowMs) {
+    takenMs = nowMs;
+    List<JobRecord> records = new ArrayList<>();
+    changed
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean taken = entry.getValue() == next;
+              if (taken) {
+                records.add(entry.getKey().record());
+              }
+              return taken;
+            });
     List<String> gone = removed.stream().limit(MAX_REMOVALS).toList();
     gone.forEach(removed::remove);
     inFlight = true;
     JobEffect.Persist persist = new JobEffect.Persist(next, records, gone);
-    if (all) {
-      next++;
+    if (filling == next) {
+      beginNextBatch();
     }
+    next++;
     return persist;
   }
 
   /** Marks the batch in flight as stored. */
   void onDurable(long batch) {
     inFlight = false;
-    // A batch that exceeded the limit keeps its number until its remaining jobs are written.
-    durable = Math.max(durable, batch < next ? batch : batch - 1);
+    durable = Math.max(durable, batch);
+    confirmedMs = takenMs;
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -7,7 +7,6 @@
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.jobs.worker.StartReply.Reason;
-import java.util.ArrayList;
 import java.util.List;
 
 /** Tracks each run from the decision to start it until its end is known. */
@@ -24,23 +23,27 @@
   private final SchedulerState state;
   private final WorkerFailureTracker failureTracker;
   private final StartRetrier startRetrier;
-  private final List<Placement> ordered = new ArrayList<>();
+  private final StartOrderQueue orders;
 
   RunTracker(SchedulerState state) {
     this.state = state;
     failureTracker = new WorkerFailureTracker();
     startRetrier = new StartRetrier(state, this);
+    orders = new StartOrderQueue(state, this);
   }
 
   /** Adds a run whose start order is sent once the decision is in the store. */
   void schedule(Task task, RunName run, WorkerState worker, EventTime now) {
     Placement placement = new Placement(task, run, worker, Phase.ORDERED, now.ms());
-    placement.untilMs = worker.leaseUntilMs(now.ms(), state.times.leaseMs());
-    placement.batch = state.batches.markChanged(task.step.job);
-    ordered.add(placement);
+    orders.add(placement);
     add(placement);
   }
 
+  /** Sends the start orders that may be sent by now. */
+  void sendDueStarts(EventTime now) {
+    orders.sendDue(now);
+  }
+
   /** Adds a run that an earlier owner started. */
   void adopt(Task task, WorkerState worker, EventTime now) {
     add(new Placement(task, new RunName(task.name, task.run), worker, Phase.ADOPTING, now.ms()));
@@ -53,46 +56,6 @@
     stop(placement, StopCause.NOT_EXPECTED, "not expected", now);
   }
 
-  /** Sends the start orders whose decision is in the store. */
-  void sendDurableStarts(EventTime now) {
-    List<Placement> waiting = new ArrayList<>(ordered);
-    ordered.clear();
-    for (Placement placement : waiting) {
-      if (!state.batches.isDurable(placement.batch)) {
-        ordered.add(placement);
-      } else if (placement.phase == Phase.ORDERED) {
-        start(placement, now);
-      }
-    }
-  }
-
-  private void start(Placement placement, EventTime now) {
-    WorkerState worker = placement.worker;
-    if (!worker.placements.containsKey(placement.run)) {
-      return; // The gang was stopped because an earlier member could not start.
-    }
-    boolean late = now.ms() - placement.phaseSinceMs > state.times.orderMaxAgeMs();
-    if (late || !worker.isUsable(now.ms()) || !state.isDeclarationCurrent(now.ms())) {
-      // The decision is outdated: part of its lease has passed, or the worker may be excluded.
-      state.logDecision(
-          placement.run.task().job(),
-          "drop order run="
-              + runLabel(placement)
-              + " worker="
-              + worker.id()
-              + " age_ms="
-              + (now.ms() - placement.phaseSinceMs)
-              + " worker_is="
-              + worker.openness(now.ms())
-              + " declaration_current="
-              + state.isDeclarationCurrent(now.ms()));
-      finish(placement, Cause.STOPPED, "", now);
-      return;
-    }
-    placement.enterPhase(Phase.STARTING, now.ms());
-    sendStart(placement, now);
-  }
-
   /** Sends a start order for the first time or as a repetition. */
   void sendStart(Placement placement, EventTime now) {
     WorkerState worker = placement.worker;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
@@ -6,7 +6,8 @@
  * @param leaseMs length of the lease on a worker's runs, measured by the worker's clock
  * @param leaseLimitMs longest lease that a worker grants, whatever an order says
  * @param holdWaitMs longest time for which a worker keeps a long poll open until a run ends
- * @param orderMaxAgeMs age after which a start order is dropped instead of sent
+ * @param ownershipMaxAgeMs time since the beginning of the newest transaction that was applied
+ *     after which no start order is sent, as another owner may have taken over
  * @param orphanLeaseMs how long runs started by an earlier owner may continue on an unreachable
  *     worker
  * @param stallMs time without progress after which a run counts as stalled
@@ -19,7 +20,7 @@
     long leaseMs,
     long leaseLimitMs,
     long holdWaitMs,
-    long orderMaxAgeMs,
+    long ownershipMaxAgeMs,
     long orphanLeaseMs,
     long stallMs,
     long retryMs,
@@ -28,6 +29,9 @@
   /** Time limit of an order to a worker, after which its sender gives it up. */
   public static final long ORDER_TIMEOUT_MS = 300;
 
+  /** Time after the last renewal of an owner before which no other node may claim the pool. */
+  public static final long SHORTEST_EXPIRY_MS = 1_300;
+
   // An owner that cannot reach the store continues for this long before it gives up (JobNode), so
   // a successor adds this time to the lease of orphaned runs.
   private static final long OWNER_WITHOUT_STORE_MS = 6_000;
@@ -42,7 +46,7 @@
         leaseMs,
         leaseLimitMs,
         1_200,
-        1_000,
+        SHORTEST_EXPIRY_MS,
         (long) (leaseMs * LEASE_MARGIN) + OWNER_WITHOUT_STORE_MS,
         3_500,
         300,
@@ -56,7 +60,7 @@
         leaseMs,
         leaseLimitMs,
         holdWaitMs,
-        orderMaxAgeMs,
+        ownershipMaxAgeMs,
         orphanLeaseMs,
         stallMs,
         retryMs,
