Give each wait for changes a time limit over all its attempts

A caller of a wait could see it last for 4.8 s: the direct attempt ends after 2.4 s, and one that had moved to another node just before took another 2.4 s. An owner starts nothing once its last confirmation is 4.5 s old. If one attempt threw instead of failing, the exception reached the caller of the wait, or the attempt counted as pending for good, so that the wait never ended; all other calls were ended by their own limit.

A wait now ends 1 s after its requested time at the latest, a moved wait goes on for the rest of its time only, and an attempt that throws counts as failed (a commit as possibly applied).

Evidence: 10 of the 11 tests of CallsThatEndTest fail on the former code; the eleventh shows that a wait goes on directly when the node that it moves to throws. Ruled out: PeerRowStore, OlderPeerStore and OlderCallerStore add no state of their own, and end with the call below.

--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/HedgedStoreCall.java
@@ -3,12 +3,14 @@
 import dev.bambootray.adapters.relay.StoreCall.OutcomeKind;
 import dev.bambootray.jobs.reach.Peer;
 import dev.bambootray.jobs.reach.StoreRouteSelector.Route;
+import dev.bambootray.ports.RowStore;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -69,7 +71,7 @@
     List<Peer> peers = relayedStore.peers();
     for (Peer peer : peers) {
       long sentMs = relayedStore.nowMs();
-      CompletableFuture<Boolean> probe = call.probe(relayedStore.storeOf(peer));
+      CompletableFuture<Boolean> probe = probe(peer);
       if (probe == null) {
         askPeers(peers);
         return;
@@ -86,6 +88,14 @@
     }
   }
 
+  private @Nullable CompletableFuture<Boolean> probe(Peer peer) {
+    try {
+      return call.probe(relayedStore.storeOf(peer));
+    } catch (RuntimeException e) {
+      return CompletableFuture.completedFuture(false);
+    }
+  }
+
   /** Asks other nodes as well, unless they were asked already or the call has ended. */
   void askPeers() {
     askPeers(relayedStore.peers());
@@ -135,9 +145,16 @@
     }
     long sentMs = relayedStore.nowMs();
     var unused =
-        call.sendTo(relayedStore.direct())
-            .exceptionally(call::failureOutcome)
-            .thenAccept(outcome -> onDirectOutcome(outcome, sentMs));
+        attempt(relayedStore::direct).thenAccept(outcome -> onDirectOutcome(outcome, sentMs));
+  }
+
+  /** Makes one attempt; an attempt that throws must count as ended, or the call would not end. */
+  private CompletableFuture<T> attempt(Supplier<RowStore> store) {
+    try {
+      return call.sendTo(store.get()).exceptionally(call::failureOutcome);
+    } catch (RuntimeException e) {
+      return CompletableFuture.completedFuture(call.failureOutcome(e));
+    }
   }
 
   private void onDirectOutcome(T outcome, long sentMs) {
@@ -166,8 +183,7 @@
     }
     if (peer != null) {
       var unused =
-          call.sendTo(relayedStore.storeOf(peer))
-              .exceptionally(call::failureOutcome)
+          attempt(() -> relayedStore.storeOf(peer))
               .thenAccept(outcome -> onPeerOutcome(peer, outcome));
     }
   }
--- a/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
+++ b/adapters/relay/src/main/java/dev/bambootray/adapters/relay/RelayedRowStore.java
@@ -33,6 +33,12 @@
   /** Time limit of a read over all its attempts; the direct one alone may take 1 s. */
   private static final long READ_TIMEOUT_MS = 1_300;
 
+  /**
+   * Added to the requested wait for changes to get the time limit over all attempts; longer than
+   * that of one attempt, which tells why it failed.
+   */
+  private static final long CHANGES_MARGIN_MS = 1_000;
+
   /** Follows a key directly in the order of keys. */
   private static final String AFTER_KEY = "\u0001";
 
@@ -172,13 +178,16 @@
 
   @Override
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
+    long startMs = nowMs();
     HedgedStoreCall<ChangePage> race =
         new HedgedStoreCall<>(
             this,
             new StoreCall<>() {
               @Override
               public CompletableFuture<ChangePage> sendTo(RowStore store) {
-                return store.changes(table, after, waitMs);
+                // A wait that moves to another node only goes on for the rest of its time.
+                long waitedMs = nowMs() - startMs;
+                return store.changes(table, after, Math.max(0, waitMs - waitedMs));
               }
 
               @Override
@@ -199,9 +208,14 @@
     activePolls.add(race);
     race.start(
         route.isViaPeers() ? StoreRouteSelector.Route.PEER : StoreRouteSelector.Route.DIRECT);
+    Runnable cancel =
+        race.result().isDone()
+            ? () -> {}
+            : timers.runLater(race::timeOut, waitMs + CHANGES_MARGIN_MS);
     return race.result()
         .whenComplete(
             (page, error) -> {
+              cancel.run();
               boolean unused = activePolls.remove(race);
             });
   }
--- a/adapters/relay/src/test/java/dev/bambootray/adapters/relay/FakeStore.java
+++ b/adapters/relay/src/test/java/dev/bambootray/adapters/relay/FakeStore.java
@@ -19,6 +19,7 @@
 final class FakeStore implements RowStore {
   final List<CompletableFuture<CommitOutcome>> commits = new ArrayList<>();
   final List<CompletableFuture<ChangePage>> waits = new ArrayList<>();
+  final List<Long> waitsMs = new ArrayList<>();
   List<RowCondition> conditions = List.of();
   List<RowChange> changes = List.of();
   Either<StoreError, RowReadPage> page = Either.left(new StoreError("store", "unavailable", false));
@@ -26,9 +27,15 @@
   boolean holdsReads;
   int reads;
 
+  /** Whether calls throw instead of returning a future. */
+  boolean throwing;
+
   @Override
   public CompletableFuture<CommitOutcome> commit(
       List<RowCondition> newConditions, List<RowChange> newChanges, long timeoutMs) {
+    if (throwing) {
+      throw new IllegalStateException("thrown by the store");
+    }
     conditions = newConditions;
     changes = newChanges;
     CompletableFuture<CommitOutcome> commit = new CompletableFuture<>();
@@ -40,6 +47,9 @@
   public CompletableFuture<Either<StoreError, RowReadPage>> read(
       String table, String from, String to, int limit) {
     reads++;
+    if (throwing) {
+      throw new IllegalStateException("thrown by the store");
+    }
     if (holdsReads) {
       CompletableFuture<Either<StoreError, RowReadPage>> read = new CompletableFuture<>();
       heldReads.add(read);
@@ -50,6 +60,10 @@
 
   @Override
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
+    waitsMs.add(waitMs);
+    if (throwing) {
+      throw new IllegalStateException("thrown by the store");
+    }
     CompletableFuture<ChangePage> wait = new CompletableFuture<>();
     waits.add(wait);
     return wait;
