Follow a table on whatever becomes of a call of the store

A follower went on only when its call ended. A call that threw, one that never ended, and an exception of the listener upon a confirmation or upon the loss of the store ended the following of the table without a line in the log. An owner that follows the declaration so starts nothing from then on. No store below is known to leave a call without an end, so this is not shown to be what the users saw.

Each call now has a limit of 1.5 s beyond its wait, an exception counts as a failed call, and a late result of a call that was given up is ignored, so that there is one wait at a time.

Closed and refused calls were followed by another one before as well: "the peer closed the connection" alone does not end the following.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -8,12 +8,21 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Follows a table: reads it in full, then waits for changes. When the store no longer has the
  * changes it needs, it reads the table in full again. It runs on the given event loop.
+ *
+ * <p>It makes one call at a time and goes on whatever becomes of it: a call that throws, fails or
+ * gets no answer is followed by another one.
  */
 final class TableFollower {
   /** Receives the content and the changes of a table. */
@@ -42,17 +51,25 @@
    * Longest wait for changes. It bounds the time until a silent connection is noticed, and must be
    * short enough to apply a new declaration in time.
    */
-  private static final long WAIT_MS = 1_500;
+  static final long WAIT_MS = 1_500;
 
   /** Delay before a failed read is retried. */
   static final long RETRY_MS = 250;
 
+  /**
+   * Time limit of a read, and of a wait beyond the time that it may take by design. It is longer
+   * than the limits of the stores below, which tell why a call failed, and only ends calls that
+   * these leave without an end.
+   */
+  static final long CALL_LIMIT_MS = 1_500;
+
   private static final int PAGE_ROWS = 500;
 
   private final RowStore store;
   private final ScheduledExecutorService executor;
   private final String table;
   private final Listener listener;
+  private final LongSupplier clockMs;
   private volatile boolean stopped;
   private boolean reachable = true;
 
@@ -61,10 +78,20 @@
 
   TableFollower(
       RowStore store, ScheduledExecutorService executor, String table, Listener listener) {
+    this(store, executor, table, listener, () -> JobNode.now().ms());
+  }
+
+  TableFollower(
+      RowStore store,
+      ScheduledExecutorService executor,
+      String table,
+      Listener listener,
+      LongSupplier clockMs) {
     this.store = store;
     this.executor = executor;
     this.table = table;
     this.listener = listener;
+    this.clockMs = clockMs;
   }
 
   void start() {
@@ -74,7 +101,7 @@
   /** Reads the table in full again; must be called on the event loop. */
   void readAgain() {
     reading++;
-    readAll(new Progress(reading, JobNode.now().ms()), "");
+    readAll(new Progress(reading, clockMs.getAsLong()), "");
   }
 
   void stop() {
@@ -100,11 +127,11 @@
     if (isOutdated(progress.reading)) {
       return;
     }
-    var unused =
-        store
-            .read(table, from, "", PAGE_ROWS)
-            .exceptionally(e -> Either.left(new StoreError(table, "unexpected error " + e, false)))
-            .thenAcceptAsync(result -> onRead(progress, result), executor);
+    call(
+        () -> store.read(table, from, "", PAGE_ROWS),
+        CALL_LIMIT_MS,
+        detail -> Either.left(new StoreError(table, detail, false)),
+        result -> onRead(progress, result));
   }
 
   private void onRead(Progress progress, Either<StoreError, RowReadPage> result) {
@@ -130,7 +157,7 @@
     }
     markReachable();
     runGuarded(() -> listener.onContent(progress.rows));
-    listener.onConfirmed(progress.startMs);
+    runGuarded(() -> listener.onConfirmed(progress.startMs));
     follow(progress.reading, progress.version, WAIT_MS);
   }
 
@@ -138,12 +165,38 @@
     if (isOutdated(from)) {
       return;
     }
-    long sentMs = JobNode.now().ms();
+    long sentMs = clockMs.getAsLong();
+    call(
+        () -> store.changes(table, version, waitMs),
+        waitMs + CALL_LIMIT_MS,
+        ChangePage.Failed::new,
+        page -> onChanges(page, from, version, sentMs, waitMs));
+  }
+
+  /** Makes a call and handles its result, or its failure if there is none in time, once. */
+  private <T> void call(
+      Supplier<CompletableFuture<T>> call,
+      long limitMs,
+      Function<String, T> failure,
+      Consumer<T> onResult) {
+    CompletableFuture<T> first = new CompletableFuture<>();
+    Runnable giveUp = () -> first.complete(failure.apply("no result within " + limitMs + " ms"));
+    ScheduledFuture<?> limit = executor.schedule(giveUp, limitMs, TimeUnit.MILLISECONDS);
     var unused =
-        store
-            .changes(table, version, waitMs)
-            .exceptionally(e -> new ChangePage.Failed("unexpected error " + e))
-            .thenAcceptAsync(page -> onChanges(page, from, version, sentMs, waitMs), executor);
+        first.thenAcceptAsync(
+            result -> {
+              limit.cancel(false);
+              onResult.accept(result);
+            },
+            executor);
+    try {
+      var unusedCall =
+          call.get()
+              .exceptionally(error -> failure.apply("unexpected error " + error))
+              .thenAccept(first::complete);
+    } catch (RuntimeException e) {
+      first.complete(failure.apply("unexpected error " + e));
+    }
   }
 
   private void onChanges(ChangePage page, int from, long version, long sentMs, long waitMs) {
@@ -154,7 +207,7 @@
       markReachable();
       // One by one, so that an exception for one row does not prevent handling the others.
       changes.rows().forEach(row -> runGuarded(() -> listener.onChanges(List.of(row))));
-      listener.onConfirmed(confirmedMs(changes, sentMs, waitMs));
+      runGuarded(() -> listener.onConfirmed(confirmedMs(changes, sentMs, waitMs)));
       follow(from, Math.max(version, changes.version()), WAIT_MS);
     } else if (page instanceof ChangePage.HistoryLost) {
       readAgain();
@@ -166,9 +219,9 @@
   }
 
   /** Returns the time as of which an answer to a wait contains all changes. */
-  private static long confirmedMs(ChangePage.Changes changes, long sentMs, long waitMs) {
+  private long confirmedMs(ChangePage.Changes changes, long sentMs, long waitMs) {
     // The store answers without rows only after the whole wait.
-    long waitedMs = JobNode.now().ms() - sentMs;
+    long waitedMs = clockMs.getAsLong() - sentMs;
     return changes.rows().isEmpty() && waitedMs >= waitMs ? sentMs + waitMs : sentMs;
   }
 
@@ -192,14 +245,14 @@
   private void markReachable() {
     if (!reachable) {
       reachable = true;
-      listener.onReachable(true, "");
+      runGuarded(() -> listener.onReachable(true, ""));
     }
   }
 
   private void markUnreachable(String detail) {
     if (reachable) {
       reachable = false;
-      listener.onReachable(false, detail);
+      runGuarded(() -> listener.onReachable(false, detail));
     }
   }
 }
