Let a read of the declaration end though further pauses are noticed

On a busy machine the owner and the callers' API could have no confirmed declaration for good. Each pause of the process began the full read anew and outdated the one under way: with a control thread that stands still every 1.2 s and reads of 1.25 s, none ever counted.

A read that is under way is no longer begun anew. Its content counts for pauses that were noticed before it began, as before, and for later ones if at most 1.5 s have passed since it was sent, by both clocks: that is the limit of any read, so the content is no older than one that is accepted without a pause. Older content is followed by one further read. A read that was retried counts for the pauses before the retry.

A read that itself spans a pause of 3 s does not count for it, also if only the wall clock tells, so a key revoked meanwhile is not accepted.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,10 +36,17 @@
     default void onConfirmed(long asOfMs, int pauseCount) {}
   }
 
+  /**
+   * Longest duration of a full read whose content counts for pauses during the read too. Such
+   * content is no older than that of any read, which may take as long without a pause.
+   */
+  private static final long MAX_READ_MS = TableFollower.CALL_LIMIT_MS;
+
   private final PlatformDocumentReader documents;
   private final DecisionLog log;
   private final Listener listener;
   private final ScheduledExecutorService executor;
+  private final Supplier<EventTime> clock;
   private final TableFollower follower;
   private final PauseDetector pauseDetector;
   private volatile @Nullable JobDeclaration newest;
@@ -53,7 +61,9 @@
   /** Number of pauses before the newest full read began; used on the event loop only. */
   private int pausesBeforeRead;
 
-  /** Number of pauses before the newest completed full read began. */
+  private EventTime readStart;
+
+  /** Number of pauses that the newest completed full read counts for. */
   private volatile int pausesBeforeContent;
 
   DeclarationFollower(
@@ -62,12 +72,26 @@
       PlatformDocumentReader documents,
       DecisionLog log,
       Listener listener) {
+    this(store, executor, documents, log, listener, JobNode::now);
+  }
+
+  DeclarationFollower(
+      RowStore store,
+      ScheduledExecutorService executor,
+      PlatformDocumentReader documents,
+      DecisionLog log,
+      Listener listener,
+      Supplier<EventTime> clock) {
     this.executor = executor;
     this.documents = documents;
     this.log = log;
     this.listener = listener;
-    pauseDetector = new PauseDetector(JobNode.now());
-    follower = new TableFollower(store, executor, documents.declarationTable(), this);
+    this.clock = clock;
+    readStart = clock.get();
+    pauseDetector = new PauseDetector(readStart);
+    follower =
+        new TableFollower(
+            store, executor, documents.declarationTable(), this, () -> clock.get().ms());
   }
 
   void start() {
@@ -108,13 +132,35 @@
     if (pauseDetector.pausedSinceLastCall(now)) {
       log.line("config:", "-", "read again after a pause of the process");
       pauses.incrementAndGet();
-      executor.execute(this::readAgain);
+      executor.execute(this::readAgainIfStale);
     }
   }
 
-  private void readAgain() {
+  /**
+   * Reads the table again, unless a read is under way: beginning it anew with each pause, none
+   * would complete while pauses are more frequent than reads are fast.
+   */
+  private void readAgainIfStale() {
+    if (isPossiblyStale() && !follower.isReadingInFull()) {
+      follower.readAgain();
+    }
+  }
+
+  @Override
+  public void onReadStarted() {
     pausesBeforeRead = pauses.get();
-    follower.readAgain();
+    readStart = clock.get();
+  }
+
+  /** Returns the number of pauses that the content of the read that has just completed is for. */
+  private int pausesOfCompletedRead() {
+    int noticed = pauses.get();
+    EventTime now = clock.get();
+    // After a suspension of the VM only the wall clock tells how old the content is.
+    boolean isShort =
+        now.ms() - readStart.ms() <= MAX_READ_MS
+            && Math.abs(now.wallMs() - readStart.wallMs()) <= MAX_READ_MS;
+    return isShort ? noticed : pausesBeforeRead;
   }
 
   private boolean isPossiblyStale() {
@@ -134,7 +180,8 @@
     } finally {
       // An unreadable declaration leaves the current one in force; closed domains still apply.
       publish();
-      pausesBeforeContent = pausesBeforeRead;
+      pausesBeforeContent = pausesOfCompletedRead();
+      readAgainIfStale();
     }
   }
 
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -27,6 +27,9 @@
 final class TableFollower {
   /** Receives the content and the changes of a table. */
   interface Listener {
+    /** Handles that a full read begins; a failed one begins again. */
+    default void onReadStarted() {}
+
     /** Handles the full content of the table, which replaces all earlier content. */
     void onContent(List<Row> rows);
 
@@ -76,6 +79,8 @@
   /** Number of the newest full read; answers to calls of earlier ones are ignored. */
   private int reading;
 
+  private boolean readingInFull;
+
   TableFollower(
       RowStore store, ScheduledExecutorService executor, String table, Listener listener) {
     this(store, executor, table, listener, () -> JobNode.now().ms());
@@ -101,9 +106,16 @@
   /** Reads the table in full again; must be called on the event loop. */
   void readAgain() {
     reading++;
+    readingInFull = true;
+    runGuarded(listener::onReadStarted);
     readAll(new Progress(reading, clockMs.getAsLong()), "");
   }
 
+  /** Returns whether a full read is under way; must be called on the event loop. */
+  boolean isReadingInFull() {
+    return readingInFull;
+  }
+
   void stop() {
     stopped = true;
   }
@@ -155,6 +167,7 @@
       readAll(progress, JobTables.keyAfter(page.rows().get(page.rows().size() - 1).key()));
       return;
     }
+    readingInFull = false;
     markReachable();
     runGuarded(() -> listener.onContent(progress.rows));
     runGuarded(() -> listener.onConfirmed(progress.startMs));
