Give each process port ranges that no other one uses

Two soaks beside each other mixed their nodes: nodes of the second one ended with code 1, and jobs of one run reached workers of the other.

Each process began at its number modulo 100 times 120, checked only that nobody listened on a port, and a soak with 38 nodes takes 152. The port of a node that was down, or not yet up, went to the other process.

A process now takes a range of 200 ports by listening on its first port until it ends; the system frees it even after a kill. A lock on a file was ruled out: it would not cover two temporary folders on one machine. If all ranges are held, the soak ends with code 2 and says so.

--- a/soak/src/main/java/dev/bambootray/soak/SoakMain.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakMain.java
@@ -1,5 +1,6 @@
 package dev.bambootray.soak;
 
+import dev.bambootray.standins.FreePorts;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -117,6 +118,12 @@
       System.err.println("--nodes, --workers, --jobs: expected 1 to " + MOST_NODES + " nodes");
       return 2;
     }
+    try {
+      FreePorts.reserve();
+    } catch (IllegalStateException e) {
+      System.err.println("soak: " + e.getMessage());
+      return 2;
+    }
     List<Long> toPlay = seedsToPlay();
     ExecutorService pool = Executors.newFixedThreadPool(parallel);
     List<Future<SoakResult>> results = new ArrayList<>();
