Let the soak end and restart the store, and close its connections

STORE_RESTARTS closes the listener and all connections of the store, with the calls that wait, for the time of the fault; the proxies pass the close on. It listens again on its port with all rows, its history kept or dropped by a coin from the seed. STORE_CLOSES closes each connection after an answer, announced or not by a coin. The server of the callers' interface offers neither, so the store has a small one of its own.

Both are drawn after the other kinds. FaultPlanTest compares the other faults of fifty seeds with a checksum that was taken on.

--- a/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultInjector.java
@@ -3,6 +3,7 @@
 import dev.bambootray.soak.LoopbackProxy.Mode;
 import dev.bambootray.soak.wire.StandInStore;
 import dev.bambootray.soak.wire.StandInStore.Failure;
+import dev.bambootray.soak.wire.StoreServer;
 import io.netty.channel.EventLoop;
 import java.nio.file.Path;
 import java.util.EnumMap;
@@ -31,6 +32,7 @@
   private final List<LoopbackProxy> callerLinks;
   private final SoakWorkers workers;
   private final StandInStore store;
+  private final StoreServer storeServer;
   private final Builds builds;
   private final Runnable declare;
   private final Map<LoopbackProxy, Map<Mode, Integer>> links = new HashMap<>();
@@ -51,6 +53,7 @@
       List<LoopbackProxy> callerLinks,
       SoakWorkers workers,
       StandInStore store,
+      StoreServer storeServer,
       Builds builds) {
     Targets {
       nodes = List.copyOf(nodes);
@@ -82,6 +85,7 @@
     callerLinks = targets.callerLinks();
     workers = targets.workers();
     store = targets.store();
+    storeServer = targets.storeServer();
     builds = targets.builds();
   }
 
@@ -121,6 +125,8 @@
       case STORE_LOSES_ANSWERS -> disturb(Failure.LOSES_ANSWERS, forMs);
       case STORE_LATE -> disturb(Failure.LATE, forMs);
       case STORE_COMPACTS -> store.compact();
+      case STORE_RESTARTS -> restartStore(forMs);
+      case STORE_CLOSES -> closeAfterAnswers(forMs);
       case WORKER_CUT -> disturb(workers.proxy(target), Mode.CUT, forMs);
       case WORKER_CUT_BACK -> disturb(workers.proxy(target), Mode.CUT_BACK, forMs);
       case WORKER_DELAY -> disturb(workers.proxy(target), Mode.DELAY, forMs);
@@ -190,6 +196,29 @@
     later(forMs, () -> store.end(failure));
   }
 
+  private void restartStore(long forMs) {
+    storeServer.end();
+    store.restart();
+    later(forMs, this::listenAgain);
+  }
+
+  private void listenAgain() {
+    var unusedListener =
+        storeServer
+            .listenAgain()
+            .addListener(
+                done -> {
+                  if (!done.isSuccess()) {
+                    book.violate("soak", "the store cannot listen again: " + done.cause());
+                  }
+                });
+  }
+
+  private void closeAfterAnswers(long forMs) {
+    storeServer.beginToCloseAfterAnswers();
+    later(forMs, storeServer::keepAfterAnswers);
+  }
+
   private void disturb(LoopbackProxy link, Mode mode, long forMs) {
     links.computeIfAbsent(link, key -> new EnumMap<>(Mode.class)).merge(mode, 1, Integer::sum);
     link.set(mode);
--- a/soak/src/main/java/dev/bambootray/soak/FaultKind.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultKind.java
@@ -34,6 +34,10 @@
   STORE_LATE(Scope.NODE, false),
   /** The store drops its history. */
   STORE_COMPACTS(Scope.NODE, false),
+  /** The store ends, with all connections and waiting calls, and is started again with its rows. */
+  STORE_RESTARTS(Scope.NODE, false),
+  /** The store closes each connection after an answer. */
+  STORE_CLOSES(Scope.NODE, false),
   /** A worker is out of reach in both directions, but goes on. */
   WORKER_CUT(Scope.WORKER, false),
   /** Answers of a worker are lost. */
--- a/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/bambootray/soak/FaultPlan.java
@@ -36,6 +36,8 @@
           FaultKind.REGISTRY_ODD,
           FaultKind.REGISTRY_EXPIRES,
           FaultKind.DOMAIN_CLOSED,
+          FaultKind.STORE_RESTARTS,
+          FaultKind.STORE_CLOSES,
           FaultKind.NODE_UPGRADE,
           FaultKind.NODE_DOWNGRADE);
 
@@ -82,6 +84,8 @@
       faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_ODD, nodes, lengthMs));
       faults.addAll(drawWaves(random.split(), FaultKind.REGISTRY_EXPIRES, nodes, lengthMs));
       faults.addAll(drawWaves(random.split(), FaultKind.DOMAIN_CLOSED, workers, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.STORE_RESTARTS, nodes, lengthMs));
+      faults.addAll(drawWaves(random.split(), FaultKind.STORE_CLOSES, nodes, lengthMs));
     }
     faults.sort(Comparator.comparingLong(Fault::atMs));
     return faults;
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -1,9 +1,8 @@
 package dev.bambootray.soak;
 
-import dev.bambootray.adapters.http.HttpApiServer;
-import dev.bambootray.adapters.http.HttpLimits;
-import dev.bambootray.soak.wire.Documents;
 import dev.bambootray.soak.wire.StandInStore;
+import dev.bambootray.soak.wire.StoreServer;
+import dev.bambootray.standins.FreePorts;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -34,8 +33,6 @@
   /** A signal thread that is interrupted ends at once; this is only not to wait for ever. */
   private static final long SIGNALS_END_S = 10;
 
-  private static final int LARGEST_BODY_BYTES = 2 * 1024 * 1024;
-
   private final long seed;
   private final SoakOptions options;
   private final long startNanos = System.nanoTime();
@@ -75,18 +72,8 @@
   }
 
   private SoakResult play() throws IOException, InterruptedException, ExecutionException {
-    HttpLimits defaults = HttpLimits.defaults();
-    HttpLimits limits =
-        new HttpLimits(
-            defaults.connections(),
-            LARGEST_BODY_BYTES,
-            defaults.headerBytes(),
-            defaults.lineBytes(),
-            defaults.pipelined(),
-            defaults.receiveMs(),
-            defaults.idleMs(),
-            defaults.waitMs());
-    HttpApiServer storeServer = HttpApiServer.start(group, Documents.HOST, 0, store, limits);
+    // A port that no other listener gets while the store is down.
+    StoreServer storeServer = StoreServer.start(loop, FreePorts.next(), store, seed);
     SoakWorkers workers =
         new SoakWorkers(group, loop, store, book, this::nowMs, jobs, options.workers(), seed);
     for (int i = 0; i < options.nodes(); i++) {
@@ -113,7 +100,7 @@
         signals.submit(node::start).get();
       }
       TimeUnit.MILLISECONDS.sleep(LEAD_MS);
-      disturb(workers, callers);
+      disturb(workers, callers, storeServer);
       settle(workers, callers);
       onLoop(callers::askEveryNode).get();
       onLoop(
@@ -155,7 +142,7 @@
         : callerLinks.stream().map(LoopbackProxy::port).toList();
   }
 
-  private void disturb(SoakWorkers workers, SoakCallers callers)
+  private void disturb(SoakWorkers workers, SoakCallers callers, StoreServer storeServer)
       throws IOException, InterruptedException, ExecutionException {
     List<Fault> plan =
         new ArrayList<>(
@@ -174,7 +161,8 @@
             signals,
             book,
             this::nowMs,
-            new FaultInjector.Targets(nodes, storeLinks, callerLinks, workers, store, builds),
+            new FaultInjector.Targets(
+                nodes, storeLinks, callerLinks, workers, store, storeServer, builds),
             this::declare);
     onLoop(
         () -> {
--- a/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
@@ -78,13 +78,17 @@
   private final LongSupplier clock;
   private final SplittableRandom random;
   private final Map<Failure, Integer> failures = new EnumMap<>(Failure.class);
+  private final SplittableRandom restarts;
   private long version;
   private long historyFrom;
 
+  /** Number of restarts; what an earlier life had not carried out is lost with it. */
+  private int life;
+
   /**
    * Creates an empty store.
    *
-   * @param seed decides which answers are lost
+   * @param seed decides which answers are lost and which restarts lose the history
    * @param later runs an action on the loop after some milliseconds
    * @param clock a steady clock in milliseconds
    */
@@ -92,6 +96,7 @@
     this.later = later;
     this.clock = clock;
     random = new SplittableRandom(seed);
+    restarts = new SplittableRandom(seed).split();
   }
 
   /** Begins a fault; the same one may begin again before it has ended. */
@@ -114,6 +119,15 @@
     historyFrom = version;
   }
 
+  /** Forgets all calls that wait and, by a coin, the history; rows and versions stay. */
+  public void restart() {
+    life++;
+    waiters.clear();
+    if (restarts.nextBoolean()) {
+      compact();
+    }
+  }
+
   /** Publishes a version of the configuration, as the operator does. */
   public void declare(int declarationVersion) {
     put(new Key("op", "", "config"), Documents.declaration(declarationVersion));
@@ -171,10 +185,21 @@
   public PendingResponse route(ApiRequest request) {
     CompletableFuture<ApiResponse> answer = new CompletableFuture<>();
     long delayMs = has(Failure.SLOW) ? SLOW_MS : USUAL_MS;
-    later.accept(delayMs, () -> serve(request, answer));
+    laterInThisLife(delayMs, () -> serve(request, answer));
     return PendingResponse.of(answer, response -> response);
   }
 
+  private void laterInThisLife(long delayMs, Runnable action) {
+    int current = life;
+    later.accept(
+        delayMs,
+        () -> {
+          if (life == current) {
+            action.run();
+          }
+        });
+  }
+
   private void serve(ApiRequest request, CompletableFuture<ApiResponse> answer) {
     if (has(Failure.REFUSES)) {
       answer.complete(ApiResponse.json(503, Json.object()));
@@ -191,7 +216,7 @@
   private void transaction(ApiRequest request, CompletableFuture<ApiResponse> answer) {
     JsonNode body = Json.read(request.body());
     if (has(Failure.LATE) && random.nextDouble() < LOST_SHARE) {
-      later.accept(LATE_MS, () -> commit(body)); // Nobody hears of it.
+      laterInThisLife(LATE_MS, () -> commit(body)); // Nobody hears of it.
       return;
     }
     ApiResponse response = commit(body);
--- a/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/FaultPlanTest.java
@@ -1,5 +1,6 @@
 package dev.bambootray.soak;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,6 +8,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 
 final class FaultPlanTest {
@@ -19,6 +21,19 @@
         FaultPlan.draw(7, NODES, WORKERS, 15_000), FaultPlan.draw(7, NODES, WORKERS, 15_000));
   }
 
+  @Test
+  void seedsKeepTheFaultsThatTheyHadBeforeLaterKindsWereAdded() {
+    Set<FaultKind> later = EnumSet.of(FaultKind.STORE_RESTARTS, FaultKind.STORE_CLOSES);
+    CRC32 sum = new CRC32();
+    for (long seed = 1; seed <= 50; seed++) {
+      FaultPlan.draw(seed, NODES, WORKERS, 15_000).stream()
+          .filter(fault -> !later.contains(fault.kind()))
+          .forEach(fault -> sum.update((fault + "\n").getBytes(UTF_8)));
+    }
+    // Drawn with fb68176, which lacks these kinds.
+    assertEquals(0x3d814951L, sum.getValue());
+  }
+
   @Test
   void targetsExistAndFaultsBeginInTime() {
     for (long seed = 1; seed <= 50; seed++) {
--- a/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
@@ -8,12 +8,16 @@
 import dev.bambootray.adapters.http.ApiRequest;
 import dev.bambootray.adapters.http.ApiResponse;
 import dev.bambootray.adapters.http.PendingResponse;
+import dev.bambootray.core.model.Resources;
+import dev.bambootray.jobs.worker.WorkerEntry;
 import dev.bambootray.soak.wire.StandInStore.Failure;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -130,6 +134,45 @@
     }
   }
 
+  @Nested
+  final class Restart {
+    @Test
+    void keepsRowsAndForgetsWhatWaits() {
+      assertEquals(200, commit(0, "YQ==").status());
+      PendingResponse feed =
+          call("/api/rows-feed", Map.of("table", "t", "after", "1", "wait_ms", "1000"), "");
+      pass(10);
+      PendingResponse commit = send(1, "Yg==");
+      store.restart();
+      pass(2_000);
+      assertFalse(feed.response().isDone());
+      assertFalse(commit.response().isDone());
+      JsonNode row = rows("/api/rows-get", Map.of("table", "t", "part", "p")).path(0);
+      assertEquals("YQ==", row.path("value").asText());
+      assertEquals(1, row.path("ver").asLong());
+      assertEquals(200, commit(1, "Yg==").status());
+    }
+
+    @Test
+    void keepsOrDropsTheHistoryByACoin() {
+      Set<Integer> statuses = new HashSet<>();
+      for (int restarts = 0; restarts < 20; restarts++) {
+        store.register(worker(), false, restarts);
+        store.restart();
+        Map<String, String> old = Map.of("table", "servers", "after", String.valueOf(restarts));
+        PendingResponse feed = call("/api/rows-feed", old, "");
+        pass(10);
+        statuses.add(answer(feed).status());
+      }
+      assertEquals(Set.of(200, 410), statuses);
+    }
+
+    private static WorkerEntry worker() {
+      return new WorkerEntry(
+          "w", "s", "127.0.0.1:1", "z", "r", Set.of(), new Resources(1, 1, 1), 0, false);
+    }
+  }
+
   @Nested
   final class Feed {
     @Test
