Count owners, standstill and the lag of the soak's loop in its result

A failed run on a busy machine did not tell whether nodes changed owners, whether the whole pool stood still, or whether the stand-ins themselves were what was slow.

`owners` counts the epochs of the owner row in the store, `nothing ran ms` is the longest time without a run while a step waited after the load, and `loop lag ms` is how late a timer of the loop was that all stand-ins of a run share.

--- a/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
+++ b/soak/src/main/java/dev/bambootray/soak/PromiseBook.java
@@ -66,6 +66,7 @@
 
   private final Set<String> violations = new LinkedHashSet<>();
   private final Map<String, Integer> counts = new TreeMap<>();
+  private final LongestTime nothingRan = new LongestTime();
   private long lastFaultMs = Long.MIN_VALUE / 2;
 
   /** Notes that a fault is going on. */
@@ -241,21 +242,12 @@
       Collection<SimulatedPoolWorker> open,
       long loadEndMs,
       long nowMs) {
+    List<WaitingStep> waiting = waitingSteps(running);
+    nothingRan.note(running.isEmpty() && !waiting.isEmpty(), nowMs);
     if (nowMs - Math.max(loadEndMs, lastFaultMs) < IdleCapacityCheck.AFTER_LOAD_MS) {
       idleCapacity.reset();
       return;
     }
-    Set<String> busy = new HashSet<>();
-    running.forEach(run -> busy.add(run.task().job()));
-    List<WaitingStep> waiting =
-        entries.values().stream()
-            .filter(entry -> entry.accepted && entry.cancelledAtMs == Long.MAX_VALUE)
-            .filter(entry -> !isFinal(entry.shown) && !busy.contains(entry.job.id()))
-            .flatMap(
-                entry ->
-                    WaitingStep.of(entry.job.id(), entry.job.steps(), entry.done::contains)
-                        .stream())
-            .toList();
     if (!waiting.isEmpty()) {
       count("checks of idle capacity");
     }
@@ -266,6 +258,19 @@
     }
   }
 
+  /** Returns the steps whose turn has come, of accepted jobs that run nothing. */
+  private List<WaitingStep> waitingSteps(Collection<RunName> running) {
+    Set<String> busy = new HashSet<>();
+    running.forEach(run -> busy.add(run.task().job()));
+    return entries.values().stream()
+        .filter(entry -> entry.accepted && entry.cancelledAtMs == Long.MAX_VALUE)
+        .filter(entry -> !isFinal(entry.shown) && !busy.contains(entry.job.id()))
+        .flatMap(
+            entry ->
+                WaitingStep.of(entry.job.id(), entry.job.steps(), entry.done::contains).stream())
+        .toList();
+  }
+
   /** Checks what must hold after all faults have ended and work had time to end. */
   void settle(Collection<RunName> running) {
     for (Entry entry : entries.values()) {
@@ -289,6 +294,7 @@
 
   Map<String, Integer> counts() {
     entries.values().forEach(entry -> count("shown " + entry.shown));
+    counts.put("nothing ran ms", (int) nothingRan.longestMs());
     return counts;
   }
 
--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +47,7 @@
   private final List<NodeProcess> nodes = new ArrayList<>();
   private final List<LoopbackProxy> storeLinks = new ArrayList<>();
   private final List<LoopbackProxy> callerLinks = new ArrayList<>();
+  private final LoopLag loopLag;
   private int version;
 
   private SoakRun(long seed, SoakOptions options) {
@@ -58,6 +60,12 @@
               var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
             },
             this::nowMs);
+    loopLag =
+        new LoopLag(
+            (delayMs, action) -> {
+              var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+            },
+            this::nowMs);
   }
 
   /** Plays one seed and returns what it has shown. */
@@ -109,7 +117,7 @@
             return 0;
           });
       checkNodes();
-      return onLoop(() -> new SoakResult(seed, book.violations(), book.counts()));
+      return onLoop(() -> new SoakResult(seed, book.violations(), counts()));
     } finally {
       signals.shutdownNow();
       // A node that is started after the others were killed would stay for ever.
@@ -125,6 +133,13 @@
     }
   }
 
+  private Map<String, Integer> counts() {
+    Map<String, Integer> counts = new HashMap<>(book.counts());
+    counts.put("owners", store.owners());
+    counts.put("loop lag ms", (int) loopLag.largestMs());
+    return counts;
+  }
+
   private void killNodes() {
     for (NodeProcess node : nodes) {
       try {
@@ -168,6 +183,7 @@
         () -> {
           callers.start(FaultPlan.isPlannedOnly(seed));
           injector.schedule(plan);
+          loopLag.start();
           return 0;
         });
     long endMs = options.faultsMs();
--- a/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
+++ b/soak/src/main/java/dev/bambootray/soak/wire/StandInStore.java
@@ -79,6 +79,7 @@
   private final SplittableRandom random;
   private final Map<Failure, Integer> failures = new EnumMap<>(Failure.class);
   private final SplittableRandom restarts;
+  private final OwnerCount owners = new OwnerCount();
   private long version;
   private long historyFrom;
 
@@ -128,6 +129,11 @@
     }
   }
 
+  /** Returns how often a node has taken the pool over. */
+  public int owners() {
+    return owners.count();
+  }
+
   /** Publishes a version of the configuration, as the operator does. */
   public void declare(int declarationVersion) {
     put(new Key("op", "", "config"), Documents.declaration(declarationVersion));
@@ -315,6 +321,9 @@
 
   private void apply(Key key, String value) {
     rows.put(key, new Stored(value, version));
+    if (key.table().equals(OwnerCount.TABLE)) {
+      owners.onRow(value);
+    }
     note(new Change(key, value, version, false));
   }
 
--- a/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/wire/StandInStoreTest.java
@@ -1,5 +1,6 @@
 package dev.bambootray.soak.wire;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,6 +14,7 @@
 import dev.bambootray.soak.wire.StandInStore.Failure;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -173,6 +175,20 @@
     }
   }
 
+  @Test
+  void countsTakeoversByTheOwnerRow() {
+    for (int epoch : new int[] {1, 1, 2, 2, 5}) {
+      byte[] owner = ("{\"holder\":\"n\",\"epoch\":" + epoch + "}").getBytes(UTF_8);
+      String row =
+          "{\"table\":\"owner\",\"part\":\"\",\"key\":\"pool\",\"value\":\""
+              + Base64.getEncoder().encodeToString(owner)
+              + "\"}";
+      call("/api/rows-tx", Map.of(), "{\"writes\":[" + row + "]}");
+      pass(10);
+    }
+    assertEquals(3, store.owners());
+  }
+
   @Nested
   final class Feed {
     @Test
