--- a/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
+++ b/soak/src/test/java/dev/bambootray/soak/PromiseBookTest.java
@@ -295,5 +295,15 @@
       check(APPLIES_MS + 3_001);
       assertEquals(List.of(), book.violations());
     }
+
+    @Test
+    void countsHowLongNothingRanAlsoSoonAfterTheLoad() {
+      check(LOAD_END_MS);
+      check(LOAD_END_MS + 700);
+      check(LOAD_END_MS + 900, run(0, 1));
+      check(LOAD_END_MS + 5_000);
+      check(LOAD_END_MS + 5_200, run(0, 1));
+      assertEquals(900, book.counts().get("nothing ran ms"));
+    }
   }
 }
