--- a/soak/src/main/java/dev/bambootray/soak/SoakRun.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakRun.java
@@ -1,9 +1,8 @@
 package dev.bambootray.soak;
 
-import dev.bambootray.adapters.http.HttpApiServer;
-import dev.bambootray.adapters.http.HttpLimits;
-import dev.bambootray.soak.wire.Documents;
 import dev.bambootray.soak.wire.StandInStore;
+import dev.bambootray.soak.wire.StoreServer;
+import dev.bambootray.standins.FreePorts;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -12,6 +11,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,8 +34,6 @@
   /** A signal thread that is interrupted ends at once; this is only not to wait for ever. */
   private static final long SIGNALS_END_S = 10;
 
-  private static final int LARGEST_BODY_BYTES = 2 * 1024 * 1024;
-
   private final long seed;
   private final SoakOptions options;
   private final long startNanos = System.nanoTime();
@@ -49,6 +47,7 @@
   private final List<NodeProcess> nodes = new ArrayList<>();
   private final List<LoopbackProxy> storeLinks = new ArrayList<>();
   private final List<LoopbackProxy> callerLinks = new ArrayList<>();
+  private final LoopLag loopLag;
   private int version;
 
   private SoakRun(long seed, SoakOptions options) {
@@ -61,6 +60,12 @@
               var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
             },
             this::nowMs);
+    loopLag =
+        new LoopLag(
+            (delayMs, action) -> {
+              var unusedTimer = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+            },
+            this::nowMs);
   }
 
   /** Plays one seed and returns what it has shown. */
@@ -75,18 +80,8 @@
   }
 
   private SoakResult play() throws IOException, InterruptedException, ExecutionException {
-    HttpLimits defaults = HttpLimits.defaults();
-    HttpLimits limits =
-        new HttpLimits(
-            defaults.connections(),
-            LARGEST_BODY_BYTES,
-            defaults.headerBytes(),
-            defaults.lineBytes(),
-            defaults.pipelined(),
-            defaults.receiveMs(),
-            defaults.idleMs(),
-            defaults.waitMs());
-    HttpApiServer storeServer = HttpApiServer.start(group, Documents.HOST, 0, store, limits);
+    // A port that no other listener gets while the store is down.
+    StoreServer storeServer = StoreServer.start(loop, FreePorts.next(), store, seed);
     SoakWorkers workers =
         new SoakWorkers(group, loop, store, book, this::nowMs, jobs, options.workers(), seed);
     for (int i = 0; i < options.nodes(); i++) {
@@ -113,7 +108,7 @@
         signals.submit(node::start).get();
       }
       TimeUnit.MILLISECONDS.sleep(LEAD_MS);
-      disturb(workers, callers);
+      disturb(workers, callers, storeServer);
       settle(workers, callers);
       onLoop(callers::askEveryNode).get();
       onLoop(
@@ -122,7 +117,7 @@
             return 0;
           });
       checkNodes();
-      return onLoop(() -> new SoakResult(seed, book.violations(), book.counts()));
+      return onLoop(() -> new SoakResult(seed, book.violations(), counts()));
     } finally {
       signals.shutdownNow();
       // A node that is started after the others were killed would stay for ever.
@@ -138,6 +133,13 @@
     }
   }
 
+  private Map<String, Integer> counts() {
+    Map<String, Integer> counts = new HashMap<>(book.counts());
+    counts.put("owners", store.owners());
+    counts.put("loop lag ms", (int) loopLag.largestMs());
+    return counts;
+  }
+
   private void killNodes() {
     for (NodeProcess node : nodes) {
       try {
@@ -155,7 +157,7 @@
         : callerLinks.stream().map(LoopbackProxy::port).toList();
   }
 
-  private void disturb(SoakWorkers workers, SoakCallers callers)
+  private void disturb(SoakWorkers workers, SoakCallers callers, StoreServer storeServer)
       throws IOException, InterruptedException, ExecutionException {
     List<Fault> plan =
         new ArrayList<>(
@@ -174,12 +176,14 @@
             signals,
             book,
             this::nowMs,
-            new FaultInjector.Targets(nodes, storeLinks, callerLinks, workers, store, builds),
+            new FaultInjector.Targets(
+                nodes, storeLinks, callerLinks, workers, store, storeServer, builds),
             this::declare);
     onLoop(
         () -> {
           callers.start(FaultPlan.isPlannedOnly(seed));
           injector.schedule(plan);
+          loopLag.start();
           return 0;
         });
     long endMs = options.faultsMs();
