Let simulated calls take processor time

The simulated transport answered any number of calls at the same moment, so that no test could show an owner which sends more calls than its machine can serve within their limits.

A call that waits unsent for its whole limit ends as not sent, one whose answer is late as unanswered, though its worker carries it out. Without a cost nothing changes.

--- a/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
+++ b/standins/src/main/java/dev/bambootray/standins/jobs/SimulatedTransport.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -24,6 +25,10 @@
   private static final long ONE_WAY_LATENCY_MS = 20;
 
   private static final long CALL_TIMEOUT_MS = 300;
+
+  /** Time that the owner adds to the wait of a hold call to get its limit. */
+  private static final long HOLD_MARGIN_MS = 900;
+
   private static final long MIN_DELAY_MS = 2_000;
   private static final int MAX_EXTRA_DELAY_MS = 8_000;
 
@@ -31,6 +36,7 @@
   private final Map<String, SimulatedPoolWorker> workers;
   private final PoolSimulation pool;
   private final PoolSimulation.Observer observer;
+  private final CallProcessor processor;
   private double delayedCallShare;
   private int startAnswersToLose;
   private final MessageDelays startOrderDelays = new MessageDelays();
@@ -55,6 +61,12 @@
     this.workers = workers;
     this.pool = pool;
     this.observer = observer;
+    processor = new CallProcessor(pool);
+  }
+
+  /** Sets the processor time that each of the owner's calls takes from now on. */
+  void setCallCostMicros(long value) {
+    processor.setCallCostMicros(value);
   }
 
   /** Sets the share of calls that are not answered and are carried out seconds later. */
@@ -97,34 +109,57 @@
 
   /** Sends a start order; the answer arrives later. */
   void start(JobEffect.StartRun start, long epoch, Consumer<JobEvent> answer) {
-    pool.schedule(
-        ONE_WAY_LATENCY_MS + startOrderDelays.takeMs(), () -> arrive(start, epoch, answer));
+    CallProcessor.Call call =
+        processor.call(
+            epoch,
+            CALL_TIMEOUT_MS,
+            new JobEvent.StartAnswered(
+                start.worker(), start.run(), new StartReply.Refused(Reason.NOT_SENT)),
+            new JobEvent.StartAnswered(
+                start.worker(), start.run(), new StartReply.Unknown("no answer in time")),
+            answer);
+    long delayMs = ONE_WAY_LATENCY_MS + startOrderDelays.takeMs();
+    call.send(() -> pool.schedule(delayMs, () -> arrive(start, epoch, call::answer)));
   }
 
   /** Sends a stop order; the answer arrives later. */
   void stop(JobEffect.StopRun stop, long epoch, Consumer<JobEvent> answer) {
-    pool.schedule(ONE_WAY_LATENCY_MS, () -> arrive(stop, epoch, answer));
+    JobEvent failed = new JobEvent.StopAnswered(stop.worker(), stop.run(), false);
+    CallProcessor.Call call = processor.call(epoch, CALL_TIMEOUT_MS, failed, failed, answer);
+    call.send(() -> pool.schedule(ONE_WAY_LATENCY_MS, () -> arrive(stop, epoch, call::answer)));
   }
 
   /** Sends a hold call, which is answered after the end of a run or the requested wait. */
   void hold(JobEffect.HoldWorker hold, long epoch, Consumer<JobEvent> answer) {
     long sentMs = pool.nowMs();
-    BiConsumer<Long, HoldReply> reply =
-        (delayMs, list) ->
-            pool.schedule(
-                delayMs,
-                () ->
-                    answer.accept(
-                        new JobEvent.HoldAnswered(hold.worker(), list, sentMs, hold.refresh())));
+    Function<HoldReply, JobEvent> event =
+        reply -> new JobEvent.HoldAnswered(hold.worker(), reply, sentMs, hold.refresh());
     if (isConnectionClosed(hold, workers.get(hold.worker().id()))) {
-      reply.accept(0L, new HoldReply.NotSent());
+      pool.schedule(0, () -> answer.accept(event.apply(new HoldReply.NotSent())));
       return;
     }
-    pool.schedule(
-        ONE_WAY_LATENCY_MS + extraDelayMs(hold),
-        () ->
-            arrive(
-                hold, workers.get(hold.worker().id()), epoch, pool.nowMs() + hold.waitMs(), reply));
+    HoldReply unsent =
+        hold.connection() == 0 ? new HoldReply.Failed("not sent in time") : new HoldReply.NotSent();
+    CallProcessor.Call call =
+        processor.call(
+            epoch,
+            hold.waitMs() + HOLD_MARGIN_MS,
+            event.apply(unsent),
+            event.apply(new HoldReply.Failed("no answer in time")),
+            answer);
+    long delayMs = ONE_WAY_LATENCY_MS + extraDelayMs(hold);
+    call.send(() -> pool.schedule(delayMs, () -> arrive(hold, epoch, call, event)));
+  }
+
+  private void arrive(
+      JobEffect.HoldWorker hold,
+      long epoch,
+      CallProcessor.Call call,
+      Function<HoldReply, JobEvent> event) {
+    BiConsumer<Long, HoldReply> reply =
+        (delayMs, list) -> pool.schedule(delayMs, () -> call.answer(event.apply(list)));
+    SimulatedPoolWorker worker = workers.get(hold.worker().id());
+    arrive(hold, worker, epoch, pool.nowMs() + hold.waitMs(), reply);
   }
 
   private long extraDelayMs(JobEffect.HoldWorker hold) {
