Bound the start orders under way

Callers saw jobs with nothing running beside idle workers on busy machines.

Cause: the owner sent the orders of a whole queue at the same moment, each with a limit of 300 ms. With 1.5 to 3 ms of processor for a call most of 600 orders ran over it. Each was followed by a list, a repetition or a stop; orders that had waited unsent were placed again under another run number, and their workers were paused for 2 s. All of that is more work for the same processor.

Change: CallWindow bounds the calls under way. 300 orders go out at once; the bound doubles while answers are early, is halved when more than one in eight is not answered in time, then grows by 16 a round, and is never below 16. Calls to workers known to be silent do not count, nor do calls that fail at once. StartQueue keeps durable orders until there is room: covered ones first, a gang together, others as they were placed; orders of excluded workers, ended jobs and stopped runs are dropped while they wait. As an order may wait now, its lease is set when it is sent first, and its age alone does not drop it.

An order that waited unsent for its whole limit tells of the owner's load, as long as its worker answers: it waits again under the same run number, for 1.5 s at most, and its worker is not paused. It was not sent, so nothing can run twice. After an earlier order that may have been carried out it counts as unanswered, and a list decides, as before.

Ruled out: a limit that follows the measured time of orders.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -91,6 +91,8 @@
       state.emit(state.batches.takeBatch());
     }
     if (event instanceof JobEvent.Tick || event instanceof JobEvent.TookOver) {
+      runs.startQueue().dropUnusable(now);
+      runs.startQueue().send(now);
       poller.sendAllDueCalls(now);
     }
     return state.takeEffects();
@@ -191,14 +193,18 @@
     } else if (event instanceof JobEvent.DeclarationConfirmed confirmed) {
       onDeclarationConfirmed(confirmed.asOfMs(), now);
     } else if (event instanceof JobEvent.CallAnswered answered) {
+      if (event instanceof JobEvent.StartAnswered started) {
+        runs.startQueue().onAnswered(started, now);
+      }
       state
           .worker(answered.worker().id())
           .ifPresent(worker -> onCallAnswered(worker, answered, now));
+      runs.startQueue().send(now);
     } else if (event instanceof JobEvent.JobRowsRemoved removed) {
       onRowsRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
       state.batches.onDurable(durable.batch());
-      runs.sendDurableStarts(now);
+      runs.startQueue().onDurable(now);
     }
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Placement.java
@@ -8,7 +8,7 @@
 final class Placement {
   /** State of a run as far as the owner knows it. */
   enum Phase {
-    /** The decision to start it is not in the store yet. */
+    /** Its start order was not sent: it waits for the store or for other orders. */
     ORDERED,
     /** The start order was sent and is not confirmed. */
     STARTING,
@@ -40,7 +40,7 @@
   /** Whether a crash of its worker was counted for its task. */
   boolean crashCounted;
 
-  /** End of the lease by the worker's clock, fixed when the run was placed. */
+  /** End of the lease by the worker's clock, fixed when its first start order is sent. */
   long untilMs;
 
   /** Batch of records that must be stored before the start order is sent. */
@@ -49,6 +49,12 @@
   /** Number of start orders that were sent. */
   int startOrders;
 
+  /** Time of its first start order, or -1. */
+  long firstOrderMs = -1;
+
+  /** Time of its newest start order, or -1. */
+  long orderSentMs = -1;
+
   /** Time at which its newest start order was found to be unanswered, or -1. */
   long unansweredSinceMs = -1;
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -102,6 +102,7 @@
     suspects.place(packing, freeResources, now);
     GuaranteeCoverage coverage =
         policy.isStandard() ? GuaranteeCoverage.of(state) : GuaranteeCoverage.none();
+    state.coverage = coverage;
     List<StepInstance> waiting = waiting(coverage, now);
     if (policy.isStandard()) {
       standstills.place(waiting, packing, freeResources, now);
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -7,7 +7,6 @@
 import dev.bambootray.jobs.worker.RunEnd.Cause;
 import dev.bambootray.jobs.worker.StartReply;
 import dev.bambootray.jobs.worker.StartReply.Reason;
-import java.util.ArrayList;
 import java.util.List;
 
 /** Tracks each run from the decision to start it until its end is known. */
@@ -24,20 +23,20 @@
   private final SchedulerState state;
   private final WorkerFailureTracker failureTracker;
   private final StartRetrier startRetrier;
-  private final List<Placement> ordered = new ArrayList<>();
+  private final StartQueue startQueue;
 
   RunTracker(SchedulerState state) {
     this.state = state;
     failureTracker = new WorkerFailureTracker();
     startRetrier = new StartRetrier(state, this);
+    startQueue = new StartQueue(state, this);
   }
 
   /** Adds a run whose start order is sent once the decision is in the store. */
   void schedule(Task task, RunName run, WorkerState worker, EventTime now) {
     Placement placement = new Placement(task, run, worker, Phase.ORDERED, now.ms());
-    placement.untilMs = worker.leaseUntilMs(now.ms(), state.times.leaseMs());
     placement.batch = state.batches.markChanged(task.step.job);
-    ordered.add(placement);
+    startQueue.add(placement);
     add(placement);
   }
 
@@ -53,42 +52,36 @@
     stop(placement, StopCause.NOT_EXPECTED, "not expected", now);
   }
 
-  /** Sends the start orders whose decision is in the store. */
-  void sendDurableStarts(EventTime now) {
-    List<Placement> waiting = new ArrayList<>(ordered);
-    ordered.clear();
-    for (Placement placement : waiting) {
-      if (!state.batches.isDurable(placement.batch)) {
-        ordered.add(placement);
-      } else if (placement.phase == Phase.ORDERED) {
-        start(placement, now);
-      }
-    }
+  /** Returns the start orders that wait to be sent. */
+  StartQueue startQueue() {
+    return startQueue;
   }
 
-  private void start(Placement placement, EventTime now) {
-    WorkerState worker = placement.worker;
-    if (!worker.placements.containsKey(placement.run)) {
-      return; // The gang was stopped because an earlier member could not start.
-    }
-    boolean late = now.ms() - placement.phaseSinceMs > state.times.orderMaxAgeMs();
-    if (late || !worker.isUsable(now.ms()) || !state.isDeclarationCurrent(now.ms())) {
-      // The decision is outdated: part of its lease has passed, or the worker may be excluded.
-      state.logDecision(
-          placement.run.task().job(),
-          "drop order run="
-              + runLabel(placement)
-              + " worker="
-              + worker.id()
-              + " age_ms="
-              + (now.ms() - placement.phaseSinceMs)
-              + " worker_is="
-              + worker.openness(now.ms())
-              + " declaration_current="
-              + state.isDeclarationCurrent(now.ms()));
-      finish(placement, Cause.STOPPED, "", now);
-      return;
-    }
+  /** Returns whether a start order may be sent: its worker must not be excluded meanwhile. */
+  boolean mayStart(Placement placement, EventTime now) {
+    return placement.worker.isUsable(now.ms()) && state.isDeclarationCurrent(now.ms());
+  }
+
+  /** Ends a run whose start order is not sent. */
+  void drop(Placement placement, EventTime now) {
+    state.logDecision(
+        placement.run.task().job(),
+        "drop order run="
+            + runLabel(placement)
+            + " worker="
+            + placement.worker.id()
+            + " age_ms="
+            + (now.ms() - placement.phaseSinceMs)
+            + " worker_is="
+            + placement.worker.openness(now.ms())
+            + " declaration_current="
+            + state.isDeclarationCurrent(now.ms()));
+    finish(placement, Cause.STOPPED, "", now);
+  }
+
+  /** Sends the first start order of a run. */
+  void start(Placement placement, EventTime now) {
+    placement.untilMs = placement.worker.leaseUntilMs(now.ms(), state.times.leaseMs());
     placement.enterPhase(Phase.STARTING, now.ms());
     sendStart(placement, now);
   }
@@ -98,6 +91,9 @@
     WorkerState worker = placement.worker;
     placement.startOrders++;
     placement.openOrders++;
+    placement.orderSentMs = now.ms();
+    placement.firstOrderMs = placement.firstOrderMs < 0 ? now.ms() : placement.firstOrderMs;
+    startQueue.onSent(placement, now);
     worker.grantLease(now.ms(), state.times);
     state.emit(
         new JobEffect.StartRun(
@@ -158,6 +154,9 @@
       state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
       return;
     }
+    if (reason == Reason.NOT_SENT && startRetrier.onNotSent(placement, now)) {
+      return;
+    }
     if (reason == Reason.UNHEALTHY || reason == Reason.NOT_SENT) {
       worker.pausedUntilMs = now.ms() + REFUSAL_PAUSE_MS;
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
@@ -18,6 +18,9 @@
   final RecordBatcher batches = new RecordBatcher();
   final StepReservations reservations = new StepReservations();
 
+  /** Jobs covered by a guarantee in the newest round of placement. */
+  GuaranteeCoverage coverage = GuaranteeCoverage.none();
+
   /** Tasks that start only on a worker of their own. */
   final Set<Task> suspects = new LinkedHashSet<>();
 
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
@@ -54,6 +54,32 @@
             + detail);
   }
 
+  /**
+   * Handles a start order that waited for its whole time and was not sent.
+   *
+   * <p>That tells of the owner's own load, not of the worker, as long as the worker answers. An
+   * order that fails at once tells of the worker and is not handled here.
+   *
+   * @return whether the run may still be started by this or an earlier order
+   */
+  boolean onNotSent(Placement placement, EventTime now) {
+    boolean waited = now.ms() - placement.orderSentMs >= SchedulerTimes.ORDER_TIMEOUT_MS;
+    if (!waited || placement.phase != Phase.STARTING || placement.worker.failedCalls > 0) {
+      return false;
+    }
+    if (placement.startOrders > 1) {
+      onUnanswered(placement, "not sent", now); // An earlier order may have been carried out.
+      return true;
+    }
+    if (!mayRepeat(placement, now) || now.ms() - placement.firstOrderMs > RETRY_WINDOW_MS) {
+      return false;
+    }
+    placement.startOrders = 0;
+    placement.enterPhase(Phase.ORDERED, now.ms());
+    runs.startQueue().addAgain(placement);
+    return true;
+  }
+
   /** Handles a list without a run that is being started. */
   void onNotListed(Placement placement, long listSentMs, EventTime now) {
     boolean unanswered = placement.unansweredSinceMs >= 0;
