Merge the bound on start orders

The queue of orders that wait for the store and the bound on orders under way are one class, StartQueue: it sends an order when its decision is stored, the ownership and the declaration are confirmed, its worker may be used and few enough orders are under way.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -23,25 +23,48 @@
   private final SchedulerState state;
   private final WorkerFailureTracker failureTracker;
   private final StartRetrier startRetrier;
-  private final StartOrderQueue orders;
+  private final StartQueue startQueue;
 
   RunTracker(SchedulerState state) {
     this.state = state;
     failureTracker = new WorkerFailureTracker();
     startRetrier = new StartRetrier(state, this);
-    orders = new StartOrderQueue(state, this);
+    startQueue = new StartQueue(state, this);
   }
 
   /** Adds a run whose start order is sent once the decision is in the store. */
   void schedule(Task task, RunName run, WorkerState worker, EventTime now) {
     Placement placement = new Placement(task, run, worker, Phase.ORDERED, now.ms());
-    orders.add(placement);
+    placement.batch = state.batches.markChanged(task.step.job);
+    startQueue.add(placement);
     add(placement);
   }
 
-  /** Sends the start orders that may be sent by now. */
-  void sendDueStarts(EventTime now) {
-    orders.sendDue(now);
+  /** Returns the start orders that wait to be sent. */
+  StartQueue startQueue() {
+    return startQueue;
+  }
+
+  /** Ends a run whose start order is not sent, as its worker may not be used any more. */
+  void drop(Placement placement, EventTime now) {
+    state.logDecision(
+        placement.run.task().job(),
+        "drop order run="
+            + runLabel(placement)
+            + " worker="
+            + placement.worker.id()
+            + " age_ms="
+            + (now.ms() - placement.phaseSinceMs)
+            + " worker_is="
+            + placement.worker.openness(now.ms()));
+    finish(placement, Cause.STOPPED, "", now);
+  }
+
+  /** Sends the first start order of a run. */
+  void start(Placement placement, EventTime now) {
+    placement.untilMs = placement.worker.leaseUntilMs(now.ms(), state.times.leaseMs());
+    placement.enterPhase(Phase.STARTING, now.ms());
+    sendStart(placement, now);
   }
 
   /** Adds a run that an earlier owner started. */
@@ -61,6 +84,9 @@
     WorkerState worker = placement.worker;
     placement.startOrders++;
     placement.openOrders++;
+    placement.orderSentMs = now.ms();
+    placement.firstOrderMs = placement.firstOrderMs < 0 ? now.ms() : placement.firstOrderMs;
+    startQueue.onSent(placement, now);
     worker.grantLease(now.ms(), state.times);
     state.emit(
         new JobEffect.StartRun(
@@ -121,6 +147,9 @@
       state.emit(new JobEffect.StepDown("worker " + worker.id() + " follows a later owner"));
       return;
     }
+    if (reason == Reason.NOT_SENT && startRetrier.onNotSent(placement, now)) {
+      return;
+    }
     if (reason == Reason.UNHEALTHY || reason == Reason.NOT_SENT) {
       worker.pausedUntilMs = now.ms() + REFUSAL_PAUSE_MS;
     }
