Bound the lists that an owner asks for at the same time

After a takeover the owner asked all workers for lists at once, with a limit of 900 ms.

ListQueue bounds lists without a wait (first lists and refreshes) by a CallWindow: 100 at once, doubling while answers are early, the oldest first. Silent workers have a bound of their own, so that nobody waits for them: at least 16 of them are asked at any time, so that an end of their silence shows within the limit of a call, and then the others follow at once. Polls, which extend leases and acknowledge ends, are not bounded.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/CallTimeouts.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/CallTimeouts.java
@@ -12,7 +12,7 @@
   static final long ORDER_MS = SchedulerTimes.ORDER_TIMEOUT_MS;
 
   /** Time added to the requested wait of a hold call to get its timeout. */
-  static final long HOLD_MARGIN_MS = 900;
+  static final long HOLD_MARGIN_MS = SchedulerTimes.LIST_TIMEOUT_MS;
 
   /** Timeout of transactions; a store that is 60 times slower than usual answers in 0.5 s. */
   static final long COMMIT_MS = 1_200;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -195,11 +195,14 @@
     } else if (event instanceof JobEvent.CallAnswered answered) {
       if (event instanceof JobEvent.StartAnswered started) {
         runs.startQueue().onAnswered(started, now);
+      } else if (event instanceof JobEvent.HoldAnswered hold) {
+        poller.onHoldAnswered(hold, now);
       }
       state
           .worker(answered.worker().id())
           .ifPresent(worker -> onCallAnswered(worker, answered, now));
       runs.startQueue().send(now);
+      poller.sendWaitingLists(now);
     } else if (event instanceof JobEvent.JobRowsRemoved removed) {
       onRowsRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
@@ -28,6 +28,9 @@
   /** Time limit of an order to a worker, after which its sender gives it up. */
   public static final long ORDER_TIMEOUT_MS = 300;
 
+  /** Time limit of a list of a worker's runs, besides the time for which the worker may wait. */
+  public static final long LIST_TIMEOUT_MS = 900;
+
   // An owner that cannot reach the store continues for this long before it gives up (JobNode), so
   // a successor adds this time to the lease of orphaned runs.
   private static final long OWNER_WITHOUT_STORE_MS = 6_000;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerPoller.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerPoller.java
@@ -2,6 +2,7 @@
 
 import dev.bambootray.jobs.scheduling.Placement.Phase;
 import java.util.List;
+import java.util.Optional;
 
 /** Decides when workers are asked for their runs, and renews their leases with these calls. */
 final class WorkerPoller {
@@ -10,6 +11,7 @@
 
   private final SchedulerState state;
   private final RunTracker runs;
+  private final ListQueue lists = new ListQueue();
 
   WorkerPoller(SchedulerState state, RunTracker runs) {
     this.state = state;
@@ -18,11 +20,24 @@
 
   /** Sends all due calls to all workers. */
   void sendAllDueCalls(EventTime now) {
+    sendWaitingLists(now);
     for (WorkerState worker : List.copyOf(state.workers.values())) {
       sendDueCalls(worker, now);
     }
   }
 
+  /** Notes the end of a call, before the call is handled. */
+  void onHoldAnswered(JobEvent.HoldAnswered event, EventTime now) {
+    lists.onAnswered(event, now);
+  }
+
+  /** Asks for lists that were due earlier, as far as there is room. */
+  void sendWaitingLists(EventTime now) {
+    for (Optional<String> id = lists.takeNext(); id.isPresent(); id = lists.takeNext()) {
+      state.worker(id.get()).ifPresent(worker -> sendDueCalls(worker, now));
+    }
+  }
+
   /** Sends all due calls to a worker. */
   void sendDueCalls(WorkerState worker, EventTime now) {
     if (!worker.hasAddress()) {
@@ -34,6 +49,9 @@
         && worker.pollInFlight
         && !worker.refreshInFlight
         && worker.failedCalls == 0) {
+      if (!lists.admit(worker, true, now)) {
+        return;
+      }
       worker.refreshWanted = false;
       worker.refreshInFlight = true;
       sendHold(worker, 0, true, now);
@@ -52,12 +70,15 @@
         worker.listed
             && (!worker.adopted || worker.failedCalls > 0 || worker.isClockOutdated(now.ms()));
     if (worker.failedCalls > 0 && (busy || unacknowledged || settling || unknown)) {
-      if (!worker.refreshInFlight) {
+      if (!worker.refreshInFlight && lists.admit(worker, true, now)) {
         worker.refreshInFlight = true;
         // The long poll of another worker that has taken over the address may occupy its lane.
         sendHold(worker, 0, true, now);
       }
     } else if (busy || unacknowledged || settling || unknown) {
+      if (!worker.adopted && !lists.admit(worker, false, now)) {
+        return;
+      }
       worker.pollInFlight = true;
       boolean wait =
           busy
--- a/standins/src/test/java/dev/bambootray/standins/jobs/CostlyCallsTest.java
+++ b/standins/src/test/java/dev/bambootray/standins/jobs/CostlyCallsTest.java
@@ -129,6 +129,12 @@
   /** A new owner asks all workers for lists and starts what waits. */
   @Nested
   final class Takeover {
+    @Test
+    void allWorkersAreAdoptedWithoutAFailedCall() {
+      own(4_000);
+      assertEquals(0, count("worker silent"));
+    }
+
     @Test
     void aQueueStartsInTime() {
       own(3_000);
