--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerTimes.java
@@ -32,6 +32,9 @@
   /** Time after the last renewal of an owner before which no other node may claim the pool. */
   public static final long SHORTEST_EXPIRY_MS = 1_300;
 
+  /** Time limit of a list of a worker's runs, besides the time for which the worker may wait. */
+  public static final long LIST_TIMEOUT_MS = 900;
+
   // An owner that cannot reach the store continues for this long before it gives up (JobNode), so
   // a successor adds this time to the lease of orphaned runs.
   private static final long OWNER_WITHOUT_STORE_MS = 6_000;
