Tell a control thread that stands still from a pause of the process

A round of the scheduler that took over a second, or a busy machine that did not run the control thread for as long, was taken for a pause of the process: the owner started nothing, and callers got 503, until the store had answered a full read. That takes longest when the machine or the store is busy.

The event loop receives the changes of the declaration. If it ran all the while, the store can be reached and no read is under way, it now confirms the declaration once more, as of the same time as before, instead of reading it again. It posts that to the control thread behind all changes, so a change is handled before the confirmation. A pause of the event loop, by either clock, still needs a full read.

Evidence: DeclarationPauseTest. With the former code a control thread that stood still alone for 1.05 s had no declaration until the read was answered; now it has one after the next task of the event loop, without a read. A read is still needed when the event loop stood still as well, and when the wait for changes is lost.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/DeclarationFollower.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -42,6 +44,9 @@
    */
   private static final long MAX_READ_MS = TableFollower.CALL_LIMIT_MS;
 
+  /** Interval at which the event loop notes that it runs. */
+  private static final long TICK_MS = 100;
+
   private final PlatformDocumentReader documents;
   private final DecisionLog log;
   private final Listener listener;
@@ -49,6 +54,16 @@
   private final Supplier<EventTime> clock;
   private final TableFollower follower;
   private final PauseDetector pauseDetector;
+
+  /** Detects pauses of the event loop, which receives the changes; used on the event loop only. */
+  private final PauseDetector eventLoopPauseDetector;
+
+  /** Whether the event loop was paused since the newest full read began. */
+  private boolean eventLoopPaused;
+
+  /** Newest time as of which all changes were received; used on the event loop only. */
+  private long confirmedAsOfMs;
+
   private volatile @Nullable JobDeclaration newest;
   private volatile boolean reachable = true;
 
@@ -63,6 +78,8 @@
 
   private EventTime readStart;
 
+  private volatile @Nullable ScheduledFuture<?> ticks;
+
   /** Number of pauses that the newest completed full read counts for. */
   private volatile int pausesBeforeContent;
 
@@ -89,6 +106,7 @@
     this.clock = clock;
     readStart = clock.get();
     pauseDetector = new PauseDetector(readStart);
+    eventLoopPauseDetector = new PauseDetector(readStart);
     follower =
         new TableFollower(
             store, executor, documents.declarationTable(), this, () -> clock.get().ms());
@@ -96,10 +114,17 @@
 
   void start() {
     follower.start();
+    ticks =
+        executor.scheduleAtFixedRate(
+            () -> noteEventLoopPause(clock.get()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   void stop() {
     follower.stop();
+    ScheduledFuture<?> started = ticks;
+    if (started != null) {
+      started.cancel(false);
+    }
   }
 
   Optional<JobDeclaration> newest() {
@@ -110,7 +135,8 @@
    * Returns the declaration that callers are authenticated against.
    *
    * <p>After a pause of the process it is empty until the table has been read again, because a key
-   * may have been revoked during the pause.
+   * may have been revoked during the pause. If only another thread than the event loop was paused,
+   * it is empty until the event loop has confirmed that it received all changes.
    */
   Optional<JobDeclaration> inForce(EventTime now) {
     checkForPause(now);
@@ -130,10 +156,41 @@
 
   private void checkForPause(EventTime now) {
     if (pauseDetector.pausedSinceLastCall(now)) {
-      log.line("config:", "-", "read again after a pause of the process");
       pauses.incrementAndGet();
-      executor.execute(this::readAgainIfStale);
+      executor.execute(() -> onPauseNoticed(now));
+    }
+  }
+
+  private void onPauseNoticed(EventTime noticed) {
+    eventLoopPaused |= eventLoopPauseDetector.isPausedUntil(noticed);
+    if (!confirmIfOnlyOtherThreadsPaused()) {
+      log.line("config:", "-", "read again after a pause of the process");
+      readAgainIfStale();
+    }
+  }
+
+  private void noteEventLoopPause(EventTime now) {
+    eventLoopPaused |= eventLoopPauseDetector.pausedSinceLastCall(now);
+  }
+
+  /**
+   * Confirms the declaration once more if the event loop was not paused and so has received all
+   * changes. A thread that was paused handles the changes first, because they were posted to it
+   * before this confirmation.
+   *
+   * @return whether the declaration is in force
+   */
+  private boolean confirmIfOnlyOtherThreadsPaused() {
+    int noticed = pauses.get();
+    noteEventLoopPause(clock.get());
+    if (eventLoopPaused || !reachable || newest == null || follower.isReadingInFull()) {
+      return !isPossiblyStale();
+    }
+    if (isPossiblyStale()) {
+      pausesBeforeContent = noticed;
+      listener.onConfirmed(confirmedAsOfMs, noticed);
     }
+    return true;
   }
 
   /**
@@ -150,6 +207,8 @@
   public void onReadStarted() {
     pausesBeforeRead = pauses.get();
     readStart = clock.get();
+    noteEventLoopPause(readStart);
+    eventLoopPaused = false;
   }
 
   /** Returns the number of pauses that the content of the read that has just completed is for. */
@@ -160,7 +219,12 @@
     boolean isShort =
         now.ms() - readStart.ms() <= MAX_READ_MS
             && Math.abs(now.wallMs() - readStart.wallMs()) <= MAX_READ_MS;
-    return isShort ? noticed : pausesBeforeRead;
+    noteEventLoopPause(now);
+    if (eventLoopPaused && !isShort) {
+      return pausesBeforeRead;
+    }
+    eventLoopPaused = false;
+    return noticed;
   }
 
   private boolean isPossiblyStale() {
@@ -202,6 +266,7 @@
 
   @Override
   public void onConfirmed(long asOfMs) {
+    confirmedAsOfMs = asOfMs;
     listener.onConfirmed(asOfMs, pausesBeforeContent);
   }
 
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PauseDetector.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PauseDetector.java
@@ -5,8 +5,8 @@
 /**
  * Detects that the process was paused.
  *
- * <p>It is called at least with every tick of the control thread. After a stop of the process both
- * clocks have jumped; after a suspension of the VM only the wall clock has.
+ * <p>It is called at least with every tick of the thread that it observes. After a stop of the
+ * process both clocks have jumped; after a suspension of the VM only the wall clock has.
  */
 final class PauseDetector {
   /**
@@ -25,9 +25,14 @@
 
   /** Returns whether the process was paused since the last call. */
   synchronized boolean pausedSinceLastCall(EventTime now) {
-    boolean paused = now.ms() - lastMs > PAUSE_MS || now.wallMs() - lastWallMs > PAUSE_MS;
+    boolean paused = isPausedUntil(now);
     lastMs = now.ms();
     lastWallMs = now.wallMs();
     return paused;
   }
+
+  /** Returns whether the process was paused between the last call and a time that was noted. */
+  synchronized boolean isPausedUntil(EventTime noted) {
+    return noted.ms() - lastMs > PAUSE_MS || noted.wallMs() - lastWallMs > PAUSE_MS;
+  }
 }
