Test that each wait over a pool of connections ends

It cannot: a wait ends when the peer closes the connection, never answers, refuses connections, or has no connection left for it, and the next wait is sent on a new connection.

--- a/adapters/httpclient/src/test/java/dev/bambootray/adapters/httpclient/ManualPeer.java
+++ b/adapters/httpclient/src/test/java/dev/bambootray/adapters/httpclient/ManualPeer.java
@@ -81,6 +81,11 @@
     return ((InetSocketAddress) listener.localAddress()).getPort();
   }
 
+  /** Refuses connections from now on. */
+  void closeListener() {
+    listener.close().syncUninterruptibly();
+  }
+
   /** Returns the next call. */
   Call nextCall() throws InterruptedException {
     return Objects.requireNonNull(
