Keep the pages that were read when a further page of a table fails

A full read whose page failed began anew with the first page. While the store refuses or loses a share of the reads, a table of several pages may never be read, and each attempt costs all pages again: a new owner then never takes over its jobs, and starts nothing.

A failed page is read again, and the pages before it are kept. Following still begins from the version of the first page, so a change that was made since then follows as it does after a read without failures; if the store no longer has it, the table is read in full. A first page that failed begins the read anew, as before, so that its time is not that of an earlier attempt.

Evidence: TableFollowerTest.ReadOfManyPages.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/TableFollower.java
@@ -143,21 +143,16 @@
         () -> store.read(table, from, "", PAGE_ROWS),
         CALL_LIMIT_MS,
         detail -> Either.left(new StoreError(table, detail, false)),
-        result -> onRead(progress, result));
+        result -> onRead(progress, from, result));
   }
 
-  private void onRead(Progress progress, Either<StoreError, RowReadPage> result) {
+  private void onRead(Progress progress, String from, Either<StoreError, RowReadPage> result) {
     if (isOutdated(progress.reading)) {
       return;
     }
     if (result.isLeft()) {
       markUnreachable(result.getLeft().message());
-      scheduleRetry(
-          () -> {
-            if (!isOutdated(progress.reading)) {
-              readAgain();
-            }
-          });
+      scheduleRetry(() -> retryRead(progress, from));
       return;
     }
     RowReadPage page = result.get();
@@ -174,6 +169,21 @@
     follow(progress.reading, progress.version, WAIT_MS);
   }
 
+  /**
+   * Reads a page again that failed. The pages before it are kept: changes since then follow, as
+   * those during the read do.
+   */
+  private void retryRead(Progress progress, String from) {
+    if (isOutdated(progress.reading)) {
+      return;
+    }
+    if (from.isEmpty()) {
+      readAgain();
+    } else {
+      readAll(progress, from);
+    }
+  }
+
   private void follow(int from, long version, long waitMs) {
     if (isOutdated(from)) {
       return;
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/FaultyStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/FaultyStore.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** A store in virtual time whose calls fail as a test says. It has one row. */
+/** A store in virtual time whose calls fail as a test says. Each page has one row. */
 final class FaultyStore implements RowStore {
   /** What becomes of a call. */
   enum Fault {
@@ -38,15 +38,21 @@
   private static final long FAR_TOO_LATE_MS = 7_000;
   private static final long CLOSED_AFTER_MS = 500;
   private static final long VERSION = 5;
+  private static final String KEY = "current";
 
   private final VirtualExecutor executor;
-  final Row row = new Row("declarations", "current", new byte[] {'7'}, VERSION, false);
 
   /** What becomes of reads and waits. */
   Fault reads = Fault.NONE;
 
   Fault waits = Fault.NONE;
 
+  /** Number of pages of the table. */
+  int pages = 1;
+
+  /** Number of reads of which the last one is refused. */
+  int refusedReadInterval = Integer.MAX_VALUE;
+
   /** Time until an answer, which for a wait comes after the wait. */
   long readMs = 1;
 
@@ -65,13 +71,24 @@
   public CompletableFuture<Either<StoreError, RowReadPage>> read(
       String table, String from, String to, int limit) {
     readTimesMs.add(executor.nowMs());
+    int page = pageFrom(from);
+    Row row = new Row(table, page == 0 ? KEY : KEY + page, new byte[] {'7'}, VERSION, false);
     return play(
-        reads,
+        readTimesMs.size() % refusedReadInterval == 0 ? Fault.REFUSED : reads,
         readMs,
-        Either.right(new RowReadPage(List.of(row), false, VERSION)),
+        Either.right(new RowReadPage(List.of(row), page < pages - 1, VERSION)),
         Either.left(new StoreError(table, CLOSED_DETAIL, false)));
   }
 
+  /** Returns the page that begins after a key: "current" is on page 0, "current1" on page 1. */
+  private static int pageFrom(String from) {
+    if (from.isEmpty()) {
+      return 0;
+    }
+    char number = from.charAt(KEY.length());
+    return Character.isDigit(number) ? number - '0' + 1 : 1;
+  }
+
   @Override
   public CompletableFuture<ChangePage> changes(String table, long after, long waitMs) {
     waitTimesMs.add(executor.nowMs());
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/TableFollowerTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/TableFollowerTest.java
@@ -31,6 +31,7 @@
     private final List<Long> confirmedAtMs = new ArrayList<>();
     private final List<Long> confirmedAsOfMs = new ArrayList<>();
     private final List<String> reachable = new ArrayList<>();
+    private List<String> keys = List.of();
     private int contents;
     private int faults;
     private boolean throwing;
@@ -38,6 +39,7 @@
     @Override
     public void onContent(List<Row> rows) {
       contents++;
+      keys = rows.stream().map(Row::key).toList();
     }
 
     @Override
@@ -148,6 +150,35 @@
     }
   }
 
+  @Nested
+  final class ReadOfManyPages {
+    @Test
+    void endsThoughSomeOfThePagesFail() {
+      // A page that failed began the read anew, so that a read of more pages never ended.
+      store.pages = 5;
+      store.refusedReadInterval = 3;
+      follower.start();
+      executor.runUntil(5_000);
+      assertEquals(
+          List.of("current", "current1", "current2", "current3", "current4"), recorder.keys);
+      assertEquals(1, recorder.contents);
+      assertEquals(7, store.readTimesMs.size());
+      assertEquals(List.of("lost", "regained"), recorder.reachable);
+    }
+
+    @Test
+    void isGivenUpForANewOne() {
+      store.pages = 5;
+      store.refusedReadInterval = 3;
+      follower.start();
+      executor.runUntil(100);
+      executor.execute(follower::readAgain);
+      executor.runUntil(10_000);
+      assertEquals(1, recorder.contents);
+      assertEquals(5, recorder.keys.size());
+    }
+  }
+
   @Nested
   final class ListenerThatThrows {
     @Test
