Keep the owner of the pool while the store answers late

Callers saw jobs stand still while owners followed one another: each takeover requeued hundreds of runs. Owners gave the pool up "after 6.0 s without a commit" though the store answered.

Cause: a commit was given up after 1.2 s and sent again under another sequence. The first one was applied later, so the second one conflicted with it, its answer came too late as well, and no answer was ever heard. Followers saw the row unchanged for 1.3 s, claimed, and their claims waited in the queue of the owner's commits. They also counted the time that their own read took as time in which the row had not changed.

Change: - While a commit is in flight for 300 ms or more, the owner reads its row. If reads are answered, the commit counts as lost only after 5.4 s; if not, after 1.2 s as before, or twice the time that commits took lately. A read that shows an earlier attempt is as good as its answer. - An answer that arrives after another commit was requested is dropped. - The owner stops 6 s after the latest time at which the pool was certainly its own: when a call was sent whose answer shows its row, or, for a commit, up to the expiry later, which a claim has to wait. An owner that reads but cannot commit stops after 18 s; others may claim meanwhile. - A follower does not count the time of its own late read. The expiry grows with the time of its reads, with the interval at which this owner writes, and with each claim that failed without another owner; at most 6 s.

Commits still require the version of the previous one, so a late one overwrites nothing.

Ruled out: a limit that only doubles.

PoolLeaseTest replacesAnOwnerWhoseRowDoesNotChange answered a read 1.3 s after it was sent and expected a claim; it now sends its second read then, the claim comes at the same time as before.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -82,8 +82,7 @@
     preference = new PoolPreference(formats, name, log);
     ownerRows = new OwnerRowStore(builder.parts.store(), codec, log, formats);
     storeCalls =
-        new StoreCalls(
-            ownerRows, formats, metrics, event -> loop.post(() -> onLease(event)), this::postReply);
+        new StoreCalls(ownerRows, formats, metrics, loop::post, this::onLease, this::postReply);
     declarations =
         new DeclarationFollower(
             builder.parts.store(),
@@ -229,7 +228,7 @@
     if (effect instanceof LeaseEffect.ReadOwner) {
       storeCalls.readOwner();
     } else if (effect instanceof LeaseEffect.Commit commit) {
-      storeCalls.commit(commit);
+      storeCalls.commit(commit, lease.commitTimeoutMs());
     } else if (effect instanceof LeaseEffect.Won won) {
       onWon(won.epoch());
     } else if (effect instanceof LeaseEffect.Lost lost) {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
@@ -94,7 +94,7 @@
         : new LeaseEvent.OwnerRead(owner, row.version());
   }
 
-  CompletableFuture<LeaseEvent> commit(LeaseEffect.Commit commit) {
+  CompletableFuture<LeaseEvent> commit(LeaseEffect.Commit commit, long timeoutMs) {
     List<RowChange> changes = new ArrayList<>();
     changes.add(new RowChange(JobTables.OWNER, JobTables.OWNER_KEY, codec.encode(commit.owner())));
     JobEffect.Persist batch = commit.batch();
@@ -110,7 +110,7 @@
         new RowCondition(JobTables.OWNER, JobTables.OWNER_KEY, commit.expectedVersion());
     long sentMs = JobNode.now().ms();
     return store
-        .commit(List.of(condition), changes, CallTimeouts.COMMIT_MS)
+        .commit(List.of(condition), changes, timeoutMs)
         .thenApply(outcome -> event(outcome, sentMs));
   }
 
@@ -141,9 +141,12 @@
   }
 
   private LeaseEvent event(CommitOutcome outcome, long sentMs) {
-    note(
-        outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict,
-        sentMs);
+    boolean answered =
+        outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict;
+    // Reads end before a commit that takes longer, and show whether the store can be reached now.
+    if (answered || JobNode.now().ms() - sentMs <= CallTimeouts.COMMIT_MS) {
+      note(answered, sentMs);
+    }
     if (outcome instanceof CommitOutcome.Committed committed) {
       return new LeaseEvent.Committed(committed.version());
     }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
@@ -28,7 +28,9 @@
     JobEffect.Persist batch =
         new JobEffect.Persist(
             1, List.of(new JobRecord("j", JobPhase.RUNNING, 0, List.of())), List.of("old"));
-    return rows.commit(new LeaseEffect.Commit(expectedVersion, OWNER, batch)).join();
+    return rows.commit(
+            new LeaseEffect.Commit(expectedVersion, OWNER, batch), CallTimeouts.COMMIT_MS)
+        .join();
   }
 
   @Test
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/StoreCallsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/StoreCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -26,11 +27,13 @@
   private final JobMetrics metrics = JobMetrics.create();
   private final List<LeaseEvent> leaseAnswers = new ArrayList<>();
   private final List<Answer> schedulerAnswers = new ArrayList<>();
+  private Executor control = Runnable::run;
   private final StoreCalls calls =
       new StoreCalls(
           new OwnerRowStore(store, new JobRowCodec(), new RecordedLog().log(), formats),
           formats,
           metrics,
+          action -> control.execute(action),
           leaseAnswers::add,
           (sentEpoch, event) -> schedulerAnswers.add(new Answer(sentEpoch, event)));
 
@@ -38,7 +41,7 @@
   final class OwnerRow {
     @Test
     void isReadAsWritten() {
-      calls.commit(new LeaseEffect.Commit(0, OWNER, null));
+      calls.commit(new LeaseEffect.Commit(0, OWNER, null), CallTimeouts.COMMIT_MS);
       calls.readOwner();
       assertEquals(2, leaseAnswers.size());
       assertInstanceOf(LeaseEvent.Committed.class, leaseAnswers.get(0));
@@ -46,12 +49,24 @@
       assertEquals(OWNER, read.owner());
     }
 
+    /** Guards against an answer to a commit that the lease takes for one to a later commit. */
+    @Test
+    void isAnsweredOnlyForTheNewestCommit() {
+      List<Runnable> posted = new ArrayList<>();
+      control = posted::add;
+      calls.commit(new LeaseEffect.Commit(0, OWNER, null), CallTimeouts.COMMIT_MS);
+      calls.commit(new LeaseEffect.Commit(0, OWNER, null), CallTimeouts.COMMIT_MS);
+      posted.forEach(Runnable::run);
+      assertEquals(1, leaseAnswers.size());
+      assertInstanceOf(LeaseEvent.Conflicted.class, leaseAnswers.get(0));
+    }
+
     /** Guards against a slow store that shows only in the commits that succeed. */
     @Test
     void recordsTheTimeOfEveryCommit() {
-      calls.commit(new LeaseEffect.Commit(0, OWNER, null));
+      calls.commit(new LeaseEffect.Commit(0, OWNER, null), CallTimeouts.COMMIT_MS);
       store.unavailable = true;
-      calls.commit(new LeaseEffect.Commit(0, OWNER, null));
+      calls.commit(new LeaseEffect.Commit(0, OWNER, null), CallTimeouts.COMMIT_MS);
       String text = metrics.expose();
       assertTrue(text.contains("bambootray_job_commit_seconds_count 2"), text);
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEffect.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEffect.java
@@ -9,7 +9,8 @@
   record ReadOwner() implements LeaseEffect {}
 
   /**
-   * Writes the owner row and records in one transaction.
+   * Writes the owner row and records in one transaction. Answers to earlier commits that arrive
+   * later must be dropped.
    *
    * @param expectedVersion version that the owner row must have
    * @param owner new content of the owner row
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -37,12 +37,9 @@
   private Role role = Role.FOLLOWER;
   private boolean mayClaim = true;
   private boolean aside;
-  private boolean reading;
+  private final OwnerRowReads reads;
+  private final CommitTimeLimit commitLimit;
   private long nextReadMs;
-  private @Nullable OwnerRecord lastRead;
-  private long lastReadVersion = -1;
-  private long unchangedSinceMs;
-  private boolean readFailed;
 
   /** Whether it must be read whether a claim without an answer was applied. */
   private boolean claimUnanswered;
@@ -66,13 +63,19 @@
   private JobEffect.@Nullable Persist waitingBatch;
   private Map<String, Long> pending = Map.of();
   private long nextCommitMs;
+  private long commitSentMs;
   private long lastSuccessMs;
 
+  /** Time before which no other node can have claimed the pool, as far as is known. */
+  private long ownUntilMs;
+
   private List<LeaseEffect> effects = new ArrayList<>();
 
   private PoolLease(String holder, PoolLeaseTimes times) {
     this.holder = holder;
     this.times = times;
+    reads = new OwnerRowReads(times);
+    commitLimit = new CommitTimeLimit(times);
   }
 
   /**
@@ -85,16 +88,21 @@
     return new PoolLease(holder, times);
   }
 
-  /** Handles an event and returns the effects in the order in which they must be carried out. */
+  /**
+   * Handles an event and returns the effects in the order in which they must be carried out. The
+   * answer to a commit must not be passed once a later commit was requested.
+   */
   public List<LeaseEffect> handle(LeaseEvent event, long nowMs) {
     if (event instanceof OwnerRead read) {
-      onRead(read.owner(), read.version(), nowMs);
+      onRead(read, nowMs);
     } else if (event instanceof ReadFailed) {
-      reading = false;
-      readFailed = true;
+      reads.onFailed(nowMs);
     } else if (event instanceof Committed committed) {
-      onCommitted(committed.version(), nowMs);
+      commitLimit.onAnswered(nowMs - commitSentMs);
+      // Others claim only after the expiry, which begins when the commit is applied.
+      onCommitted(committed.version(), Math.min(nowMs, commitSentMs + times.expiryMs()), nowMs);
     } else if (event instanceof Conflicted conflicted) {
+      commitLimit.onAnswered(nowMs - commitSentMs);
       onConflict(conflicted.owner(), conflicted.version(), nowMs);
     } else if (event instanceof CommitFailed failed) {
       onCommitFailed(failed.mayApply(), nowMs);
@@ -121,9 +129,17 @@
     return taken;
   }
 
+  /**
+   * Returns the time limit of calls that commit. The lease itself may count a commit as lost before
+   * and request another one.
+   */
+  public long commitTimeoutMs() {
+    return times.longestCommitMs();
+  }
+
   /** Returns the newest owner row that this node has read or written, or null. */
   public @Nullable OwnerRecord owner() {
-    return role == Role.OWNER ? attempted : lastRead;
+    return role == Role.OWNER ? attempted : reads.newest();
   }
 
   /** Returns whether this node owns the pool. */
@@ -137,41 +153,51 @@
   }
 
   private void proceed(long nowMs) {
+    long commitMs = nowMs - commitSentMs;
+    if (committing && commitMs >= commitLimit.limitMs(reads.isAnsweredDuring(commitSentMs))) {
+      onCommitFailed(true, nowMs);
+    }
     if (role == Role.OWNER) {
-      if (nowMs - lastSuccessMs > times.giveUpMs()) {
+      if (nowMs - lastSuccessMs > times.uncommittedMs()) {
         loseOwnership("no commit for " + (nowMs - lastSuccessMs) + " ms", nowMs);
         return;
       }
+      if (nowMs - ownUntilMs > times.giveUpMs()) {
+        loseOwnership("not confirmed for " + (nowMs - ownUntilMs) + " ms", nowMs);
+        return;
+      }
       boolean due = waitingBatch != null || releasing || nowMs - lastSuccessMs >= times.renewMs();
       if (!committing && nowMs >= nextCommitMs && (due || attemptedBatch != null)) {
-        commit();
+        commit(nowMs);
       }
-      return;
     }
-    if (role == Role.FOLLOWER && !reading && nowMs >= nextReadMs) {
-      read(nowMs);
-    } else if (role == Role.CLAIMING && claimUnanswered && !reading && nowMs >= nextReadMs) {
-      read(nowMs);
+    if (needsRead(nowMs) && !reads.isPending() && nowMs >= nextReadMs) {
+      nextReadMs = nowMs + times.readMs();
+      reads.onSent(nowMs);
+      effects.add(new LeaseEffect.ReadOwner());
     }
   }
 
-  private void read(long nowMs) {
-    reading = true;
-    nextReadMs = nowMs + times.readMs();
-    effects.add(new LeaseEffect.ReadOwner());
+  private boolean needsRead(long nowMs) {
+    return switch (role) {
+      case FOLLOWER -> true;
+      case CLAIMING -> claimUnanswered;
+      // Reads do not wait behind transactions, so they tell a slow store from one that is lost.
+      case OWNER ->
+          nowMs - ownUntilMs >= times.commitMs()
+              || (committing && nowMs - commitSentMs >= times.readMs());
+    };
   }
 
-  private void onRead(@Nullable OwnerRecord owner, long readVersion, long nowMs) {
-    reading = false;
-    // No owner can renew while the store is unavailable, so the time of an outage does not count.
-    if (readVersion != lastReadVersion || readFailed) {
-      unchangedSinceMs = nowMs;
+  private void onRead(LeaseEvent.OwnerRead read, long nowMs) {
+    OwnerRecord owner = read.owner();
+    reads.onAnswered(owner, read.version(), nowMs);
+    if (role == Role.OWNER) {
+      onOwnersRead(read, nowMs);
+      return;
     }
-    readFailed = false;
-    lastRead = owner;
-    lastReadVersion = readVersion;
     if (role == Role.CLAIMING && claimUnanswered) {
-      settleClaim(owner, readVersion, nowMs);
+      settleClaim(owner, read.version(), nowMs);
       return;
     }
     if (role != Role.FOLLOWER || !mayClaim || aside) {
@@ -179,24 +205,41 @@
     }
     boolean restarted = owner != null && owner.isEarlierProcessOf(holder);
     boolean free = owner == null || owner.released() || restarted;
-    long waitMs = (free ? 0 : times.expiryMs()) + times.claimDelayMs();
-    if (nowMs - unchangedSinceMs >= waitMs) {
-      claim(owner, readVersion);
+    long waitMs = (free ? 0 : reads.expiryMs()) + times.claimDelayMs();
+    if (reads.unchangedMs(nowMs) >= waitMs) {
+      claim(owner, read.version(), nowMs);
+    }
+  }
+
+  /** Handles what a read of the owner shows; one that was overtaken by a commit shows nothing. */
+  private void onOwnersRead(LeaseEvent.OwnerRead read, long nowMs) {
+    if (read.version() < version) {
+      return;
+    }
+    if (!isOurs(read.owner())) {
+      loseOwnership("the pool has another owner", nowMs);
+      return;
+    }
+    ownUntilMs = Math.max(ownUntilMs, reads.sentMs());
+    if (read.owner() != null && read.version() > version) {
+      // An attempt was applied, so the one in flight has been answered or will be refused.
+      committing = false;
+      version = read.version();
+      lastSuccessMs = nowMs;
+      nextCommitMs = 0;
+      onApplied(read.owner().sequence(), read.owner().released(), nowMs);
     }
   }
 
   /** Handles what a read shows of a claim without an answer. */
   private void settleClaim(@Nullable OwnerRecord owner, long readVersion, long nowMs) {
     if (isOurs(owner)) {
-      onCommitted(readVersion, nowMs);
+      onCommitted(readVersion, reads.sentMs(), nowMs);
     } else if (readVersion == version) {
       claimUnanswered = false;
-      committing = true;
-      effects.add(
-          new LeaseEffect.Commit(
-              version, new OwnerRecord(holder, epoch, sequence, false, pending), null));
+      send(new OwnerRecord(holder, epoch, sequence, false, pending), null, nowMs);
     } else {
-      becomeFollower(nowMs);
+      giveUpClaim(owner, nowMs);
     }
   }
 
@@ -204,9 +247,8 @@
     return owner != null && owner.holder().equals(holder) && owner.epoch() == epoch;
   }
 
-  private void claim(@Nullable OwnerRecord last, long expectedVersion) {
+  private void claim(@Nullable OwnerRecord last, long expectedVersion, long nowMs) {
     role = Role.CLAIMING;
-    committing = true;
     epoch = last == null ? 1 : last.epoch() + 1;
     sequence = 1;
     attemptedSequence = 1;
@@ -214,11 +256,16 @@
     // The pending jobs of the previous owner remain valid until this node has read the jobs.
     pending = last == null ? Map.of() : last.pending();
     attempted = new OwnerRecord(holder, epoch, sequence, false, pending);
-    effects.add(new LeaseEffect.Commit(expectedVersion, attempted, null));
+    send(attempted, null, nowMs);
   }
 
-  private void commit() {
+  private void send(OwnerRecord owner, JobEffect.@Nullable Persist batch, long nowMs) {
     committing = true;
+    commitSentMs = nowMs;
+    effects.add(new LeaseEffect.Commit(version, owner, batch));
+  }
+
+  private void commit(long nowMs) {
     // Each attempt has its own sequence: an unanswered attempt may have been applied without the
     // batch that a later one includes.
     attemptedSequence++;
@@ -228,11 +275,12 @@
       batchFromSequence = attemptedSequence;
     }
     attempted = new OwnerRecord(holder, epoch, attemptedSequence, releasing, pending);
-    effects.add(new LeaseEffect.Commit(version, attempted, attemptedBatch));
+    send(attempted, attemptedBatch, nowMs);
   }
 
-  private void onCommitted(long newVersion, long nowMs) {
+  private void onCommitted(long newVersion, long ownedMs, long nowMs) {
     committing = false;
+    ownUntilMs = Math.max(ownUntilMs, ownedMs);
     version = newVersion;
     lastSuccessMs = nowMs;
     nextCommitMs = 0;
@@ -266,15 +314,18 @@
     boolean ours = isOurs(owner);
     if (role == Role.CLAIMING) {
       if (ours) {
-        onCommitted(foundVersion, nowMs);
+        onCommitted(foundVersion, commitSentMs, nowMs);
       } else {
-        becomeFollower(nowMs);
+        giveUpClaim(owner, nowMs);
       }
       return;
     }
     if (role != Role.OWNER) {
       return;
     }
+    if (ours) {
+      ownUntilMs = Math.max(ownUntilMs, commitSentMs);
+    }
     if (owner != null && ours && owner.sequence() > sequence) {
       // An attempt whose answer was lost was applied, though not necessarily the newest one.
       version = foundVersion;
@@ -295,10 +346,9 @@
       if (mayApply) {
         // A read is cheaper than another claim, which would delay the commits of an owner.
         claimUnanswered = true;
-        reading = false;
         nextReadMs = nowMs;
       } else {
-        becomeFollower(nowMs);
+        giveUpClaim(reads.newest(), nowMs);
       }
     }
   }
@@ -311,11 +361,18 @@
     effects.add(new LeaseEffect.Lost(reason));
   }
 
+  private void giveUpClaim(@Nullable OwnerRecord owner, long nowMs) {
+    if (owner == null || owner.epoch() < epoch) {
+      reads.onClaimFailed();
+    }
+    becomeFollower(nowMs);
+  }
+
   private void becomeFollower(long nowMs) {
     role = Role.FOLLOWER;
+    committing = false;
     claimUnanswered = false;
-    lastReadVersion = -1;
-    reading = false;
+    reads.restart();
     nextReadMs = nowMs + times.retryMs();
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLeaseTimes.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLeaseTimes.java
@@ -8,14 +8,34 @@
  * @param expiryMs time without a change of the owner row after which the owner may be replaced
  * @param claimDelayMs additional delay of this node, so that nodes do not claim at the same time
  * @param retryMs delay before a failed commit is retried
- * @param giveUpMs time without a successful commit after which the owner stops
+ * @param commitMs time limit of a commit while commits are quick
+ * @param giveUpMs time after which an owner stops for which no answer of the store shows that the
+ *     pool was its own
  */
 public record PoolLeaseTimes(
-    long readMs, long renewMs, long expiryMs, long claimDelayMs, long retryMs, long giveUpMs) {
+    long readMs,
+    long renewMs,
+    long expiryMs,
+    long claimDelayMs,
+    long retryMs,
+    long commitMs,
+    long giveUpMs) {
+  /** Multiple of the time to give up after which an owner stops that can read but not commit. */
+  private static final int UNCOMMITTED_FACTOR = 3;
 
   /** Returns the default times of a node. */
   public static PoolLeaseTimes defaults(long claimDelayMs, long giveUpMs) {
     // A store that is 60 times slower than usual takes 0.3 s for a write and 0.25 s for a read.
-    return new PoolLeaseTimes(300, 400, 1_300, claimDelayMs, 200, giveUpMs);
+    return new PoolLeaseTimes(300, 400, 1_300, claimDelayMs, 200, 1_200, giveUpMs);
+  }
+
+  /** Returns the longest time limit of a commit, which leaves a whole one before giving up. */
+  long longestCommitMs() {
+    return giveUpMs - renewMs - retryMs;
+  }
+
+  /** Returns the time without a commit after which an owner stops that still reads its row. */
+  long uncommittedMs() {
+    return UNCOMMITTED_FACTOR * giveUpMs;
   }
 }
--- a/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
@@ -57,7 +57,9 @@
     @Test
     void replacesAnOwnerWhoseRowDoesNotChange() {
       OwnerRecord dead = owner("n2/1", 4, 9);
+      lease.handle(new LeaseEvent.Tick(), 1_000);
       lease.handle(new LeaseEvent.OwnerRead(dead, 9), 1_000);
+      lease.handle(new LeaseEvent.Tick(), 1_000 + TIMES.expiryMs());
       List<LeaseEffect> effects =
           lease.handle(new LeaseEvent.OwnerRead(dead, 9), 1_000 + TIMES.expiryMs());
       LeaseEffect.Commit commit = assertInstanceOf(LeaseEffect.Commit.class, effects.get(0));
@@ -249,6 +251,98 @@
     }
   }
 
+  private static List<LeaseEffect.Commit> commits(List<LeaseEffect> effects) {
+    return effects.stream()
+        .filter(LeaseEffect.Commit.class::isInstance)
+        .map(LeaseEffect.Commit.class::cast)
+        .toList();
+  }
+
+  @Nested
+  final class LateAnswers {
+    /** Guards against a claim by a node whose read showed an old state of the row. */
+    @Test
+    void countsAReadFromWhenItWasSent() {
+      OwnerRecord alive = owner("n2/1", 4, 9);
+      lease.handle(new LeaseEvent.Tick(), 1_000);
+      lease.handle(new LeaseEvent.OwnerRead(alive, 9), 1_000);
+      lease.handle(new LeaseEvent.Tick(), 1_300);
+      List<LeaseEffect> effects =
+          lease.handle(new LeaseEvent.OwnerRead(alive, 9), 1_300 + TIMES.expiryMs());
+      assertTrue(
+          effects.stream().noneMatch(LeaseEffect.Commit.class::isInstance), effects::toString);
+    }
+
+    @Test
+    void repeatsACommitSoonOnlyIfTheStoreAnswersNothing() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Persist(BATCH), 1_100);
+      long lostMs = 1_100 + TIMES.commitMs();
+      assertTrue(commits(lease.handle(new LeaseEvent.Tick(), lostMs - 1)).isEmpty());
+      assertEquals(1, commits(lease.handle(new LeaseEvent.Tick(), lostMs)).size());
+      lease.handle(new LeaseEvent.OwnerRead(owner("n1/100", 1, 1), 5), lostMs + 10);
+      long longMs = lostMs + TIMES.longestCommitMs();
+      assertTrue(commits(lease.handle(new LeaseEvent.Tick(), longMs - 1)).isEmpty());
+      assertEquals(1, commits(lease.handle(new LeaseEvent.Tick(), longMs)).size());
+    }
+
+    @Test
+    void keepsThePoolWhileReadsShowThatItIsItsOwn() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Persist(BATCH), 1_100);
+      lease.handle(new LeaseEvent.Tick(), 6_000);
+      lease.handle(new LeaseEvent.OwnerRead(owner("n1/100", 1, 1), 5), 6_500);
+      lease.handle(new LeaseEvent.Tick(), 6_000 + TIMES.giveUpMs());
+      assertTrue(lease.isOwner());
+      // A read shows the state at some time after it was sent, so it counts from then.
+      lease.handle(new LeaseEvent.Tick(), 6_001 + TIMES.giveUpMs());
+      assertFalse(lease.isOwner());
+    }
+
+    @Test
+    void stopsIfItCanReadButNotCommit() {
+      win(1_000);
+      long nowMs = 1_000;
+      while (lease.isOwner() && nowMs < 60_000) {
+        nowMs += 50;
+        lease.handle(new LeaseEvent.Tick(), nowMs);
+        lease.handle(new LeaseEvent.OwnerRead(owner("n1/100", 1, 1), 5), nowMs);
+        lease.handle(new LeaseEvent.CommitFailed(false), nowMs);
+      }
+      assertEquals(1_000 + TIMES.uncommittedMs() + 50, nowMs);
+    }
+
+    @Test
+    void losesThePoolIfAReadShowsAnotherOwner() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Tick(), 3_000);
+      List<LeaseEffect> effects =
+          lease.handle(new LeaseEvent.OwnerRead(owner("n2/1", 2, 1), 6), 3_050);
+      assertInstanceOf(LeaseEffect.Lost.class, effects.get(0));
+    }
+
+    @Test
+    void ignoresAReadFromBeforeItsLastCommit() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Tick(), 3_000);
+      lease.handle(new LeaseEvent.OwnerRead(owner("n2/1", 2, 1), 4), 3_050);
+      assertTrue(lease.isOwner());
+    }
+
+    /** Guards against a commit that waits for the answer to an attempt that cannot be applied. */
+    @Test
+    void continuesFromAnAttemptThatAReadHasFound() {
+      win(1_000);
+      lease.handle(new LeaseEvent.Persist(BATCH), 1_100);
+      lease.handle(new LeaseEvent.Tick(), 1_500);
+      List<LeaseEffect> found =
+          lease.handle(new LeaseEvent.OwnerRead(owner("n1/100", 1, 2), 9), 1_550);
+      assertEquals(List.of(new LeaseEffect.BatchDurable(7)), found);
+      List<LeaseEffect> next = lease.handle(new LeaseEvent.Persist(BATCH), 1_600);
+      assertEquals(9, commits(next).get(0).expectedVersion());
+    }
+  }
+
   @Nested
   final class Releasing {
     @Test
