Test how many reads in a row a takeover needs

A new owner reads jobs, records and workers at the same time, in pages of 500 rows. The test holds each answer back until all are asked for: with 601 jobs, 600 records and 350 workers the pool is taken over after the second answer, so reads of 1 s each take 2 s. In the store's calls that is 37 by the code: 17 partitions twice for the jobs, two pages of records (more if they exceed 1 MB) and one of workers.

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/PoolLoaderTest.java
@@ -251,4 +251,29 @@
     executor.runLater();
     assertEquals(1, tookOver().jobs().size());
   }
+
+  /** Guards against takeovers that take a read of the store for each job or worker. */
+  @Test
+  void takesOverAPoolOf350WorkersAnd600JobsWithinTwoReads() {
+    for (int job = 0; job < 600; job++) {
+      String id = "%016x".formatted(job);
+      accept(id);
+      store.put(
+          JobTables.RECORDS, id, codec.encode(new JobRecord(id, JobPhase.RUNNING, 0, List.of())));
+    }
+    for (int worker = 0; worker < 350; worker++) {
+      store.put(WORKERS, "w" + worker, "ready".getBytes(UTF_8));
+    }
+    List<String> tables = List.of(JobTables.JOBS, JobTables.RECORDS, WORKERS);
+    tables.forEach(store::hold);
+    start();
+    for (int reads = 0; reads < 2; reads++) {
+      assertTrue(events.isEmpty());
+      tables.forEach(store::release);
+      tables.forEach(store::hold);
+      executor.runAll();
+    }
+    assertEquals(601, tookOver().jobs().size());
+    assertEquals(350, tookOver().workers().size());
+  }
 }
