Count the time of a start from its first order

The members of a gang wait 3 s for each other, so their starts must be settled before that (rule GANG). An order that was put back because it could not be sent counted as new when it was sent at last, so that repeating it and giving it up began anew: the last member could be given up 4.5 s after the first one had started. Both now count from its first order, and an order that waits again for longer than that is dropped with its gang.

Also: stops are repeated soon again once a silent worker answers, and silent workers that have runs are called before those that have none, since the leases of these runs lapse otherwise.

Not mended of what it found: an order that cannot be sent to a worker which accepts no connections is put back as well.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/ListQueue.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/ListQueue.java
@@ -27,7 +27,10 @@
   /** Workers in the order in which their lists became due. */
   private final Set<String> waiting = new LinkedHashSet<>();
 
-  private final Set<String> silentWaiting = new LinkedHashSet<>();
+  /** Silent workers whose runs lose their leases if they answer and are not called. */
+  private final Set<String> silentWithRuns = new LinkedHashSet<>();
+
+  private final Set<String> silentWithoutRuns = new LinkedHashSet<>();
 
   private static CallWindow<Call> newWindow() {
     return new CallWindow<>(INITIAL_LISTS, SchedulerTimes.LIST_TIMEOUT_MS);
@@ -38,24 +41,34 @@
     boolean silent = worker.failedCalls > 0;
     CallWindow<Call> calls = silent ? silentWindow : window;
     if (!calls.hasRoom(1)) {
-      (silent ? silentWaiting : waiting).add(worker.id());
+      queueOf(worker, silent).add(worker.id());
       return false;
     }
     calls.onSent(new Call(worker.id(), refresh), now.ms());
     return true;
   }
 
+  private Set<String> queueOf(WorkerState worker, boolean silent) {
+    if (!silent) {
+      return waiting;
+    }
+    return worker.placements.isEmpty() ? silentWithoutRuns : silentWithRuns;
+  }
+
   /** Notes the end of a call for runs; one that could wait for an end of a run does not count. */
   void onAnswered(JobEvent.HoldAnswered event, EventTime now) {
     Call call = new Call(event.worker().id(), event.refresh());
     boolean answered = event.reply() instanceof HoldReply.Listed;
     window.onEnded(call, answered, !waiting.isEmpty(), now.ms());
-    silentWindow.onEnded(call, answered, !silentWaiting.isEmpty(), now.ms());
+    boolean silentWait = !silentWithRuns.isEmpty() || !silentWithoutRuns.isEmpty();
+    silentWindow.onEnded(call, answered, silentWait, now.ms());
   }
 
   /** Removes the worker that has waited longest, if there is room for its list. */
   Optional<String> takeNext() {
-    return takeNext(waiting, window).or(() -> takeNext(silentWaiting, silentWindow));
+    return takeNext(waiting, window)
+        .or(() -> takeNext(silentWithRuns, silentWindow))
+        .or(() -> takeNext(silentWithoutRuns, silentWindow));
   }
 
   private static Optional<String> takeNext(Set<String> workers, CallWindow<Call> calls) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartQueue.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartQueue.java
@@ -108,7 +108,9 @@
   /** Drops orders of a group that may not be sent any more, and returns the others. */
   private List<Placement> dropUnusable(List<Placement> group, EventTime now) {
     for (Placement placement : group) {
-      if (isWaiting(placement) && !placement.worker.isUsable(now.ms())) {
+      boolean mayWait =
+          placement.worker.isUsable(now.ms()) && !StartRetrier.isOverdue(placement, now);
+      if (isWaiting(placement) && !mayWait) {
         runs.drop(placement, now); // With it go the other members of a gang.
       }
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
@@ -71,7 +71,7 @@
       onUnanswered(placement, "not sent", now); // An earlier order may have been carried out.
       return true;
     }
-    if (!mayRepeat(placement, now) || now.ms() - placement.firstOrderMs > RETRY_WINDOW_MS) {
+    if (!mayRepeat(placement, now)) {
       return false;
     }
     placement.startOrders = 0;
@@ -110,7 +110,7 @@
   void giveUpOverdue(EventTime now) {
     for (WorkerState worker : state.workers.values()) {
       for (Placement placement : List.copyOf(worker.placements.values())) {
-        if (placement.phase == Phase.STARTING && now.ms() - placement.phaseSinceMs > GIVE_UP_MS) {
+        if (placement.phase == Phase.STARTING && now.ms() - placement.firstOrderMs > GIVE_UP_MS) {
           runs.stopWithGang(placement, StopCause.START_UNANSWERED, "start not settled", now);
         }
       }
@@ -123,6 +123,11 @@
         && placement.workerBornMs == worker.bornMs // The lease in the order is by its clock.
         && worker.acceptsRuns()
         && state.isDeclarationCurrent(now.ms())
-        && now.ms() - placement.phaseSinceMs <= RETRY_WINDOW_MS;
+        && !isOverdue(placement, now);
+  }
+
+  /** Returns whether too much time has passed since the first order of a run to repeat it. */
+  static boolean isOverdue(Placement placement, EventTime now) {
+    return placement.firstOrderMs >= 0 && now.ms() - placement.firstOrderMs > RETRY_WINDOW_MS;
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/WorkerMonitor.java
@@ -158,6 +158,7 @@
     worker.connection.onListed(listed.connection(), answered.refresh());
     if (worker.failedCalls > 0) {
       state.logDecision(worker.id(), "worker answers again after failures=" + worker.failedCalls);
+      worker.placements.values().forEach(placement -> placement.stopOrders = 0);
       state.planWanted = true;
     }
     worker.failedCalls = 0;
