Let an order that could not be sent wait again for 2 s

After 2 s there is still time for the last attempt (0.3 s) and for the stops of the other members, which wait for 3 s.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartQueue.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartQueue.java
@@ -109,7 +109,7 @@
   private List<Placement> dropUnusable(List<Placement> group, EventTime now) {
     for (Placement placement : group) {
       boolean mayWait =
-          placement.worker.isUsable(now.ms()) && !StartRetrier.isOverdue(placement, now);
+          placement.worker.isUsable(now.ms()) && !StartRetrier.hasWaitedTooLong(placement, now);
       if (isWaiting(placement) && !mayWait) {
         runs.drop(placement, now); // With it go the other members of a gang.
       }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StartRetrier.java
@@ -20,6 +20,12 @@
    */
   private static final long RETRY_WINDOW_MS = 1_500;
 
+  /**
+   * Time from its first order for which an order that could not be sent may wait again. Its last
+   * attempt and the stops of the other members then end before these have waited for 3 s.
+   */
+  private static final long WAIT_AGAIN_MS = 2_000;
+
   /** A start that is still unconfirmed after this time is stopped. */
   private static final long GIVE_UP_MS = 2 * RETRY_WINDOW_MS;
 
@@ -123,11 +129,11 @@
         && placement.workerBornMs == worker.bornMs // The lease in the order is by its clock.
         && worker.acceptsRuns()
         && state.isDeclarationCurrent(now.ms())
-        && !isOverdue(placement, now);
+        && now.ms() - placement.firstOrderMs <= RETRY_WINDOW_MS;
   }
 
-  /** Returns whether too much time has passed since the first order of a run to repeat it. */
-  static boolean isOverdue(Placement placement, EventTime now) {
-    return placement.firstOrderMs >= 0 && now.ms() - placement.firstOrderMs > RETRY_WINDOW_MS;
+  /** Returns whether an order has waited again for so long that its gang could not be stopped. */
+  static boolean hasWaitedTooLong(Placement placement, EventTime now) {
+    return placement.firstOrderMs >= 0 && now.ms() - placement.firstOrderMs > WAIT_AGAIN_MS;
   }
 }
