--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -73,7 +73,6 @@
   private long fence;
   private long untilMs;
   private long seq;
-  private int starts;
 
   Worker(
       String id, Store store, Record record, Room room, List<String> labels, Sizes sizes)
@@ -137,11 +136,6 @@
     return done.getOrDefault(job, 0);
   }
 
-  /** Returns how many runs it has begun. */
-  synchronized int starts() {
-    return starts;
-  }
-
   synchronized boolean runs(String job) {
     return running.keySet().stream().anyMatch(task -> task.startsWith(job + "."));
   }
@@ -262,7 +256,6 @@
     int at = spec.indexOf("ms=");
     long workMs = at < 0 ? -1 : Long.parseLong(spec.substring(at + 3).split("\\D", 2)[0]);
     running.put(task, new Run(task, run, clockMs(), workMs));
-    starts++;
     record.line("worker " + id + ": begins " + task + "#" + run);
     return JSON.createObjectNode();
   }
