Keep no state for occurrences of a job that are not due

Cause: Job made steps and tasks for each occurrence when it was accepted or loaded, about 390 bytes each, however far ahead. Some 65 hourly jobs of 5,000 occurrences filled the heap of the owner (128 MB) and then of each node that took the pool over.

Change: only open occurrences have steps and tasks: those that are due and not done, and those with runs. Done ones are kept as shared records. At most 100 occurrences of a job are open without any run. A stored record ends with the last task that has run; all builds read that.

Ruled out: that only rounds of placement are slow. They were (all steps of all jobs in each round), but of the same cause.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
@@ -6,60 +6,115 @@
 import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.model.TaskRecord;
-import java.util.ArrayList;
+import dev.bambootray.jobs.model.TaskRecord.State;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
-/** Tracks the progress of an accepted job on the owner. */
+/**
+ * Tracks the progress of an accepted job on the owner.
+ *
+ * <p>Only its open occurrences have steps and tasks in memory: those that are due and not done, and
+ * those with runs. All others are known by the records of their tasks.
+ */
 final class Job {
+  /**
+   * Limit of open occurrences without any run. Their tasks all need the same, so if that many find
+   * no place, a further one would find none either.
+   */
+  private static final int MAX_UNBEGUN_OCCURRENCES = 100;
+
   final JobSpec spec;
 
   /** Time of acceptance by the scheduler's monotonic clock. */
   final long acceptedMs;
 
-  final List<StepInstance> steps = new ArrayList<>();
   JobPhase phase = JobPhase.QUEUED;
   long finishedWallMs;
 
-  private Job(JobSpec spec, long acceptedMs) {
+  /** Records of the tasks in occurrences that are not open. */
+  private final TaskRecords records;
+
+  private final NavigableMap<Integer, Occurrence> open = new TreeMap<>();
+  private final int tasksPerOccurrence;
+
+  /** All occurrences before this one have been opened. */
+  private int nextOccurrence;
+
+  /** Number of occurrences that are done and not open. */
+  private int doneOccurrences;
+
+  private Job(JobSpec spec, List<TaskRecord> saved, long acceptedMs) {
     this.spec = spec;
     this.acceptedMs = acceptedMs;
+    records = new TaskRecords(saved);
+    tasksPerOccurrence = spec.steps().stream().mapToInt(StepSpec::count).sum();
   }
 
   /** Creates a job from its specification and, if there is one, its stored record. */
   static Job of(JobSpec spec, @Nullable JobRecord saved, EventTime now) {
     // Clocks of nodes differ, so a time of acceptance in the future counts as now.
-    Job job = new Job(spec, now.ms() - Math.max(0, now.wallMs() - spec.acceptedWallMs()));
+    long acceptedMs = now.ms() - Math.max(0, now.wallMs() - spec.acceptedWallMs());
+    Job job = new Job(spec, saved == null ? List.of() : saved.tasks(), acceptedMs);
     if (saved != null) {
       job.phase = saved.phase();
       job.finishedWallMs = saved.finishedWallMs();
     }
-    // A final job needs its steps as well: a worker may still list runs that must be stopped.
-    job.buildSteps(saved == null ? List.of() : saved.tasks());
+    if (!job.phase.isFinal()) {
+      job.openBegun();
+      job.openDue(now.wallMs());
+    }
     return job;
   }
 
   JobRecord record() {
-    List<TaskRecord> kept = phase.isFinal() ? List.of() : tasks().map(Task::record).toList();
-    return new JobRecord(spec.id(), phase, finishedWallMs, kept);
+    return new JobRecord(
+        spec.id(), phase, finishedWallMs, phase.isFinal() ? List.of() : taskRecords());
+  }
+
+  private List<TaskRecord> taskRecords() {
+    TaskRecords all = records.copy();
+    open.forEach((number, occurrence) -> save(number, occurrence, all));
+    return all.trimmed();
+  }
+
+  /** Returns the steps of the open occurrences. */
+  List<StepInstance> openSteps() {
+    if (open.size() == 1) {
+      return open.firstEntry().getValue().steps;
+    }
+    return open.values().stream().flatMap(occurrence -> occurrence.steps.stream()).toList();
   }
 
-  Stream<Task> tasks() {
-    return steps.stream().flatMap(step -> step.tasks.stream());
+  /** Returns the tasks of the open occurrences. */
+  Stream<Task> openTasks() {
+    return open.values().stream().flatMap(Occurrence::tasks);
   }
 
+  /** Returns a task, after opening its occurrence if necessary: a worker may list a run of it. */
   Optional<Task> task(TaskName name) {
-    return steps.stream()
-        .filter(step -> step.occurrence == name.occurrence() && step.index == name.step())
-        .flatMap(step -> step.tasks.stream())
-        .filter(task -> task.name.equals(name))
-        .findFirst();
+    boolean exists =
+        name.occurrence() >= 0
+            && name.occurrence() < spec.schedule().occurrences()
+            && name.step() >= 0
+            && name.step() < spec.steps().size()
+            && name.index() >= 0
+            && name.index() < spec.steps().get(name.step()).count();
+    if (!exists) {
+      return Optional.empty();
+    }
+    Occurrence occurrence = open.get(name.occurrence());
+    if (occurrence == null) {
+      occurrence = open(name.occurrence());
+    }
+    return Optional.of(occurrence.steps.get(name.step()).tasks.get(name.index()));
   }
 
   boolean isDone() {
-    return steps.stream().allMatch(StepInstance::isDone);
+    return occurrencesAhead() == 0 && open.values().stream().allMatch(Occurrence::isDone);
   }
 
   /**
@@ -67,29 +122,92 @@
    */
   boolean isDue(StepInstance step, long wallMs) {
     return spec.schedule().dueWallMs(step.occurrence) <= wallMs
-        && step.spec.after().stream()
-            .allMatch(before -> steps.get(step.occurrence * spec.steps().size() + before).isDone());
+        && step.spec.after().stream().allMatch(before -> isDone(step.occurrence, before));
   }
 
-  /** Moves the job to a final phase. */
-  void finish(JobPhase end, long wallMs) {
-    phase = end;
-    finishedWallMs = wallMs;
+  /** Returns whether a step of an occurrence is done. */
+  boolean isDone(int number, int step) {
+    Occurrence occurrence = open.get(number);
+    return occurrence == null ? isDone(number) : occurrence.steps.get(step).isDone();
+  }
+
+  /** Returns how many occurrences are neither open nor done. */
+  int occurrencesAhead() {
+    return spec.schedule().occurrences() - open.size() - doneOccurrences;
+  }
+
+  /** Opens the occurrences that are due, and closes those that are done. */
+  void openDue(long wallMs) {
+    closeSettled();
+    while (nextOccurrence < spec.schedule().occurrences()
+        && spec.schedule().dueWallMs(nextOccurrence) <= wallMs
+        && mayOpenNext()) {
+      if (!open.containsKey(nextOccurrence) && !isDone(nextOccurrence)) {
+        open(nextOccurrence);
+      }
+      nextOccurrence++;
+    }
+  }
+
+  private boolean mayOpenNext() {
+    return open.size() < MAX_UNBEGUN_OCCURRENCES
+        || open.values().stream().filter(occurrence -> !occurrence.hasBegun()).count()
+            < MAX_UNBEGUN_OCCURRENCES;
+  }
+
+  /** Closes the occurrences without runs that are done; in a final phase, all without runs. */
+  void closeSettled() {
+    open.entrySet().removeIf(entry -> close(entry.getKey(), entry.getValue()));
+  }
+
+  private boolean close(int number, Occurrence occurrence) {
+    if (phase.isFinal()) {
+      return occurrence.isIdle();
+    }
+    if (!occurrence.isDone() || !occurrence.isIdle()) {
+      return false;
+    }
+    save(number, occurrence, records);
+    doneOccurrences++;
+    return true;
+  }
+
+  private void save(int number, Occurrence occurrence, TaskRecords target) {
+    target.replace(number * tasksPerOccurrence, occurrence.tasks().map(Task::record).toList());
+  }
+
+  private Occurrence open(int number) {
+    if (isDone(number)) {
+      doneOccurrences--;
+    }
+    Occurrence occurrence =
+        Occurrence.of(this, number, records.range(number * tasksPerOccurrence, tasksPerOccurrence));
+    open.put(number, occurrence);
+    return occurrence;
   }
 
-  private void buildSteps(List<TaskRecord> saved) {
-    int next = 0;
-    for (int occurrence = 0; occurrence < spec.schedule().occurrences(); occurrence++) {
-      for (int index = 0; index < spec.steps().size(); index++) {
-        StepSpec step = spec.steps().get(index);
-        StepInstance run = new StepInstance(this, occurrence, index, step);
-        for (int task = 0; task < step.count(); task++) {
-          TaskRecord record = next < saved.size() ? saved.get(next) : TaskRecord.NEW;
-          run.tasks.add(new Task(run, new TaskName(spec.id(), occurrence, index, task), record));
-          next++;
-        }
-        steps.add(run);
+  /** Opens the occurrences of which an earlier owner has placed tasks that are not done. */
+  private void openBegun() {
+    for (int number = 0; number * tasksPerOccurrence < records.size(); number++) {
+      List<TaskRecord> saved = records.range(number * tasksPerOccurrence, tasksPerOccurrence);
+      if (saved.stream().allMatch(task -> task.state() == State.DONE)) {
+        doneOccurrences++;
+      } else if (!saved.stream().allMatch(TaskRecord.NEW::equals)) {
+        open.put(number, Occurrence.of(this, number, saved));
       }
     }
   }
+
+  /** Returns whether the records of an occurrence say that it is done. */
+  private boolean isDone(int number) {
+    return records.range(number * tasksPerOccurrence, tasksPerOccurrence).stream()
+        .allMatch(task -> task.state() == State.DONE);
+  }
+
+  /** Moves the job to a final phase, in which the progress of its tasks is not needed. */
+  void finish(JobPhase end, long wallMs) {
+    phase = end;
+    records.clear();
+    finishedWallMs = wallMs;
+  }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -144,7 +144,7 @@
     }
     state.jobs.values().stream()
         .filter(job -> !job.phase.isFinal())
-        .flatMap(job -> job.steps.stream())
+        .flatMap(job -> job.openSteps().stream())
         .filter(step -> !step.isDone())
         .forEach(
             step ->
@@ -296,7 +296,7 @@
               state.jobs.put(spec.id(), job);
               state.statistics.addJob(job);
               adoptRuns(job, now);
-              job.tasks().filter(task -> task.crashes.isolated).forEach(state.suspects::add);
+              job.openTasks().filter(task -> task.crashes.isolated).forEach(state.suspects::add);
             });
     // The owner before has removed the rows of these jobs, but not yet their records.
     takeover.records().keySet().stream()
@@ -315,7 +315,7 @@
   }
 
   private void adoptRuns(Job job, EventTime now) {
-    job.tasks()
+    job.openTasks()
         .filter(task -> task.state == State.PLACED)
         .forEach(task -> runs.adopt(task, workerOrPlaceholder(task, job), now));
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -131,7 +131,8 @@
       if (job.phase.isFinal()) {
         continue;
       }
-      for (StepInstance step : job.steps) {
+      job.openDue(now.wallMs());
+      for (StepInstance step : job.openSteps()) {
         if (!step.hasReadyTasks() || !job.isDue(step, now.wallMs())) {
           step.readySinceMs = -1;
           continue;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RunTracker.java
@@ -270,7 +270,11 @@
     if (!checkpoint.isEmpty()) {
       keepCheckpoint(task, checkpoint);
     }
-    if (!placement.isCurrent() || task.step.job.phase.isFinal()) {
+    if (task.step.job.phase.isFinal()) {
+      task.step.job.closeSettled();
+      return;
+    }
+    if (!placement.isCurrent()) {
       return;
     }
     state.batches.markChanged(task.step.job);
@@ -358,11 +362,14 @@
     state.logDecision(
         job.spec.id(), "job phase=" + phase + " age_ms=" + (now.ms() - job.acceptedMs));
     if (phase == JobPhase.COMPLETED) {
+      job.closeSettled();
       return;
     }
-    job.tasks()
+    job.openTasks()
         .flatMap(task -> List.copyOf(task.placements).stream())
+        .toList()
         .forEach(placement -> stop(placement, StopCause.JOB_ENDED, "job " + phase, now));
+    job.closeSettled();
   }
 
   private void add(Placement placement) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StandstillPlacer.java
@@ -134,7 +134,7 @@
   }
 
   private static boolean runsNothing(Job job) {
-    return job.tasks().allMatch(task -> task.placements.isEmpty());
+    return job.openTasks().allMatch(task -> task.placements.isEmpty());
   }
 
   /** Returns whether less than half of each resource of a service is in use. */
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/TemplateStatistics.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/TemplateStatistics.java
@@ -1,5 +1,7 @@
 package dev.bambootray.jobs.scheduling;
 
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.model.StepSpec;
 import dev.bambootray.jobs.model.TaskRecord.State;
 import java.util.HashMap;
 import java.util.Map;
@@ -39,11 +41,15 @@
 
   /** Returns the expected run time of one task of a step. */
   long expectedRunMs(StepInstance step) {
-    MovingAverage learned = runTimes.get(step.job.spec.template());
+    return expectedRunMs(step.job.spec, step.spec);
+  }
+
+  private long expectedRunMs(JobSpec job, StepSpec step) {
+    MovingAverage learned = runTimes.get(job.template());
     if (learned != null && learned.samples >= MIN_SAMPLES) {
       return (long) learned.value;
     }
-    return step.spec.estimateMs() > 0 ? step.spec.estimateMs() : DEFAULT_RUN_MS;
+    return step.estimateMs() > 0 ? step.estimateMs() : DEFAULT_RUN_MS;
   }
 
   /** Returns the core-seconds of a job relative to the average of its template. */
@@ -55,14 +61,14 @@
   /** Returns the core-seconds of the tasks of a job that are not done. */
   double remainingCoreSeconds(Job job) {
     double sum = 0;
-    for (StepInstance step : job.steps) {
+    for (StepInstance step : job.openSteps()) {
       int open = 0;
       for (Task task : step.tasks) {
         open += task.state == State.DONE ? 0 : 1;
       }
       sum += open * ResourceMath.weightInCores(step.spec.each()) * expectedRunMs(step) / 1_000.0;
     }
-    return sum;
+    return sum + job.occurrencesAhead() * occurrenceCoreSeconds(job.spec);
   }
 
   /** Returns the expected length of the critical path through the steps that are not done. */
@@ -80,12 +86,13 @@
     long[] ends = new long[count];
     long longest = 0;
     for (int index = 0; index < count; index++) {
-      StepInstance step = job.steps.get(occurrence * count + index);
+      StepSpec step = job.spec.steps().get(index);
       long start = 0;
-      for (int before : step.spec.after()) {
+      for (int before : step.after()) {
         start = before < index ? Math.max(start, ends[before]) : start;
       }
-      ends[index] = start + (onlyOpen && step.isDone() ? 0 : expectedRunMs(step));
+      boolean counts = !onlyOpen || !job.isDone(occurrence, index);
+      ends[index] = start + (counts ? expectedRunMs(job.spec, step) : 0);
       longest = Math.max(longest, ends[index]);
     }
     return longest;
@@ -93,12 +100,16 @@
 
   /** Returns the core-seconds of all steps of a job. */
   double totalCoreSeconds(Job job) {
-    return job.steps.stream()
+    return job.spec.schedule().occurrences() * occurrenceCoreSeconds(job.spec);
+  }
+
+  private double occurrenceCoreSeconds(JobSpec job) {
+    return job.steps().stream()
         .mapToDouble(
             step ->
-                step.spec.count()
-                    * ResourceMath.weightInCores(step.spec.each())
-                    * expectedRunMs(step)
+                step.count()
+                    * ResourceMath.weightInCores(step.each())
+                    * expectedRunMs(job, step)
                     / 1_000)
         .sum();
   }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/FreeResourcesTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/FreeResourcesTest.java
@@ -131,6 +131,6 @@
             new JobSpec.Objective(1, 2, 3.0, 1_000),
             JobSpec.Schedule.ONCE,
             0);
-    return Job.of(job, null, new EventTime(0, 0)).steps.get(0);
+    return Job.of(job, null, new EventTime(0, 0)).openSteps().get(0);
   }
 }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/GuaranteeMonitorTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/GuaranteeMonitorTest.java
@@ -34,7 +34,7 @@
             START_MS);
     Job job = Job.of(spec, null, new EventTime(START_MS, START_MS));
     state.jobs.put(spec.id(), job);
-    return job.steps.get(0);
+    return job.openSteps().get(0);
   }
 
   private void guarantee(int accelerators) {
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ReclaimOffersTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ReclaimOffersTest.java
@@ -56,7 +56,7 @@
             new JobSpec.Objective(0, 1, 1, 1),
             JobSpec.Schedule.ONCE,
             1);
-    return Job.of(job, null, new EventTime(1, 1)).steps.get(0);
+    return Job.of(job, null, new EventTime(1, 1)).openSteps().get(0);
   }
 
   private static StepSpec.Builder each(int count, int accelerators) {
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/StepInstanceTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/StepInstanceTest.java
@@ -31,7 +31,7 @@
             new JobSpec.Objective(0, 1, 1, 1),
             schedule,
             ACCEPTED_MS);
-    return Job.of(spec, null, at(HEARD_MS)).steps.get(0);
+    return Job.of(spec, null, at(HEARD_MS)).openSteps().get(0);
   }
 
   private static EventTime at(long ms) {
