--- a/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/ControlLoop.java
@@ -22,13 +22,19 @@
 
   private final Consumer<E> handler;
   private final LongConsumer durations;
+  private final Consumer<Throwable> fatalErrors;
   private final Disruptor<Slot<E>> disruptor;
   private final Queue<E> ownEvents = new ArrayDeque<>();
   private volatile @Nullable Thread controlThread;
 
-  private ControlLoop(Consumer<E> handler, LongConsumer durations, String threadName) {
+  private ControlLoop(
+      Consumer<E> handler,
+      LongConsumer durations,
+      String threadName,
+      Consumer<Throwable> fatalErrors) {
     this.handler = handler;
     this.durations = durations;
+    this.fatalErrors = fatalErrors;
     ThreadFactory threads =
         task -> {
           Thread thread = new Thread(task, threadName);
@@ -44,7 +50,7 @@
   }
 
   /**
-   * Creates a loop that is not running yet.
+   * Creates a loop that is not running yet. An error that ends its control thread ends the process.
    *
    * @param <E> type of the events
    * @param handler handles an event and carries out its effects
@@ -53,7 +59,24 @@
    */
   public static <E> ControlLoop<E> create(
       Consumer<E> handler, LongConsumer durations, String threadName) {
-    return new ControlLoop<>(handler, durations, threadName);
+    return create(handler, durations, threadName, FatalErrors::endProcess);
+  }
+
+  /**
+   * Creates a loop that is not running yet.
+   *
+   * @param <E> type of the events
+   * @param handler handles an event and carries out its effects
+   * @param durations receives the handling time of each event in nanoseconds
+   * @param threadName name of the control thread
+   * @param fatalErrors receives an error that ends the control thread
+   */
+  static <E> ControlLoop<E> create(
+      Consumer<E> handler,
+      LongConsumer durations,
+      String threadName,
+      Consumer<Throwable> fatalErrors) {
+    return new ControlLoop<>(handler, durations, threadName, fatalErrors);
   }
 
   /** Starts the control thread. */
@@ -95,6 +118,10 @@
     } catch (RuntimeException e) {
       // An exception must not end the control thread, since the node cannot work without it.
       Logger.error(e, "control: Event {} failed.", event.getClass().getSimpleName());
+    } catch (Error e) {
+      // It may have left any state inconsistent, and memory may be exhausted.
+      fatalErrors.accept(e);
+      throw e;
     } finally {
       durations.accept(System.nanoTime() - startNanos);
     }
--- a/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
+++ b/soak/src/main/java/dev/bambootray/soak/NodeProcess.java
@@ -26,7 +26,12 @@
 
   /** Memory as in the deploy file, so that a few nodes fit beside each other. */
   private static final List<String> JVM =
-      List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+      List.of(
+          "-Xmx128m",
+          "-Xss256k",
+          "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-XX:+ExitOnOutOfMemoryError");
 
   private final String name;
   private final Path directory;
