--- /dev/null
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobSubmission.java
@@ -0,0 +1,65 @@
+package dev.bambootray.daemon.jobs;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+
+import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
+import dev.bambootray.jobs.model.JobSpec;
+import dev.bambootray.jobs.store.CommitOutcome;
+import dev.bambootray.jobs.store.RowChange;
+import dev.bambootray.jobs.store.RowCondition;
+import dev.bambootray.ports.RowStore;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Stores jobs that callers submit. */
+final class JobSubmission {
+  private final RowStore store;
+  private final JobRowCodec codec;
+  private final StoreFormats formats;
+  private final CallAttempts attempts;
+
+  JobSubmission(RowStore store, JobRowCodec codec, StoreFormats formats, CallAttempts attempts) {
+    this.store = store;
+    this.codec = codec;
+    this.formats = formats;
+    this.attempts = attempts;
+  }
+
+  /** Stores a job. */
+  CompletableFuture<SubmitOutcome> submit(JobSpec job, CallTime time) {
+    return submit(job, time, false);
+  }
+
+  private CompletableFuture<SubmitOutcome> submit(JobSpec job, CallTime time, boolean maybeStored) {
+    SubmitOutcome failure = maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED;
+    return attempts.whenStoreAnswers(
+        job.id(), time, () -> attemptSubmit(job, time, maybeStored), failure);
+  }
+
+  private CompletableFuture<SubmitOutcome> attemptSubmit(
+      JobSpec job, CallTime time, boolean maybeStored) {
+    if (!formats.isReady()) {
+      return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
+    }
+    String table = formats.jobs();
+    RowCondition absent = new RowCondition(table, job.id(), 0);
+    RowChange write = new RowChange(table, job.id(), codec.encode(job));
+    return store
+        .commit(List.of(absent), List.of(write), time.commitMs())
+        .thenCompose(
+            outcome -> {
+              if (outcome instanceof CommitOutcome.Committed
+                  || outcome instanceof CommitOutcome.Conflict) {
+                // A conflict means that an earlier attempt stored this identifier.
+                return completedFuture(SubmitOutcome.ACCEPTED);
+              }
+              if (outcome instanceof CommitOutcome.Unknown) {
+                return submit(job, time, true);
+              }
+              return attempts.afterPause(
+                  time,
+                  () -> submit(job, time, maybeStored),
+                  maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
+            });
+  }
+}
