Store the cancellation of a job that is not stored yet

Cause: a cancellation that finds no row of the job wrote nothing, so the condition of the late submission (no such job) still held.

Change: the cancellation stores a mark under the condition that there is neither job nor mark, in the partitions of both formats, before it answers 410. A submission needs that there is no mark. The rows of a conflict tell a stored job from a mark. The owner cancels a job that a node of an earlier build stores in spite of its mark, and removes marks without a job after 2 minutes. A node stores 5 marks of unknown jobs a second, after 100 at once, and answers 503 with Retry-After beyond.

Ruled out: a mark at the owner only, as the submitting node would answer 200 for a job that never runs, and an owner of an earlier build would run it.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
@@ -18,6 +18,11 @@
  * <p>It works on the store alone, so every node can serve callers, not only the owner of the pool.
  */
 public final class JobApi {
+  /** Limit of cancellations of jobs without a row: each leaves a mark for two minutes. */
+  private static final int UNKNOWN_JOBS_PER_S = 5;
+
+  private static final int UNKNOWN_JOBS_BURST = 100;
+
   private final JobRowCodec codec;
   private final DeclarationFollower declarations;
   private final OwnerRowStore ownerRows;
@@ -48,7 +53,8 @@
     rows = new JobRows(store, formats, log);
     attempts = new CallAttempts(store, executor, owner, log);
     submission = new JobSubmission(store, codec, formats, attempts);
-    cancellation = new JobCancellation(store, rows, attempts);
+    RateLimiter unknownJobs = new RateLimiter(UNKNOWN_JOBS_PER_S, UNKNOWN_JOBS_BURST);
+    cancellation = new JobCancellation(store, rows, attempts, unknownJobs);
   }
 
   /** Returns the declaration in force, or empty while it is unknown or may be out of date. */
@@ -166,16 +172,20 @@
     /** The job is not stored, and this attempt will never run it. */
     NOT_STORED,
     /** The job may or may not be stored. */
-    UNKNOWN
+    UNKNOWN,
+    /** The job was cancelled before it was stored, and will never run. */
+    CANCELLED
   }
 
   /** Outcome of cancelling a job. */
   public enum CancelOutcome {
     /** The cancellation is stored. */
     CANCELLED,
-    /** There is no such job. */
+    /** There is no such job, and a submission of it that is still on its way will not store it. */
     GONE,
     /** The cancellation may or may not be stored. */
-    UNAVAILABLE
+    UNAVAILABLE,
+    /** The cancellation of an unknown job is not stored, because this node got too many of them. */
+    LIMITED
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobCancellation.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobCancellation.java
@@ -9,20 +9,39 @@
 import dev.bambootray.jobs.store.RowCondition;
 import dev.bambootray.ports.RowStore;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
-/** Stores cancellation marks of jobs. */
+/**
+ * Stores cancellation marks of jobs.
+ *
+ * <p>A job without a row may still be stored by a submission that is on its way, so its mark is
+ * stored as well. The conditions of mark and submission exclude each other: the job is cancelled in
+ * whichever order they are applied.
+ */
 final class JobCancellation {
   private static final byte[] EMPTY = new byte[0];
 
   private final RowStore store;
   private final JobRows rows;
   private final CallAttempts attempts;
+  private final RateLimiter unknownJobs;
 
-  JobCancellation(RowStore store, JobRows rows, CallAttempts attempts) {
+  /**
+   * Creates an instance.
+   *
+   * @param store the platform's store
+   * @param rows reads the rows of jobs
+   * @param attempts decides when to call the store
+   * @param unknownJobs limits the marks of jobs without a row, which anybody can cause
+   */
+  JobCancellation(RowStore store, JobRows rows, CallAttempts attempts, RateLimiter unknownJobs) {
     this.store = store;
     this.rows = rows;
     this.attempts = attempts;
+    this.unknownJobs = unknownJobs;
   }
 
   /** Cancels a job. */
@@ -38,47 +57,93 @@
               if (found.unreachable()) {
                 return completedFuture(CancelOutcome.UNAVAILABLE);
               }
-              return found.row().isEmpty()
-                  ? completedFuture(CancelOutcome.GONE)
-                  : storeCancelMark(found.table(), found.row().get(), time);
+              if (found.row().isPresent()) {
+                return markJob(found.table(), found.row().get(), time);
+              }
+              return unknownJobs.tryAcquire(JobNode.now().ms())
+                  ? markUnknownJob(job, time)
+                  : completedFuture(CancelOutcome.LIMITED);
             });
   }
 
-  private CompletableFuture<CancelOutcome> storeCancelMark(
-      String table, Row accepted, CallTime time) {
+  private CompletableFuture<CancelOutcome> markJob(String table, Row accepted, CallTime time) {
+    return commitMark(
+        new RowCondition(table, accepted.key(), accepted.version()),
+        time,
+        CancelOutcome.CANCELLED,
+        conflict ->
+            completedFuture(
+                conflict.row(JobTables.cancelKey(accepted.key())).isPresent()
+                    ? CancelOutcome.CANCELLED
+                    : CancelOutcome.GONE));
+  }
+
+  /** Marks a job in both formats, as nodes may store it in either. */
+  private CompletableFuture<CancelOutcome> markUnknownJob(String job, CallTime time) {
+    return markUnknownJob(JobTables.JOBS, job, time)
+        .thenCompose(
+            outcome ->
+                outcome == CancelOutcome.GONE
+                    ? markUnknownJob(JobTables.JOBS_FORMAT_1, job, time)
+                    : completedFuture(outcome));
+  }
+
+  private CompletableFuture<CancelOutcome> markUnknownJob(String table, String job, CallTime time) {
+    return commitMark(
+        new RowCondition(table, job, 0),
+        time,
+        CancelOutcome.GONE,
+        conflict -> {
+          Optional<Row> stored = conflict.row(job);
+          return stored.isPresent()
+              ? markJob(table, stored.get(), time)
+              : completedFuture(CancelOutcome.GONE);
+        });
+  }
+
+  /**
+   * Stores the mark of a job.
+   *
+   * @param jobRow version that the row of the job must have, 0 if there must be none
+   * @param time time of the call
+   * @param stored outcome if the mark is stored
+   * @param onConflict returns the outcome if the condition does not hold or the mark exists
+   */
+  private CompletableFuture<CancelOutcome> commitMark(
+      RowCondition jobRow,
+      CallTime time,
+      CancelOutcome stored,
+      Function<CommitOutcome.Conflict, CompletableFuture<CancelOutcome>> onConflict) {
     return attempts.whenStoreAnswers(
-        accepted.key(),
+        jobRow.key(),
         time,
-        () -> attemptCancel(table, accepted, time),
+        () -> attemptMark(jobRow, time, stored, onConflict),
         CancelOutcome.UNAVAILABLE);
   }
 
-  private CompletableFuture<CancelOutcome> attemptCancel(
-      String table, Row accepted, CallTime time) {
-    String key = JobTables.cancelKey(accepted.key());
-    List<RowCondition> conditions =
-        List.of(
-            new RowCondition(table, accepted.key(), accepted.version()),
-            new RowCondition(table, key, 0));
+  private CompletableFuture<CancelOutcome> attemptMark(
+      RowCondition jobRow,
+      CallTime time,
+      CancelOutcome stored,
+      Function<CommitOutcome.Conflict, CompletableFuture<CancelOutcome>> onConflict) {
+    String key = JobTables.cancelKey(jobRow.key());
+    RowCondition unmarked = new RowCondition(jobRow.table(), key, 0);
+    RowChange mark = new RowChange(jobRow.table(), key, EMPTY);
     return store
-        .commit(conditions, List.of(new RowChange(table, key, EMPTY)), time.commitMs())
+        .commit(List.of(jobRow, unmarked), List.of(mark), time.commitMs())
         .thenCompose(
             outcome -> {
               if (outcome instanceof CommitOutcome.Committed) {
-                return completedFuture(CancelOutcome.CANCELLED);
+                return completedFuture(stored);
               }
               if (outcome instanceof CommitOutcome.Conflict conflict) {
-                boolean marked =
-                    conflict.rows().stream()
-                        .anyMatch(row -> row.key().equals(key) && !row.removed());
-                return completedFuture(marked ? CancelOutcome.CANCELLED : CancelOutcome.GONE);
+                return onConflict.apply(conflict);
               }
+              Supplier<CompletableFuture<CancelOutcome>> repeat =
+                  () -> commitMark(jobRow, time, stored, onConflict);
               return outcome instanceof CommitOutcome.Unknown
-                  ? storeCancelMark(table, accepted, time)
-                  : attempts.afterPause(
-                      time,
-                      () -> storeCancelMark(table, accepted, time),
-                      CancelOutcome.UNAVAILABLE);
+                  ? repeat.get()
+                  : attempts.afterPause(time, repeat, CancelOutcome.UNAVAILABLE);
             });
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -296,6 +296,8 @@
       onLease(new LeaseEvent.Persist(persist));
     } else if (effect instanceof JobEffect.RemoveJobRows removal) {
       storeCalls.removeJobRows(removal.job(), epoch);
+    } else if (effect instanceof JobEffect.RemoveCancelMark removal) {
+      storeCalls.removeCancelMark(removal.job(), epoch);
     } else if (effect instanceof JobEffect.StartRun start) {
       workerCalls.start(start, epoch);
     } else if (effect instanceof JobEffect.StopRun stop) {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobSubmission.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobSubmission.java
@@ -42,17 +42,20 @@
       return completedFuture(maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
     }
     String table = formats.jobs();
-    RowCondition absent = new RowCondition(table, job.id(), 0);
+    String cancelKey = JobTables.cancelKey(job.id());
+    List<RowCondition> absent =
+        List.of(new RowCondition(table, job.id(), 0), new RowCondition(table, cancelKey, 0));
     RowChange write = new RowChange(table, job.id(), codec.encode(job));
     return store
-        .commit(List.of(absent), List.of(write), time.commitMs())
+        .commit(absent, List.of(write), time.commitMs())
         .thenCompose(
             outcome -> {
-              if (outcome instanceof CommitOutcome.Committed
-                  || outcome instanceof CommitOutcome.Conflict) {
-                // A conflict means that an earlier attempt stored this identifier.
+              if (outcome instanceof CommitOutcome.Committed) {
                 return completedFuture(SubmitOutcome.ACCEPTED);
               }
+              if (outcome instanceof CommitOutcome.Conflict conflict) {
+                return completedFuture(outcomeOf(job.id(), conflict));
+              }
               if (outcome instanceof CommitOutcome.Unknown) {
                 return submit(job, time, true);
               }
@@ -62,4 +65,14 @@
                   maybeStored ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_STORED);
             });
   }
+
+  /** Tells whether an earlier attempt stored the job, or whether it was cancelled before. */
+  private static SubmitOutcome outcomeOf(String job, CommitOutcome.Conflict conflict) {
+    if (conflict.row(job).isPresent()) {
+      return SubmitOutcome.ACCEPTED;
+    }
+    return conflict.row(JobTables.cancelKey(job)).isPresent()
+        ? SubmitOutcome.CANCELLED
+        : SubmitOutcome.UNKNOWN;
+  }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/OwnerRowStore.java
@@ -140,6 +140,27 @@
         .thenApply(CommitOutcome.Committed.class::isInstance);
   }
 
+  /**
+   * Removes the cancellation mark of a job that is not stored.
+   *
+   * @return whether the mark is certainly removed or certainly belongs to a stored job
+   */
+  CompletableFuture<Boolean> removeCancelMark(String job) {
+    return removeCancelMark(JobTables.JOBS, job)
+        .thenCombine(removeCancelMark(JobTables.JOBS_FORMAT_1, job), Boolean::logicalAnd);
+  }
+
+  private CompletableFuture<Boolean> removeCancelMark(String table, String job) {
+    RowCondition notStored = new RowCondition(table, job, 0);
+    RowChange removal = new RowChange(table, JobTables.cancelKey(job), null);
+    return store
+        .commit(List.of(notStored), List.of(removal), CallTimeouts.COMMIT_MS)
+        .thenApply(
+            outcome ->
+                outcome instanceof CommitOutcome.Committed
+                    || outcome instanceof CommitOutcome.Conflict);
+  }
+
   private LeaseEvent event(CommitOutcome outcome, long sentMs) {
     boolean answered =
         outcome instanceof CommitOutcome.Committed || outcome instanceof CommitOutcome.Conflict;
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreCalls.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreCalls.java
@@ -85,4 +85,21 @@
                   }
                 });
   }
+
+  /**
+   * Removes the cancellation mark of a job that is not stored; answers as for the rows of a job.
+   */
+  void removeCancelMark(String job, long epoch) {
+    if (formats.isNewerFound()) {
+      return;
+    }
+    var unused =
+        rows.removeCancelMark(job)
+            .thenAccept(
+                removed -> {
+                  if (removed) {
+                    schedulerAnswers.onAnswer(epoch, new JobEvent.CancelMarkRemoved(job));
+                  }
+                });
+  }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreFormats.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/StoreFormats.java
@@ -93,7 +93,8 @@
 
   /** Records a row of a job that the owner has read. */
   void noteJobRow(Row row) {
-    if (row.table().equals(JobTables.JOBS_FORMAT_1)) {
+    // A cancellation mark may be there in both formats without a job.
+    if (row.table().equals(JobTables.JOBS_FORMAT_1) && !JobTables.isCancelKey(row.key())) {
       formatOneJobs.add(JobTables.jobOfKey(row.key()));
     }
   }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.bambootray.daemon.jobs.JobApi.CancelOutcome;
 import dev.bambootray.daemon.jobs.JobApi.SubmitOutcome;
@@ -17,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -254,4 +256,68 @@
       assertEquals(CancelOutcome.GONE, api.cancel("j", TIME_MS).join());
     }
   }
+
+  /** A submission got no answer, its caller cancels the job, and the store may apply it late. */
+  @Nested
+  final class CancellingWhileASubmissionIsLate {
+    private void submitLate() {
+      store.commitBehaviors.add(CommitBehavior.LATE);
+      store.commitBehaviors.add(CommitBehavior.REFUSED);
+      assertEquals(SubmitOutcome.UNKNOWN, api.submit(JOB, TIME_MS).join());
+    }
+
+    /** Guards against a job that runs after its cancelling was acknowledged with 410. */
+    @Test
+    void keepsTheJobFromBeingStored() {
+      submitLate();
+      assertEquals(CancelOutcome.GONE, api.cancel("j", TIME_MS).join());
+      store.applyLate();
+      assertFalse(store.has(JobTables.JOBS, "j"));
+      assertEquals(JobView.GONE, api.state("j", TIME_MS).join());
+    }
+
+    @Test
+    void cancelsAJobThatIsStoredBetweenReadAndMark() {
+      submitLate();
+      store.hold(JobTables.JOBS_FORMAT_1);
+      CompletableFuture<CancelOutcome> cancellation = api.cancel("j", TIME_MS);
+      store.applyLate();
+      store.release(JobTables.JOBS_FORMAT_1);
+      assertEquals(CancelOutcome.CANCELLED, cancellation.join());
+      assertTrue(store.has(JobTables.JOBS, JobTables.cancelKey("j")));
+    }
+
+    /** Guards against a submission that a node stores in the other format. */
+    @Test
+    void marksTheJobInBothFormats() {
+      assertEquals(CancelOutcome.GONE, api.cancel("j", TIME_MS).join());
+      assertTrue(store.has(JobTables.JOBS, JobTables.cancelKey("j")));
+      assertTrue(store.has(JobTables.JOBS_FORMAT_1, JobTables.cancelKey("j")));
+    }
+
+    @Test
+    void refusesTheJobIfItIsSubmittedAgain() {
+      submitLate();
+      api.cancel("j", TIME_MS).join();
+      assertEquals(SubmitOutcome.CANCELLED, api.submit(JOB, TIME_MS).join());
+      assertFalse(store.has(JobTables.JOBS, "j"));
+    }
+
+    @Test
+    void isNotAcknowledgedBeforeTheMarkIsStored() {
+      store.commitBehaviors.add(CommitBehavior.APPLIED);
+      store.commitBehaviors.add(CommitBehavior.REFUSED);
+      assertEquals(CancelOutcome.UNAVAILABLE, api.cancel("j", TIME_MS).join());
+    }
+
+    /** Guards against a store that fills with marks of identifiers which nobody submitted. */
+    @Test
+    void isLimitedForUnknownJobs() {
+      List<CancelOutcome> outcomes =
+          IntStream.range(0, 1_000).mapToObj(i -> api.cancel("x" + i, TIME_MS).join()).toList();
+      assertTrue(outcomes.contains(CancelOutcome.LIMITED));
+      api.submit(JOB, TIME_MS).join();
+      assertEquals(CancelOutcome.CANCELLED, api.cancel("j", TIME_MS).join());
+    }
+  }
 }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
@@ -55,6 +55,24 @@
     assertFalse(rows.removeJobRows("old").join());
   }
 
+  @Test
+  void removesTheMarkOfAJobThatIsNotStored() {
+    store.put(JobTables.JOBS, JobTables.cancelKey("old"), new byte[0]);
+    store.put(JobTables.JOBS_FORMAT_1, JobTables.cancelKey("old"), new byte[0]);
+    assertTrue(rows.removeCancelMark("old").join());
+    assertEquals(0, store.countOf(JobTables.JOBS));
+    assertEquals(0, store.countOf(JobTables.JOBS_FORMAT_1));
+  }
+
+  /** Guards against a cancelled job that runs because its mark was taken for one without a job. */
+  @Test
+  void keepsTheMarkOfAJobThatIsStored() {
+    store.put(JobTables.JOBS, "old", new byte[0]);
+    store.put(JobTables.JOBS, JobTables.cancelKey("old"), new byte[0]);
+    assertTrue(rows.removeCancelMark("old").join());
+    assertEquals(2, store.countOf(JobTables.JOBS));
+  }
+
   @Test
   void writesNothingIfTheOwnerRowHasChanged() {
     commit(0);
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -24,6 +24,8 @@
   enum CommitBehavior {
     APPLIED,
     APPLIED_WITHOUT_ANSWER,
+    /** Gets no answer and is attempted by {@link #applyLate}. */
+    LATE,
     REFUSED
   }
 
@@ -32,6 +34,7 @@
 
   private record Watch(String table, long after, CompletableFuture<ChangePage> future) {}
 
+  private final Deque<Runnable> late = new ArrayDeque<>();
   private final TreeMap<String, Row> rows = new TreeMap<>();
   private final List<Row> history = new ArrayList<>();
   private final Map<String, List<Held>> held = new HashMap<>();
@@ -83,6 +86,16 @@
     notifyWatches(new Row(table, key, new byte[0], version, true));
   }
 
+  /** Carries out the late commits whose conditions hold now. */
+  void applyLate() {
+    late.forEach(Runnable::run);
+    late.clear();
+  }
+
+  boolean has(String table, String key) {
+    return rows.containsKey(table + "/" + key);
+  }
+
   long countOf(String table) {
     return rows.values().stream().filter(row -> row.table().equals(table)).count();
   }
@@ -116,6 +129,10 @@
     if (unavailable || fate == CommitBehavior.REFUSED) {
       return CompletableFuture.completedFuture(new CommitOutcome.Refused("away"));
     }
+    if (fate == CommitBehavior.LATE) {
+      late.add(() -> commit(conditions, changes, timeoutMs));
+      return CompletableFuture.completedFuture(new CommitOutcome.Unknown("no answer"));
+    }
     List<Row> found = new ArrayList<>();
     boolean conditionsHold = true;
     for (RowCondition condition : conditions) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEffect.java
@@ -31,6 +31,12 @@
    */
   record RemoveJobRows(String job) implements JobEffect {}
 
+  /**
+   * Removes the cancellation mark of a job that was never stored; the mark of a job that is stored
+   * stays. {@link JobEvent.CancelMarkRemoved} confirms it.
+   */
+  record RemoveCancelMark(String job) implements JobEffect {}
+
   /**
    * Starts a run on a worker.
    *
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobEvent.java
@@ -99,6 +99,9 @@
   /** The rows of a job were removed as {@link JobEffect.RemoveJobRows} requests. */
   record JobRowsRemoved(String job) implements JobEvent {}
 
+  /** The cancellation mark of a job that is not stored was removed, or belongs to a stored job. */
+  record CancelMarkRemoved(String job) implements JobEvent {}
+
   /** Time has passed. */
   record Tick() implements JobEvent {}
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -23,12 +24,6 @@
   /** Interval of the checks that depend only on time. */
   private static final long CHECK_INTERVAL_MS = 200;
 
-  /** Interval at which expired finished jobs are removed. */
-  private static final long REMOVAL_INTERVAL_MS = 5_000;
-
-  /** Limit of expired jobs that are removed at a time. */
-  private static final int MAX_REMOVALS = 20;
-
   /**
    * With more waiting steps than this a round of placement takes milliseconds, so rounds are spaced
    * by {@link #PLAN_PAUSE_MS} instead of following each event.
@@ -44,9 +39,9 @@
   private final WorkerMonitor workerMonitor;
   private final Planner planner;
   private final StallDetector stallDetector;
+  private final RowRemoval rowRemoval;
   private long nextCheckMs;
   private long nextPlanMs;
-  private long nextRemovalMs;
 
   private JobScheduler(SchedulerTimes times, SchedulingPolicy policy) {
     state = new SchedulerState(times);
@@ -55,6 +50,7 @@
     workerMonitor = new WorkerMonitor(state, runs, poller);
     planner = new Planner(state, runs, policy);
     stallDetector = new StallDetector(state, runs);
+    rowRemoval = new RowRemoval(state);
   }
 
   /** Returns a scheduler that waits for {@link JobEvent.TookOver}. */
@@ -77,10 +73,7 @@
       runs.giveUpUnansweredStarts(now);
       state.planWanted = true;
     }
-    if (now.ms() >= nextRemovalMs) {
-      nextRemovalMs = now.ms() + REMOVAL_INTERVAL_MS;
-      removeExpiredJobs(now);
-    }
+    rowRemoval.run(now);
     boolean mayPlan = state.isDeclarationCurrent(now.ms());
     if (state.planWanted && mayPlan && now.ms() >= nextPlanMs) {
       state.planWanted = false;
@@ -204,7 +197,9 @@
       runs.startQueue().send(now);
       poller.sendWaitingLists(now);
     } else if (event instanceof JobEvent.JobRowsRemoved removed) {
-      onRowsRemoved(removed.job());
+      rowRemoval.onRowsRemoved(removed.job());
+    } else if (event instanceof JobEvent.CancelMarkRemoved removed) {
+      rowRemoval.onMarkRemoved(removed.job());
     } else if (event instanceof JobEvent.Durable durable) {
       state.batches.onDurable(durable.batch());
       runs.startQueue().onDurable(now);
@@ -357,30 +352,18 @@
             + accepted.job().objective().priority()
             + " age_ms="
             + (now.ms() - job.acceptedMs));
+    if (state.earlyCancellations.contains(job.spec.id())) {
+      cancel(job.spec.id(), now);
+    }
     state.planWanted = true;
   }
 
   private void cancel(String id, EventTime now) {
-    state
-        .job(id)
-        .filter(job -> !job.phase.isFinal())
-        .ifPresent(job -> runs.endJob(job, JobPhase.CANCELLED, now));
-  }
-
-  private void removeExpiredJobs(EventTime now) {
-    List<String> old =
-        state.jobs.values().stream()
-            .filter(job -> job.phase.isFinal())
-            .filter(job -> now.wallMs() - job.finishedWallMs > state.times.keepFinishedMs())
-            .map(job -> job.spec.id())
-            .limit(MAX_REMOVALS)
-            .toList();
-    old.forEach(id -> state.emit(new JobEffect.RemoveJobRows(id)));
-  }
-
-  private void onRowsRemoved(String id) {
-    if (state.jobs.remove(id) != null) {
-      state.batches.markRemoved(id);
+    Optional<Job> job = state.job(id);
+    if (job.isEmpty()) {
+      state.earlyCancellations.add(id, now.ms());
+    } else if (!job.get().phase.isFinal()) {
+      runs.endJob(job.get(), JobPhase.CANCELLED, now);
     }
   }
 }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/SchedulerState.java
@@ -17,6 +17,7 @@
   final TemplateStatistics statistics = new TemplateStatistics();
   final RecordBatcher batches = new RecordBatcher();
   final StepReservations reservations = new StepReservations();
+  final EarlyCancellations earlyCancellations = new EarlyCancellations();
 
   /** Jobs covered by a guarantee in the newest round of placement. */
   GuaranteeCoverage coverage = GuaranteeCoverage.none();
--- a/jobs/src/main/java/dev/bambootray/jobs/store/CommitOutcome.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/store/CommitOutcome.java
@@ -1,6 +1,7 @@
 package dev.bambootray.jobs.store;
 
 import java.util.List;
+import java.util.Optional;
 
 /** Outcome of a transaction on rows. */
 public sealed interface CommitOutcome {
@@ -21,6 +22,11 @@
     public Conflict {
       rows = List.copyOf(rows);
     }
+
+    /** Returns the current row with a key, or empty if it does not exist. */
+    public Optional<Row> row(String key) {
+      return rows.stream().filter(row -> row.key().equals(key) && !row.removed()).findFirst();
+    }
   }
 
   /**
