Create the tasks of a step when its turn has come

Change: a step has tasks once the steps before it are done, or if a record or a worker shows a run of them. The records of a step without tasks are those of tasks that have never run.

Evidence: JobTest.Steps.haveTasksOnceTheStepsBeforeThemAreDone (such a job had all its tasks at once before); all tests of jobs and standins pass.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
@@ -94,7 +94,7 @@
     return open.values().stream().flatMap(Occurrence::tasks);
   }
 
-  /** Returns a task, after opening its occurrence if necessary: a worker may list a run of it. */
+  /** Returns a task after opening its step if necessary, since a worker may list a run of it. */
   Optional<Task> task(TaskName name) {
     boolean exists =
         name.occurrence() >= 0
@@ -110,7 +110,9 @@
     if (occurrence == null) {
       occurrence = open(name.occurrence());
     }
-    return Optional.of(occurrence.steps.get(name.step()).tasks.get(name.index()));
+    StepInstance step = occurrence.steps.get(name.step());
+    step.openNew();
+    return Optional.of(step.tasks.get(name.index()));
   }
 
   boolean isDone() {
@@ -121,8 +123,10 @@
    * Returns whether the steps that a step depends on are done and its scheduled time is reached.
    */
   boolean isDue(StepInstance step, long wallMs) {
-    return spec.schedule().dueWallMs(step.occurrence) <= wallMs
-        && step.spec.after().stream().allMatch(before -> isDone(step.occurrence, before));
+    Occurrence occurrence = open.get(step.occurrence);
+    return occurrence != null
+        && spec.schedule().dueWallMs(step.occurrence) <= wallMs
+        && occurrence.isReady(step);
   }
 
   /** Returns whether a step of an occurrence is done. */
@@ -136,9 +140,10 @@
     return spec.schedule().occurrences() - open.size() - doneOccurrences;
   }
 
-  /** Opens the occurrences that are due, and closes those that are done. */
+  /** Opens the occurrences and steps whose turn has come, and closes occurrences that are done. */
   void openDue(long wallMs) {
     closeSettled();
+    open.values().forEach(Occurrence::openReadySteps);
     while (nextOccurrence < spec.schedule().occurrences()
         && spec.schedule().dueWallMs(nextOccurrence) <= wallMs
         && mayOpenNext()) {
@@ -173,7 +178,7 @@
   }
 
   private void save(int number, Occurrence occurrence, TaskRecords target) {
-    target.replace(number * tasksPerOccurrence, occurrence.tasks().map(Task::record).toList());
+    target.replace(number * tasksPerOccurrence, occurrence.records());
   }
 
   private Occurrence open(int number) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Occurrence.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Occurrence.java
@@ -1,8 +1,6 @@
 package dev.bambootray.jobs.scheduling;
 
-import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.StepSpec;
-import dev.bambootray.jobs.model.TaskName;
 import dev.bambootray.jobs.model.TaskRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,22 +22,47 @@
    * @param records records of its tasks in the order of step and index
    */
   static Occurrence of(Job job, int number, List<TaskRecord> records) {
-    JobSpec spec = job.spec;
-    List<StepInstance> steps = new ArrayList<>(spec.steps().size());
+    List<StepInstance> steps = new ArrayList<>(job.spec.steps().size());
     int next = 0;
-    for (int index = 0; index < spec.steps().size(); index++) {
-      StepSpec stepSpec = spec.steps().get(index);
-      StepInstance step = new StepInstance(job, number, index, stepSpec);
-      for (int task = 0; task < stepSpec.count(); task++) {
-        TaskName name = new TaskName(spec.id(), number, index, task);
-        step.tasks.add(new Task(step, name, records.get(next)));
-        next++;
+    for (StepSpec spec : job.spec.steps()) {
+      StepInstance step = new StepInstance(job, number, steps.size(), spec);
+      List<TaskRecord> ofStep = records.subList(next, next + spec.count());
+      if (!ofStep.stream().allMatch(TaskRecord.NEW::equals)) {
+        step.open(ofStep);
       }
       steps.add(step);
+      next += spec.count();
     }
-    return new Occurrence(steps);
+    Occurrence occurrence = new Occurrence(steps);
+    occurrence.openReadySteps();
+    return occurrence;
   }
 
+  /** Opens the steps whose earlier steps are done. */
+  void openReadySteps() {
+    for (StepInstance step : steps) {
+      if (isReady(step)) {
+        step.openNew();
+      }
+    }
+  }
+
+  /** Returns whether the steps that a step depends on are done. */
+  boolean isReady(StepInstance step) {
+    for (int before : step.spec.after()) {
+      if (!steps.get(before).isDone()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns the records of all its tasks in the order of step and index. */
+  List<TaskRecord> records() {
+    return steps.stream().flatMap(step -> step.records().stream()).toList();
+  }
+
+  /** Returns the tasks of its open steps. */
   Stream<Task> tasks() {
     return steps.stream().flatMap(step -> step.tasks.stream());
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
@@ -1,8 +1,11 @@
 package dev.bambootray.jobs.scheduling;
 
 import dev.bambootray.jobs.model.StepSpec;
+import dev.bambootray.jobs.model.TaskName;
+import dev.bambootray.jobs.model.TaskRecord;
 import dev.bambootray.jobs.model.TaskRecord.State;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 /** Tracks one step in one occurrence of a job. */
@@ -11,7 +14,11 @@
   final int occurrence;
   final int index;
   final StepSpec spec;
-  final List<Task> tasks = new ArrayList<>();
+
+  /** Its tasks, or none until it is open. */
+  final List<Task> tasks = new ArrayList<>(0);
+
+  private boolean open;
 
   /** Newest run number whose failure was counted, so that each run of a gang counts once. */
   int lastCountedFailedRun;
@@ -41,13 +48,44 @@
     this.spec = spec;
   }
 
+  /** Creates its tasks, once it may start or an earlier owner has started some of them. */
+  void open(List<TaskRecord> records) {
+    if (open) {
+      return;
+    }
+    open = true;
+    for (int task = 0; task < spec.count(); task++) {
+      TaskName name = new TaskName(job.spec.id(), occurrence, index, task);
+      tasks.add(new Task(this, name, records.get(task)));
+    }
+  }
+
+  /** Creates its tasks, none of which has ever run. */
+  void openNew() {
+    open(Collections.nCopies(spec.count(), TaskRecord.NEW));
+  }
+
+  /** Returns the records of its tasks. */
+  List<TaskRecord> records() {
+    return open
+        ? tasks.stream().map(Task::record).toList()
+        : Collections.nCopies(spec.count(), TaskRecord.NEW);
+  }
+
   boolean isDone() {
+    return open && unfinishedTasks() == 0;
+  }
+
+  /** Returns how many of its tasks are not done. */
+  int unfinishedTasks() {
+    if (!open) {
+      return spec.count();
+    }
+    int unfinished = 0;
     for (Task task : tasks) {
-      if (task.state != State.DONE) {
-        return false;
-      }
+      unfinished += task.state == State.DONE ? 0 : 1;
     }
-    return true;
+    return unfinished;
   }
 
   boolean isGang() {
@@ -62,6 +100,9 @@
 
   /** Returns whether {@link #readyTasks} is not empty. */
   boolean hasReadyTasks() {
+    if (!open) {
+      return false;
+    }
     boolean gang = isGang();
     for (Task task : tasks) {
       if (task.isPlaceable() != gang) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/TemplateStatistics.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/TemplateStatistics.java
@@ -2,7 +2,6 @@
 
 import dev.bambootray.jobs.model.JobSpec;
 import dev.bambootray.jobs.model.StepSpec;
-import dev.bambootray.jobs.model.TaskRecord.State;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -62,11 +61,11 @@
   double remainingCoreSeconds(Job job) {
     double sum = 0;
     for (StepInstance step : job.openSteps()) {
-      int open = 0;
-      for (Task task : step.tasks) {
-        open += task.state == State.DONE ? 0 : 1;
-      }
-      sum += open * ResourceMath.weightInCores(step.spec.each()) * expectedRunMs(step) / 1_000.0;
+      sum +=
+          step.unfinishedTasks()
+              * ResourceMath.weightInCores(step.spec.each())
+              * expectedRunMs(step)
+              / 1_000.0;
     }
     return sum + job.occurrencesAhead() * occurrenceCoreSeconds(job.spec);
   }
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/JobTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -53,8 +54,11 @@
   }
 
   private static void finish(Job job, int occurrence) {
-    job.openTasks()
-        .filter(task -> task.name.occurrence() == occurrence)
+    Stream.of(
+            new TaskName("job", occurrence, 0, 0),
+            new TaskName("job", occurrence, 0, 1),
+            new TaskName("job", occurrence, 1, 0))
+        .map(name -> job.task(name).orElseThrow())
         .forEach(
             task -> {
               task.state = State.DONE;
@@ -111,6 +115,27 @@
     }
   }
 
+  @Nested
+  final class Steps {
+    /** Guards against a heap that fills with tasks which wait for other steps. */
+    @Test
+    void haveTasksOnceTheStepsBeforeThemAreDone() {
+      Job job = job(null, FIRST_MS);
+      assertEquals(2, job.openTasks().count());
+      job.openTasks().forEach(task -> task.state = State.DONE);
+      job.openDue(FIRST_MS);
+      assertEquals(3, job.openTasks().count());
+    }
+
+    @Test
+    void areNotDoneWithoutTasks() {
+      Job job = job(null, FIRST_MS);
+      assertFalse(job.isDone(0, 1));
+      assertFalse(job.openSteps().get(1).hasReadyTasks());
+      assertEquals(1, job.openSteps().get(1).unfinishedTasks());
+    }
+  }
+
   @Nested
   final class Records {
     /** Guards against records that grow with occurrences which are far ahead. */
