Drop the rows of a pool load as they are decoded

Change: rows are removed from the maps of the load as they are decoded, and the maps are dropped with the takeover. PoolLoaderTest passes unchanged; the memory was not measured by itself.

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/PoolLoader.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -221,7 +222,9 @@
                       }));
       List<JobSpec> accepted = new ArrayList<>();
       Set<String> cancelled = new HashSet<>();
-      for (Row row : jobsRead.values()) {
+      // Rows are dropped as they are decoded, since they take as much memory as the jobs.
+      for (Iterator<Row> rows = jobsRead.values().iterator(); rows.hasNext(); rows.remove()) {
+        Row row = rows.next();
         if (JobTables.isCancelKey(row.key())) {
           cancelled.add(JobTables.jobOfCancelKey(row.key()));
         } else {
@@ -238,6 +241,9 @@
                   entries.add(entry);
                 });
       }
+      jobRows = null;
+      recordRows = null;
+      workerRows = null;
       Optional<JobDeclaration> inForce = declaration.get();
       tookOver = true;
       events.accept(
