Remove a tenth of a backlog of expired rows at a time

Change: every 5 s a tenth of the backlog is removed, 20 at least. At 11 ends a second the backlog settles near 550 jobs.

Evidence: ExpiredJobRemovalTest.removesMoreAtATimeOfALongBacklog removes 100 of 1,000 expired jobs at a time; the limit was 20.

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/EarlyCancellations.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/EarlyCancellations.java
@@ -32,10 +32,9 @@
   }
 
   /** Returns the jobs whose marks need not be kept any longer, the oldest first. */
-  List<String> expired(long nowMs, int limit) {
+  List<String> expired(long nowMs) {
     return sinceMs.entrySet().stream()
         .takeWhile(entry -> nowMs - entry.getValue() > RETENTION_MS)
-        .limit(limit)
         .map(Map.Entry::getKey)
         .toList();
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/RowRemoval.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/RowRemoval.java
@@ -7,8 +7,11 @@
   /** Interval at which expired rows are removed. */
   private static final long INTERVAL_MS = 5_000;
 
-  /** Limit of expired jobs, and of expired marks, that are removed at a time. */
-  private static final int MAX_REMOVALS = 20;
+  /** Lowest limit of expired jobs, and of expired marks, that are removed at a time. */
+  private static final int MIN_REMOVALS = 20;
+
+  /** A backlog of expired rows is removed in parts, so that it shrinks however fast jobs come. */
+  private static final int PARTS_OF_BACKLOG = 10;
 
   private final SchedulerState state;
   private long nextMs;
@@ -23,20 +26,22 @@
       return;
     }
     nextMs = now.ms() + INTERVAL_MS;
-    List<String> old =
+    List<String> jobs =
         state.jobs.values().stream()
             .filter(job -> job.phase.isFinal())
             .filter(job -> now.wallMs() - job.finishedWallMs > state.times.keepFinishedMs())
             .map(job -> job.spec.id())
-            .limit(MAX_REMOVALS)
             .toList();
-    old.forEach(id -> state.emit(new JobEffect.RemoveJobRows(id)));
-    state
-        .earlyCancellations
-        .expired(now.ms(), MAX_REMOVALS)
+    firstPart(jobs).forEach(id -> state.emit(new JobEffect.RemoveJobRows(id)));
+    firstPart(state.earlyCancellations.expired(now.ms()))
         .forEach(id -> state.emit(new JobEffect.RemoveCancelMark(id)));
   }
 
+  private static List<String> firstPart(List<String> backlog) {
+    int size = Math.max(MIN_REMOVALS, backlog.size() / PARTS_OF_BACKLOG);
+    return backlog.subList(0, Math.min(size, backlog.size()));
+  }
+
   void onRowsRemoved(String id) {
     if (state.jobs.remove(id) != null) {
       state.batches.markRemoved(id);
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ExpiredJobRemovalTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ExpiredJobRemovalTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Checks the order in which the rows of a job that ended long ago are removed. */
@@ -75,6 +77,41 @@
     assertEquals(List.of("j", "j"), rowsToRemove);
   }
 
+  /** Guards against a heap that fills with finished jobs, when more end than are removed. */
+  @Test
+  void removesMoreAtATimeOfALongBacklog() {
+    List<JobSpec> jobs =
+        IntStream.range(0, 1_000)
+            .mapToObj(
+                i ->
+                    new JobSpec(
+                        "j" + i,
+                        "w",
+                        "t",
+                        "s",
+                        "p",
+                        JOB.steps(),
+                        JOB.objective(),
+                        JobSpec.Schedule.ONCE,
+                        1))
+            .toList();
+    Map<String, JobRecord> records =
+        jobs.stream()
+            .collect(
+                Collectors.toMap(
+                    JobSpec::id, job -> new JobRecord(job.id(), JobPhase.COMPLETED, 1, List.of())));
+    handle(
+        new JobEvent.TookOver(
+            new JobDeclaration(0, List.of(), Map.of(), List.of(), 0),
+            jobs,
+            records,
+            Set.of(),
+            List.of()),
+        1_000);
+    handle(new JobEvent.Tick(), EXPIRED_MS);
+    assertEquals(100, rowsToRemove.size());
+  }
+
   @Test
   void removesTheRecordsOfJobsWhoseRowsTheOwnerBeforeHasRemoved() {
     takeOver(List.of());
