Refuse jobs that the owner cannot hold in memory

Change: the owner estimates what the jobs take and publishes it in the owner row, in percent of a third of its heap. A job that is stored already is answered with 200. A finished job drops its payload once no run of it is known. Metric bambootray_job_held_bytes.

Evidence: JobApiTest.PoolFull, ScheduledJobMemoryTest.countsWhatIsHeld. The owner row of a pool that holds less than 1% is written as before (JobRowCompatibilityTest, unchanged).

--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobApi.java
@@ -52,7 +52,7 @@
     this.hints = hints;
     rows = new JobRows(store, formats, log);
     attempts = new CallAttempts(store, executor, owner, log);
-    submission = new JobSubmission(store, codec, formats, attempts);
+    submission = new JobSubmission(store, codec, formats, attempts, rows, owner);
     RateLimiter unknownJobs = new RateLimiter(UNKNOWN_JOBS_PER_S, UNKNOWN_JOBS_BURST);
     cancellation = new JobCancellation(store, rows, attempts, unknownJobs);
   }
@@ -174,7 +174,9 @@
     /** The job may or may not be stored. */
     UNKNOWN,
     /** The job was cancelled before it was stored, and will never run. */
-    CANCELLED
+    CANCELLED,
+    /** The job is not stored, because the pool holds as many jobs as its owner can. */
+    POOL_FULL
   }
 
   /** Outcome of cancelling a job. */
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobMetrics.java
@@ -98,6 +98,12 @@
           .help("Steps that wait for a guarantee for longer than 2.5 s, at the owner.")
           .register(registry);
 
+  private final Gauge heldBytes =
+      Gauge.builder()
+          .name("bambootray_job_held_bytes")
+          .help("Estimate of the memory that the accepted jobs take, at the owner.")
+          .register(registry);
+
   private final Gauge formatOneJobs =
       Gauge.builder()
           .name("bambootray_job_format_1")
@@ -172,5 +178,6 @@
     free.set((double) load.freeAccelerators());
     runsInClosedDomains.set((double) load.runsInClosedDomains());
     overdueGuarantees.set((double) load.overdueGuarantees());
+    heldBytes.set((double) load.heldBytes());
   }
 }
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobNode.java
@@ -179,9 +179,11 @@
     var unused = declarations.inForce(now());
     JobScheduler current = scheduler;
     if (current != null) {
-      onLease(new LeaseEvent.PendingChanged(current.pendingByTemplate()));
+      JobScheduler.Load load = current.load();
+      int heldPercent = AdmissionLimit.OF_HEAP.heldPercent(load.heldBytes());
+      onLease(new LeaseEvent.LoadChanged(current.pendingByTemplate(), heldPercent));
       formatReporter.report();
-      loadReporter.report(current.load(), epoch, now().ms());
+      loadReporter.report(load, epoch, now().ms());
     }
     preference.changed().ifPresent(this::onLease);
     onLease(new LeaseEvent.Tick());
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobRowCodec.java
@@ -45,7 +45,11 @@
   }
 
   byte[] encode(OwnerRecord owner) {
-    return bytes(owner);
+    ObjectNode row = json.valueToTree(owner);
+    if (owner.heldPercent() == 0) {
+      row.remove("heldPercent");
+    }
+    return bytes(row);
   }
 
   Either<String, OwnerRecord> decodeOwner(byte[] value) {
--- a/daemon/src/main/java/dev/bambootray/daemon/jobs/JobSubmission.java
+++ b/daemon/src/main/java/dev/bambootray/daemon/jobs/JobSubmission.java
@@ -17,17 +17,48 @@
   private final JobRowCodec codec;
   private final StoreFormats formats;
   private final CallAttempts attempts;
+  private final JobRows rows;
+  private final OwnerRowStore ownerRows;
 
-  JobSubmission(RowStore store, JobRowCodec codec, StoreFormats formats, CallAttempts attempts) {
+  JobSubmission(
+      RowStore store,
+      JobRowCodec codec,
+      StoreFormats formats,
+      CallAttempts attempts,
+      JobRows rows,
+      OwnerRowStore ownerRows) {
     this.store = store;
     this.codec = codec;
     this.formats = formats;
     this.attempts = attempts;
+    this.rows = rows;
+    this.ownerRows = ownerRows;
   }
 
-  /** Stores a job. */
+  /** Stores a job unless the pool is full. */
   CompletableFuture<SubmitOutcome> submit(JobSpec job, CallTime time) {
-    return submit(job, time, false);
+    boolean full =
+        ownerRows.newest().filter(owner -> AdmissionLimit.isFullFor(job, owner)).isPresent();
+    return full ? acceptIfStored(job, time) : submit(job, time, false);
+  }
+
+  /** Refuses a job, but for one that is stored already and is only sent again. */
+  private CompletableFuture<SubmitOutcome> acceptIfStored(JobSpec job, CallTime time) {
+    return attempts.whenStoreAnswers(
+        job.id(),
+        time,
+        () ->
+            rows.readJob(job.id())
+                .thenApply(
+                    found -> {
+                      if (found.unreachable()) {
+                        return SubmitOutcome.UNKNOWN;
+                      }
+                      return found.row().isPresent()
+                          ? SubmitOutcome.ACCEPTED
+                          : SubmitOutcome.POOL_FULL;
+                    }),
+        SubmitOutcome.NOT_STORED);
   }
 
   private CompletableFuture<SubmitOutcome> submit(JobSpec job, CallTime time, boolean maybeStored) {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobApiTest.java
@@ -55,7 +55,7 @@
     @Test
     void sendsAHintToTheOwner() {
       // Without hints, jobs waited 3.7 s despite free workers while the change feed was silent.
-      owner.setNewest(new OwnerRecord("n2/7", 1, 1, false, Map.of()));
+      owner.setNewest(new OwnerRecord("n2/7", 1, 1, false, Map.of(), 0));
       api.submit(JOB, TIME_MS).join();
       api.cancel("j", TIME_MS).join();
       assertEquals(List.of("n2 " + new Hint("j", false), "n2 " + new Hint("j", true)), sent);
@@ -63,14 +63,14 @@
 
     @Test
     void deliversTheHintLocallyIfItIsTheOwner() {
-      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of()));
+      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of(), 0));
       api.submit(JOB, TIME_MS).join();
       assertEquals(List.of(new Hint("j", false)), sent);
     }
 
     @Test
     void sendsNoHintForAJobThatIsNotStored() {
-      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of()));
+      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of(), 0));
       store.unavailable = true;
       api.submit(JOB, TIME_MS).join();
       assertEquals(List.of(), sent);
@@ -110,6 +110,45 @@
     }
   }
 
+  /** The owner has published that it holds as many jobs as it can. */
+  @Nested
+  final class PoolFull {
+    private void publish(int heldPercent) {
+      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of(), heldPercent));
+    }
+
+    private SubmitOutcome submit(JobSpec job) {
+      return api.submit(job, TIME_MS).getNow(null);
+    }
+
+    /** Guards against jobs that no owner can hold in memory. */
+    @Test
+    void refusesFurtherJobs() {
+      publish(100);
+      assertEquals(SubmitOutcome.POOL_FULL, submit(TestJob.builder("j").priority(0).build()));
+      assertEquals(0, store.countOf(JobTables.JOBS));
+    }
+
+    @Test
+    void keepsTheRestForTheHighestPriority() {
+      publish(99);
+      assertEquals(SubmitOutcome.POOL_FULL, submit(TestJob.builder("j").priority(1).build()));
+      assertEquals(SubmitOutcome.ACCEPTED, submit(TestJob.builder("j").priority(0).build()));
+      publish(79);
+      assertEquals(SubmitOutcome.ACCEPTED, submit(TestJob.builder("k").priority(1).build()));
+    }
+
+    /** Guards against telling a caller that a stored job will never run. */
+    @Test
+    void acceptsAStoredJobThatIsSentAgain() {
+      assertEquals(SubmitOutcome.ACCEPTED, submit(JOB));
+      publish(100);
+      assertEquals(SubmitOutcome.ACCEPTED, submit(JOB));
+      store.unavailable = true;
+      assertEquals(SubmitOutcome.UNKNOWN, submit(JOB));
+    }
+  }
+
   @Nested
   final class StoreUnreachable {
     @Test
@@ -229,7 +268,7 @@
     void reportsThePendingCountOfTheOwnerRow() {
       Template template = new Template("t", "h", "/", "s", true, JOB.objective());
       assertEquals(Optional.empty(), api.pending(template));
-      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of("t", 4L)));
+      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of("t", 4L), 0));
       assertEquals(Optional.of(4L), api.pending(template));
     }
   }
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCodecTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCodecTest.java
@@ -70,7 +70,7 @@
 
   @Test
   void decodesTheOwnerThatItEncodes() {
-    OwnerRecord owner = new OwnerRecord("n/1", 3, 9, true, Map.of("t", 4L));
+    OwnerRecord owner = new OwnerRecord("n/1", 3, 9, true, Map.of("t", 4L), 85);
     assertEquals(owner, codec.decodeOwner(codec.encode(owner)).get());
   }
 
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/JobRowCompatibilityTest.java
@@ -162,7 +162,7 @@
   @Nested
   final class Owners {
     private static final OwnerRecord EXPECTED =
-        new OwnerRecord("n-1/99", 3, 9, false, Map.of("t", 4L));
+        new OwnerRecord("n-1/99", 3, 9, false, Map.of("t", 4L), 0);
 
     @Test
     void areReadAndWrittenAsBefore() {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/LoadReporterTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/LoadReporterTest.java
@@ -11,8 +11,8 @@
 final class LoadReporterTest {
   private static final long START_MS = 5_000;
   private static final long EPOCH = 3;
-  private static final JobScheduler.Load IDLE = new JobScheduler.Load(0, 0, 0, 8, 8, 0);
-  private static final JobScheduler.Load BUSY = new JobScheduler.Load(4, 2, 1, 5, 8, 3);
+  private static final JobScheduler.Load IDLE = new JobScheduler.Load(0, 0, 0, 8, 8, 0, 0);
+  private static final JobScheduler.Load BUSY = new JobScheduler.Load(4, 2, 1, 5, 8, 3, 8_000);
   private static final String NO_CALLS = " " + new CallLatencies().report();
   private static final String LOAD = "sched: id=n1 epoch=3 load ";
   private static final String BUSY_LINE = LOAD + BUSY + " longest_pause_ms=0" + NO_CALLS;
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/OwnerRowStoreTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 final class OwnerRowStoreTest {
-  private static final OwnerRecord OWNER = new OwnerRecord("n/1", 1, 1, false, Map.of());
+  private static final OwnerRecord OWNER = new OwnerRecord("n/1", 1, 1, false, Map.of(), 0);
 
   private final ScriptedStore store = new ScriptedStore();
   private final OwnerRowStore rows =
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/SlowStoreReplayTest.java
@@ -77,7 +77,7 @@
               JobMetrics.create(),
               new OwnerHintSender(owner, "n/1", (node, hint) -> {}, hint -> {}),
               formats);
-      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of()));
+      owner.setNewest(new OwnerRecord("n/1", 1, 1, false, Map.of(), 0));
     }
 
     Replay play() {
--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/StoreCallsTest.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/StoreCallsTest.java
@@ -18,7 +18,7 @@
 
 final class StoreCallsTest {
   private static final long EPOCH = 3;
-  private static final OwnerRecord OWNER = new OwnerRecord("n/1", EPOCH, 1, false, Map.of());
+  private static final OwnerRecord OWNER = new OwnerRecord("n/1", EPOCH, 1, false, Map.of(), 0);
 
   private record Answer(long sentEpoch, JobEvent event) {}
 
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEvent.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/LeaseEvent.java
@@ -41,10 +41,15 @@
   /** The scheduler has records to write. */
   record Persist(JobEffect.Persist batch) implements LeaseEvent {}
 
-  /** The number of jobs that have not started has changed. */
-  record PendingChanged(Map<String, Long> pending) implements LeaseEvent {
+  /**
+   * The load that the owner publishes has changed.
+   *
+   * @param pending number of accepted jobs that have not started, by template
+   * @param heldPercent memory that the accepted jobs take, in percent of the limit
+   */
+  record LoadChanged(Map<String, Long> pending, int heldPercent) implements LeaseEvent {
     /** Copies the map. */
-    public PendingChanged {
+    public LoadChanged {
       pending = Map.copyOf(pending);
     }
   }
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/OwnerRecord.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/OwnerRecord.java
@@ -12,9 +12,15 @@
  * @param sequence increases with each commit of the owner
  * @param released whether the owner has released the pool
  * @param pending number of accepted jobs that have not started, by template
+ * @param heldPercent memory that the accepted jobs take at the owner, in percent of its limit
  */
 public record OwnerRecord(
-    String holder, long epoch, long sequence, boolean released, Map<String, Long> pending) {
+    String holder,
+    long epoch,
+    long sequence,
+    boolean released,
+    Map<String, Long> pending,
+    int heldPercent) {
   /** Copies the map and rejects null, so that decoding an incomplete stored row fails. */
   public OwnerRecord {
     requireNonNull(holder, "holder");
--- a/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/lead/PoolLease.java
@@ -4,8 +4,8 @@
 import dev.bambootray.jobs.lead.LeaseEvent.CommitFailed;
 import dev.bambootray.jobs.lead.LeaseEvent.Committed;
 import dev.bambootray.jobs.lead.LeaseEvent.Conflicted;
+import dev.bambootray.jobs.lead.LeaseEvent.LoadChanged;
 import dev.bambootray.jobs.lead.LeaseEvent.OwnerRead;
-import dev.bambootray.jobs.lead.LeaseEvent.PendingChanged;
 import dev.bambootray.jobs.lead.LeaseEvent.Persist;
 import dev.bambootray.jobs.lead.LeaseEvent.ReadFailed;
 import dev.bambootray.jobs.lead.LeaseEvent.Release;
@@ -62,6 +62,7 @@
   private JobEffect.@Nullable Persist attemptedBatch;
   private JobEffect.@Nullable Persist waitingBatch;
   private Map<String, Long> pending = Map.of();
+  private int heldPercent;
   private long nextCommitMs;
   private long commitSentMs;
   private long lastSuccessMs;
@@ -108,8 +109,9 @@
       onCommitFailed(failed.mayApply(), nowMs);
     } else if (event instanceof Persist persist) {
       waitingBatch = role == Role.OWNER ? persist.batch() : null;
-    } else if (event instanceof PendingChanged changed) {
+    } else if (event instanceof LoadChanged changed) {
       pending = changed.pending();
+      heldPercent = changed.heldPercent();
     } else if (event instanceof Abandon abandon) {
       if (role == Role.OWNER) {
         loseOwnership(abandon.reason(), nowMs);
@@ -237,7 +239,7 @@
       onCommitted(readVersion, reads.sentMs(), nowMs);
     } else if (readVersion == version) {
       claimUnanswered = false;
-      send(new OwnerRecord(holder, epoch, sequence, false, pending), null, nowMs);
+      send(new OwnerRecord(holder, epoch, sequence, false, pending, heldPercent), null, nowMs);
     } else {
       giveUpClaim(owner, nowMs);
     }
@@ -253,9 +255,10 @@
     sequence = 1;
     attemptedSequence = 1;
     version = expectedVersion;
-    // The pending jobs of the previous owner remain valid until this node has read the jobs.
+    // The load of the previous owner remains valid until this node has read the jobs.
     pending = last == null ? Map.of() : last.pending();
-    attempted = new OwnerRecord(holder, epoch, sequence, false, pending);
+    heldPercent = last == null ? 0 : last.heldPercent();
+    attempted = new OwnerRecord(holder, epoch, sequence, false, pending, heldPercent);
     send(attempted, null, nowMs);
   }
 
@@ -274,7 +277,7 @@
       waitingBatch = null;
       batchFromSequence = attemptedSequence;
     }
-    attempted = new OwnerRecord(holder, epoch, attemptedSequence, releasing, pending);
+    attempted = new OwnerRecord(holder, epoch, attemptedSequence, releasing, pending, heldPercent);
     send(attempted, attemptedBatch, nowMs);
   }
 
--- a/jobs/src/main/java/dev/bambootray/jobs/model/JobSpec.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/model/JobSpec.java
@@ -68,6 +68,12 @@
     }
   }
 
+  /** Returns this specification with an empty payload. */
+  public JobSpec withoutPayload() {
+    return new JobSpec(
+        id, workspace, template, service, "", steps, objective, schedule, acceptedWallMs);
+  }
+
   /** Returns whether its occurrences have scheduled times. */
   public boolean isTimed() {
     return schedule.firstDueWallMs() > 0;
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
@@ -27,7 +27,8 @@
    */
   private static final int MAX_UNBEGUN_OCCURRENCES = 100;
 
-  final JobSpec spec;
+  /** Its specification; its payload is dropped in a final phase once no run is known. */
+  JobSpec spec;
 
   /** Time of acceptance by the scheduler's monotonic clock. */
   final long acceptedMs;
@@ -59,14 +60,16 @@
     // Clocks of nodes differ, so a time of acceptance in the future counts as now.
     long acceptedMs = now.ms() - Math.max(0, now.wallMs() - spec.acceptedWallMs());
     Job job = new Job(spec, saved == null ? List.of() : saved.tasks(), acceptedMs);
+    if (saved != null && saved.phase().isFinal()) {
+      job.finish(saved.phase(), saved.finishedWallMs());
+      job.closeSettled();
+      return job;
+    }
     if (saved != null) {
       job.phase = saved.phase();
-      job.finishedWallMs = saved.finishedWallMs();
-    }
-    if (!job.phase.isFinal()) {
-      job.openBegun();
-      job.openDue(now.wallMs());
     }
+    job.openBegun();
+    job.openDue(now.wallMs());
     return job;
   }
 
@@ -140,6 +143,11 @@
     return spec.schedule().occurrences() - open.size() - doneOccurrences;
   }
 
+  /** Returns how many tasks of occurrences that are not open have records in memory. */
+  int recordedTasks() {
+    return records.size();
+  }
+
   /** Opens the occurrences and steps whose turn has come, and closes occurrences that are done. */
   void openDue(long wallMs) {
     closeSettled();
@@ -163,6 +171,9 @@
   /** Closes the occurrences without runs that are done; in a final phase, all without runs. */
   void closeSettled() {
     open.entrySet().removeIf(entry -> close(entry.getKey(), entry.getValue()));
+    if (phase.isFinal() && open.isEmpty() && !spec.payload().isEmpty()) {
+      spec = spec.withoutPayload(); // No start order can be repeated any more.
+    }
   }
 
   private boolean close(int number, Occurrence occurrence) {
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/JobScheduler.java
@@ -114,7 +114,12 @@
 
   /** Returns the current load for the log and for metrics. */
   public Load load() {
-    long open = state.jobs.values().stream().filter(job -> !job.phase.isFinal()).count();
+    long open = 0;
+    long heldBytes = 0;
+    for (Job job : state.jobs.values()) {
+      open += job.phase.isFinal() ? 0 : 1;
+      heldBytes += JobFootprint.bytes(job);
+    }
     long running = 0;
     long runningInClosedDomains = 0;
     long free = 0;
@@ -126,7 +131,13 @@
       capacity += worker.entry.capacity().accelerators();
     }
     return new Load(
-        open, running, runningInClosedDomains, free, capacity, planner.overdueGuarantees());
+        open,
+        running,
+        runningInClosedDomains,
+        free,
+        capacity,
+        planner.overdueGuarantees(),
+        heldBytes);
   }
 
   /** Returns a diagnostic text with one line for each worker and for each unfinished step. */
@@ -161,6 +172,7 @@
    * @param freeAccelerators accelerators that no run uses
    * @param accelerators all accelerators
    * @param overdueGuarantees steps that have waited for a guarantee for too long
+   * @param heldBytes estimate of the memory that all jobs take
    */
   public record Load(
       long openJobs,
@@ -168,7 +180,8 @@
       long runsInClosedDomains,
       long freeAccelerators,
       long accelerators,
-      long overdueGuarantees) {}
+      long overdueGuarantees,
+      long heldBytes) {}
 
   private void apply(JobEvent event, EventTime now) {
     if (event instanceof JobEvent.TookOver takeover) {
--- a/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/lead/PoolLeaseTest.java
@@ -18,7 +18,7 @@
   private final PoolLease lease = PoolLease.create("n1/100", TIMES);
 
   private static OwnerRecord owner(String holder, long epoch, long sequence) {
-    return new OwnerRecord(holder, epoch, sequence, false, Map.of());
+    return new OwnerRecord(holder, epoch, sequence, false, Map.of(), 0);
   }
 
   private LeaseEffect.Commit claim(long nowMs) {
@@ -86,7 +86,7 @@
 
     @Test
     void keepsThePendingJobsOfThePreviousOwner() {
-      OwnerRecord dead = new OwnerRecord("n2/1", 4, 9, true, Map.of("t", 12L));
+      OwnerRecord dead = new OwnerRecord("n2/1", 4, 9, true, Map.of("t", 12L), 0);
       List<LeaseEffect> effects = lease.handle(new LeaseEvent.OwnerRead(dead, 9), 1_000);
       LeaseEffect.Commit commit = assertInstanceOf(LeaseEffect.Commit.class, effects.get(0));
       assertEquals(Map.of("t", 12L), commit.owner().pending());
@@ -353,7 +353,7 @@
       lease.handle(new LeaseEvent.Committed(6), 1_150);
       assertTrue(lease.isReleased());
       lease.handle(new LeaseEvent.Tick(), 2_000);
-      OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of());
+      OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of(), 0);
       assertTrue(lease.handle(new LeaseEvent.OwnerRead(free, 6), 2_000).isEmpty());
     }
 
@@ -364,7 +364,7 @@
       assertTrue(assertInstanceOf(LeaseEffect.Commit.class, effects.get(0)).owner().released());
       lease.handle(new LeaseEvent.Committed(6), 1_150);
       lease.handle(new LeaseEvent.Tick(), 2_000);
-      OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of());
+      OwnerRecord free = new OwnerRecord("n1/100", 1, 2, true, Map.of(), 0);
       assertTrue(lease.handle(new LeaseEvent.OwnerRead(free, 6), 2_000).isEmpty());
       lease.handle(new LeaseEvent.Return(), 2_100);
       lease.handle(new LeaseEvent.Tick(), 3_000);
--- a/jobs/src/test/java/dev/bambootray/jobs/scheduling/ScheduledJobMemoryTest.java
+++ b/jobs/src/test/java/dev/bambootray/jobs/scheduling/ScheduledJobMemoryTest.java
@@ -63,6 +63,20 @@
     assertEquals(0, stepsInMemory());
   }
 
+  /** Guards against a limit of accepted jobs that does not see what they take. */
+  @Test
+  void countsWhatIsHeld() {
+    takeOver(List.of());
+    assertEquals(0, scheduler.load().heldBytes());
+    handle(new JobEvent.Accepted(hourly(0)), NOW_MS);
+    long aheadBytes = scheduler.load().heldBytes();
+    handle(new JobEvent.DeclarationConfirmed(NOW_MS + 50 * HOUR_MS), NOW_MS + 50 * HOUR_MS);
+    long openBytes = scheduler.load().heldBytes();
+    assertEquals(50 * 500, openBytes - aheadBytes);
+    handle(new JobEvent.CancelRequested("job-0"), NOW_MS + 50 * HOUR_MS);
+    assertEquals(aheadBytes - 1, scheduler.load().heldBytes());
+  }
+
   @Test
   void holdsTheStepsOfOccurrencesThatAreDue() {
     takeOver(List.of(hourly(0)));
