Play cancellations whose submissions are applied late

The soak had no caller who leaves and cancels while the store is late. One that would cancel its job later now does so at once if the submission gets no answer.

--- a/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
+++ b/daemon/src/test/java/dev/bambootray/daemon/jobs/ScriptedStore.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -92,6 +93,17 @@
     late.clear();
   }
 
+  /** Carries out one of the late commits if its conditions hold now. */
+  void applyOneLate(SplittableRandom random) {
+    if (!late.isEmpty()) {
+      int skipped = random.nextInt(late.size());
+      for (int i = 0; i < skipped; i++) {
+        late.add(late.remove());
+      }
+      late.remove().run();
+    }
+  }
+
   boolean has(String table, String key) {
     return rows.containsKey(table + "/" + key);
   }
--- a/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
+++ b/soak/src/main/java/dev/bambootray/soak/SoakCallers.java
@@ -48,6 +48,9 @@
   /** Statuses that say nothing about a job: the caller has to ask again. */
   private static final Set<Integer> NO_ANSWER = Set.of(0, 429, 502, 503, 504);
 
+  /** Statuses of a submission that may have stored the job, or may store it later. */
+  private static final Set<Integer> MAYBE_STORED = Set.of(0, 502, 504);
+
   private final EventLoop loop;
   private final PromiseBook book;
   private final LongSupplier clock;
@@ -121,13 +124,17 @@
   private void onSubmitted(SoakJob job, int attempt, Outcome outcome) {
     int status = status(outcome);
     boolean givesUp = attempt == MOST_ATTEMPTS || random.nextDouble() < GIVES_UP_SHARE / attempt;
-    boolean last = status != ACCEPTED && givesUp;
+    boolean unanswered = !(outcome instanceof NotSent) && MAYBE_STORED.contains(status);
+    boolean leaves = unanswered && job.cancelled();
+    boolean last = status != ACCEPTED && (givesUp || leaves);
     if (!(outcome instanceof NotSent)) {
       book.answered(job.id(), status, last);
     } else if (last) {
       book.answered(job.id(), 503, true); // No node has seen this attempt.
     }
-    if (status == ACCEPTED) {
+    if (leaves) {
+      cancel(job); // The store may still carry out the submission.
+    } else if (status == ACCEPTED) {
       later(POLL_MS, () -> watch(job));
       if (job.cancelled()) {
         later(random.nextInt(LONGEST_PATIENCE_MS), () -> cancel(job));
