--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Job.java
@@ -86,6 +86,9 @@
 
   /** Returns the steps of the open occurrences. */
   List<StepInstance> openSteps() {
+    if (open.isEmpty()) {
+      return List.of();
+    }
     if (open.size() == 1) {
       return open.firstEntry().getValue().steps;
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Occurrence.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Occurrence.java
@@ -41,7 +41,7 @@
   /** Opens the steps whose earlier steps are done. */
   void openReadySteps() {
     for (StepInstance step : steps) {
-      if (isReady(step)) {
+      if (!step.isOpen() && isReady(step)) {
         step.openNew();
       }
     }
--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/StepInstance.java
@@ -72,8 +72,17 @@
         : Collections.nCopies(spec.count(), TaskRecord.NEW);
   }
 
+  boolean isOpen() {
+    return open;
+  }
+
   boolean isDone() {
-    return open && unfinishedTasks() == 0;
+    for (Task task : tasks) {
+      if (task.state != State.DONE) {
+        return false;
+      }
+    }
+    return open;
   }
 
   /** Returns how many of its tasks are not done. */
