Start a long-running task again in the stead of later jobs

Cause: the order of steps gives a job that was accepted long ago a hundredth of its value, so a long-running job is behind all later ones, and reclaims serve only guarantees and jobs that can still be in time.

Change: a long-running step of which a task has run and has waited for 2 s comes before all steps without a guarantee, may use any rack and stops runs that are neither long-running nor covered by a guarantee. It reclaims only for tasks that have run. Steps that are not long-running are treated as before.

Evidence: LongRunningTest.runsAgainWhileOtherJobsFillThePool fails without the change (no start within 9.5 s after the failure at 21.7 s).

--- a/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
+++ b/jobs/src/main/java/dev/bambootray/jobs/scheduling/Planner.java
@@ -36,14 +36,6 @@
    */
   private static final int MAX_VICTIM_SEARCHES = 4;
 
-  /** Reclaims allowed for a step without a pause; the time limit of a guarantee fits about two. */
-  private static final int RECLAIMS_WITHOUT_PAUSE = 2;
-
-  /** First pause between reclaims for a step; each further pause is twice as long. */
-  private static final long RECLAIM_PAUSE_MS = 1_000;
-
-  private static final long MAX_RECLAIM_PAUSE_MS = 8_000;
-
   /** Time after its last reclaim for which a step keeps an incomplete reservation. */
   private static final long PARTIAL_RESERVATION_MS = 3_000;
 
@@ -138,7 +130,7 @@
           continue;
         }
         step.becomeReady(now);
-        urgencies.put(step, reservationBonus(step) + order.urgency(step, now.ms()));
+        urgencies.put(step, bonus(step, now) + order.urgency(step, now.ms()));
       }
     }
     List<StepInstance> steps = new ArrayList<>(urgencies.keySet());
@@ -152,9 +144,10 @@
     return steps;
   }
 
-  /** Returns a bonus that puts steps with a reservation before others without a guarantee. */
-  private double reservationBonus(StepInstance step) {
-    return state.reservations.has(step) ? RESERVED_URGENCY_BONUS : 0;
+  /** Returns a bonus for steps that come before others without a guarantee. */
+  private double bonus(StepInstance step, EventTime now) {
+    boolean first = LongRunningSteps.isOverdue(step, now.ms()) || state.reservations.has(step);
+    return first ? RESERVED_URGENCY_BONUS : 0;
   }
 
   private void placeGang(
@@ -199,7 +192,9 @@
   /** Returns whether a step that does not fit may stop runs of other jobs. */
   private boolean isUrgent(StepInstance step, GuaranteeCoverage coverage, EventTime now) {
     return policy.isStandard()
-        && (coverage.covers(step.job) || preemption.canSaveValue(step, now.ms()));
+        && (coverage.covers(step.job)
+            || LongRunningSteps.isOverdue(step, now.ms())
+            || preemption.canSaveValue(step, now.ms()));
   }
 
   private int maxGangReservations() {
@@ -213,6 +208,10 @@
       StepInstance step, List<Task> ready, GuaranteeCoverage coverage, EventTime now) {
     state.reservations.release(freeResources, step);
     List<Task> left = new ArrayList<>(ready);
+    boolean overdue = LongRunningSteps.isOverdue(step, now.ms());
+    if (overdue) {
+      LongRunningSteps.putFirst(left);
+    }
     Set<WorkerState> used = placeOnReserved(step, left, now);
     // Reserved places will become free for that many tasks; the remaining tasks are placed now.
     state.reservations.allocate(freeResources, step);
@@ -228,7 +227,8 @@
     if (left.size() < ready.size()) {
       placer.logPlaced(step, ready.size() - left.size(), used, now);
     }
-    int missing = left.size() - state.reservations.count(step);
+    int wanted = overdue ? LongRunningSteps.count(left) : left.size();
+    int missing = wanted - state.reservations.count(step);
     if (missing > 0) {
       if (isUrgent(step, coverage, now)) {
         reclaim(step, missing, coverage, now);
@@ -277,6 +277,9 @@
     if (coverage.covers(step.job)) {
       return now.ms() - step.waitingSinceMs() > GUARANTEED_RACK_WAIT_MS;
     }
+    if (LongRunningSteps.isOverdue(step, now.ms())) {
+      return true;
+    }
     long waitMs = PREFERRED_RACK_WAIT_RUNS * state.statistics.expectedRunMs(step);
     return now.ms() - step.readySinceMs > waitMs;
   }
@@ -310,9 +313,7 @@
             isReclaim ? state.reservations.places(step) : Map.of(),
             bound,
             mayTakeAnyRack(step, coverage, now),
-            placed ->
-                !coverage.covers(placed.task.step.job)
-                    && (covered || preemption.mayStop(step, placed, now.ms())),
+            placed -> !coverage.covers(placed.task.step.job) && mayStop(step, placed, covered, now),
             now.ms());
     Optional<ReclaimPlan> found = ReclaimPlan.find(request, freeResources);
     if (found.isEmpty() && bound) {
@@ -321,7 +322,8 @@
       state.reservations.remove(step);
       return;
     }
-    if (found.isEmpty() || (!covered && !preemption.outweighsLoss(step, found.get(), now.ms()))) {
+    boolean required = covered || LongRunningSteps.isOverdue(step, now.ms());
+    if (found.isEmpty() || (!required && !preemption.outweighsLoss(step, found.get(), now.ms()))) {
       return;
     }
     ReclaimPlan plan = found.get();
@@ -344,20 +346,18 @@
     addReservation(step, Kind.STOP_RUNS, plan.places(), now);
     step.lastReclaimMs = now.ms();
     if (!plan.victims().isEmpty()) {
-      pauseReclaims(step, now);
+      ReclaimPauses.onReclaimed(step, now);
     }
     plan.victims()
         .forEach(victim -> runs.stopWithGang(victim, StopCause.RECLAIMED, "reclaimed", now));
   }
 
-  /** Delays the next reclaim of a step, for longer each time that a reclaim led to no start. */
-  private static void pauseReclaims(StepInstance step, EventTime now) {
-    step.reclaims++;
-    int pauses = step.reclaims - RECLAIMS_WITHOUT_PAUSE;
-    if (pauses >= 0) {
-      step.nextReclaimMs =
-          now.ms() + Math.min(MAX_RECLAIM_PAUSE_MS, RECLAIM_PAUSE_MS << Math.min(pauses, 10));
+  /** Returns whether a step may stop a run that no guarantee covers. */
+  private boolean mayStop(StepInstance step, Placement placed, boolean covered, EventTime now) {
+    if (!covered && LongRunningSteps.isOverdue(step, now.ms())) {
+      return !placed.task.step.spec.longRunning(); // Another one would have to run again as well.
     }
+    return covered || preemption.mayStop(step, placed, now.ms());
   }
 
   private void reserveForGang(
